--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# Targets for developers and CI; each one installs what it needs.
+VENV := .venv
+BIN := $(VENV)/bin
+LIBS := $(wildcard libs/*)
+
+.PHONY: setup format lint types unit model test demo bench lock clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock $(wildcard libs/*/pyproject.toml)
+	@command -v uv >/dev/null || python3 -m pip install --quiet uv
+	uv venv --quiet --allow-existing --python 3.11 $(VENV)
+	uv pip sync --quiet --python $(BIN)/python --require-hashes requirements.lock
+	uv pip install --quiet --python $(BIN)/python --no-deps \
+	    --no-build-isolation $(addprefix -e ,$(LIBS))
+	@touch $@
+
+# The lock file holds hashes and no download addresses.
+lock:
+	uv export --quiet --no-emit-workspace --all-groups --no-header \
+	    --no-annotate --format requirements.txt > requirements.lock
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: setup
+	$(BIN)/mypy $(wildcard libs/*/src)
+
+unit: setup
+	$(BIN)/python -m pytest
+
+model: setup
+	@if [ -f model/check ]; then sh model/check; fi
+
+test: lint types unit model
+
+demo: setup
+	@$(BIN)/python -m sapphire_bench.demo --fault=$(or $(FAULT),none)
+
+bench: setup
+	$(BIN)/sapphirecross-bench run $(BENCH_ARGS)
+
+clean:
+	rm -rf $(VENV) .pytest_cache .ruff_cache .mypy_cache .hypothesis build
--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/__init__.py
@@ -0,0 +1,1 @@
+"""The aggregator daemon."""
--- /dev/null
+++ b/libs/bench/src/sapphire_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration, load tool and reports."""
--- /dev/null
+++ b/libs/config/src/sapphire_config/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of the deployment document and process settings."""
--- /dev/null
+++ b/libs/core/src/sapphire_core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions, data classes and typed errors."""
--- /dev/null
+++ b/libs/core/src/sapphire_core/errors.py
@@ -0,0 +1,282 @@
+"""Typed errors whose messages name the remedy."""
+
+from __future__ import annotations
+
+import enum
+
+
+class RunState(enum.StrEnum):
+    """What is known about the execution of a request."""
+
+    RUN = "run"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+
+
+class SapphireError(Exception):
+    """Base of all errors of the query tier.
+
+    Attributes:
+        kind: Stable identifier for programs.
+        status: HTTP status code used towards callers.
+        run: What is known about the execution of the request.
+        message: What happened.
+        remedy: What the reader can do about it.
+    """
+
+    kind = "internal"
+    status = 500
+    run = RunState.UNKNOWN
+    default_remedy = "Report this with the daemon's log."
+
+    def __init__(
+        self,
+        message: str,
+        remedy: str | None = None,
+        *,
+        run: RunState | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        self.remedy = remedy or self.default_remedy
+        if run is not None:
+            self.run = run
+
+    def __str__(self) -> str:
+        return f"{self.message} {self.remedy}"
+
+
+class RequestRefusedError(SapphireError):
+    """A request that was refused before any leaf received it."""
+
+    run = RunState.NOT_RUN
+
+
+class BadRequestError(RequestRefusedError):
+    """The request is malformed."""
+
+    kind = "bad_request"
+    status = 400
+    default_remedy = "Correct the request as docs/api.md describes."
+
+
+class MissingKeyError(BadRequestError):
+    """A submission has no idempotency key."""
+
+    kind = "missing_key"
+    default_remedy = "Send a unique idempotency key with each submission."
+
+
+class UnknownServiceError(RequestRefusedError):
+    """The configuration has no such service."""
+
+    kind = "unknown_service"
+    status = 404
+    default_remedy = "Use a service of the configuration in force."
+
+
+class TooLargeError(RequestRefusedError):
+    """The request body is larger than the limit."""
+
+    kind = "too_large"
+    status = 413
+    default_remedy = "Send a smaller request."
+
+
+class SlowBodyError(RequestRefusedError):
+    """The request body did not arrive in time."""
+
+    kind = "slow_body"
+    status = 408
+    default_remedy = "Send the whole body at once."
+
+
+class DeadlinePassedError(SapphireError):
+    """The deadline passed before an answer was ready."""
+
+    kind = "deadline_passed"
+    status = 504
+    default_remedy = "Repeat the request with a longer deadline."
+
+
+class OverloadedError(RequestRefusedError):
+    """Admission control refused the request."""
+
+    kind = "overloaded"
+    status = 429
+    default_remedy = "Repeat the request after a short wait."
+
+
+class QuarantinedError(SapphireError):
+    """The query is known to crash the leaves that run it."""
+
+    kind = "quarantined"
+    status = 422
+    default_remedy = "Change the query text; the entry expires by itself."
+
+
+class NotReadyError(RequestRefusedError):
+    """The daemon has no configuration yet."""
+
+    kind = "not_ready"
+    status = 503
+    default_remedy = "Ask another address of the system."
+
+
+class DomainOutError(RequestRefusedError):
+    """The daemon's failure domain or VM is out of service."""
+
+    kind = "domain_out"
+    status = 503
+    default_remedy = "Ask for the addresses again and use one of them."
+
+
+class LeavingError(RequestRefusedError):
+    """The daemon is shutting down."""
+
+    kind = "leaving"
+    status = 503
+    default_remedy = "Ask for the addresses again and use one of them."
+
+
+class KeyConflictError(RequestRefusedError):
+    """Another body was submitted under the same idempotency key."""
+
+    kind = "key_conflict"
+    status = 409
+    default_remedy = "Use a new idempotency key for a different body."
+
+
+class OutcomeUnknownError(SapphireError):
+    """A submission was sent and its outcome is not known."""
+
+    kind = "outcome_unknown"
+    status = 504
+    default_remedy = "Repeat the submission with the same key to learn it."
+
+
+class PlatformUnavailableError(RequestRefusedError):
+    """The platform's key-value service did not answer."""
+
+    kind = "platform_unavailable"
+    status = 503
+    default_remedy = "Repeat the request when the platform is back."
+
+
+class WriteUnknownError(SapphireError):
+    """A platform write was sent and its answer was lost."""
+
+    kind = "write_unknown"
+    default_remedy = "Read the key back to learn whether the write applied."
+
+
+class WriteConflictError(SapphireError):
+    """A compare-and-swap found another version than expected.
+
+    Attributes:
+        current: The version that the platform holds.
+    """
+
+    kind = "write_conflict"
+    status = 409
+    default_remedy = "Read the current value and apply the change to it."
+
+    def __init__(self, key: str, expected: int, current: int) -> None:
+        super().__init__(
+            f"key {key!r} is at version {current}, expected {expected}."
+        )
+        self.current = current
+
+
+class ChannelError(SapphireError):
+    """A connection between two daemons failed.
+
+    Attributes:
+        sent: False if no byte of the request can have left this process.
+    """
+
+    kind = "channel"
+    default_remedy = "Check that the peer runs and is reachable."
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class LeafError(SapphireError):
+    """A call to a leaf failed."""
+
+    kind = "leaf"
+    default_remedy = "Check the leaf's health and its log."
+
+
+class LeafUnreachableError(LeafError):
+    """No connection to the leaf could be opened; no byte was sent."""
+
+    kind = "leaf_unreachable"
+    run = RunState.NOT_RUN
+
+
+class LeafCrashedError(LeafError):
+    """The connection was lost while the leaf was running the request."""
+
+    kind = "leaf_crashed"
+
+
+class LeafLateError(LeafError):
+    """The leaf did not answer within the remaining time."""
+
+    kind = "leaf_late"
+
+
+class LeafReplyError(LeafError):
+    """The leaf's reply is malformed or belongs to another request."""
+
+    kind = "leaf_reply"
+
+
+class LeafShedError(LeafError):
+    """The leaf refused the request for lack of capacity."""
+
+    kind = "leaf_shed"
+    run = RunState.NOT_RUN
+
+
+class LeafColdError(LeafShedError):
+    """The leaf refused the request because it is in a cold start."""
+
+    kind = "leaf_cold"
+
+
+class LeafDrainingError(LeafError):
+    """The leaf is leaving and takes no new work."""
+
+    kind = "leaf_draining"
+    run = RunState.NOT_RUN
+
+
+class VersionGoneError(LeafError):
+    """The leaf no longer has the pinned index version."""
+
+    kind = "version_gone"
+    run = RunState.NOT_RUN
+
+
+class SettingsError(SapphireError):
+    """A settings file or document is not valid.
+
+    Attributes:
+        field: Path of the field, with dots.
+        value: The value found.
+    """
+
+    kind = "settings"
+    run = RunState.NOT_RUN
+
+    def __init__(self, field: str, value: object, problem: str) -> None:
+        super().__init__(
+            f"{field}: {problem}, found {value!r}.",
+            f"Correct {field} and start again.",
+        )
+        self.field = field
+        self.value = value
--- /dev/null
+++ b/libs/core/src/sapphire_core/rendezvous.py
@@ -0,0 +1,24 @@
+"""Rendezvous hashing of leaves and fingerprints over members."""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+from collections.abc import Iterable
+
+
+@functools.lru_cache(maxsize=1 << 16)
+def weight(key: str, member: str) -> int:
+    """Returns the 64-bit weight of a member for a key."""
+    digest = hashlib.blake2b(
+        f"{key}\0{member}".encode(), digest_size=8
+    ).digest()
+    return int.from_bytes(digest, "big")
+
+
+def ranking(key: str, members: Iterable[str]) -> list[str]:
+    """Returns the members by falling weight for the key.
+
+    Adding or removing a member leaves the order of the others unchanged.
+    """
+    return sorted(members, key=lambda m: (weight(key, m), m), reverse=True)
--- /dev/null
+++ b/libs/ctl/src/sapphire_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line client of operators."""
--- /dev/null
+++ b/libs/entry/src/sapphire_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/libs/standins/src/sapphire_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of leaves and platform for tests and demonstrations."""
--- /dev/null
+++ b/libs/wire/idl/messages.thrift
@@ -0,0 +1,174 @@
+// Messages between the daemons of sapphirecross.
+//
+// Each message travels as one Frame in the compact protocol behind a length
+// of four bytes. Times are milliseconds; "remaining" counts from the moment
+// the frame is read.
+
+namespace py messages
+
+enum ShardStatus {
+  OK = 0,
+  FAILED = 1,       // The leaf failed or could not be reached.
+  SHED = 2,         // The leaf or its aggregator refused for lack of capacity.
+  NOT_HOLDER = 3,   // This aggregator does not hold the leaf's send right.
+  VERSION_GONE = 4, // The leaf no longer has the pinned version.
+  LATE = 5,         // The remaining time was used up.
+  QUARANTINED = 6,  // The query is known to crash leaves.
+  DRAINING = 7,     // The leaf is leaving.
+  CRASHED = 8,      // The connection was lost while the query was running.
+}
+
+enum LeafState {
+  DOWN = 0,
+  COLD = 1,
+  WARMING = 2,
+  WARM = 3,
+  SHEDDING = 4,
+  DRAINING = 5,
+}
+
+struct Target {
+  1: i32 shard,
+  2: string leaf,
+}
+
+struct Match {
+  1: string document,
+  2: double score,
+  3: string title,
+}
+
+struct ShardResult {
+  1: i32 shard,
+  2: string leaf,
+  3: ShardStatus status,
+  4: i32 documents,
+  5: double leaf_ms,   // Time at the leaf, queueing in the aggregator excluded.
+  6: double wait_ms,   // Time in the aggregator's queue.
+}
+
+struct Scatter {
+  1: string service_name,
+  2: string version,
+  3: string text,
+  4: i32 k,
+  5: double remaining_ms,
+  6: i32 priority,       // 0 is the highest.
+  7: list<Target> targets,
+  8: bool canary,
+  9: bool hedge,
+  10: string fingerprint,
+}
+
+// Results of some of a Scatter's shards. The matches are merged over the
+// shards with status OK in this part.
+struct Part {
+  1: list<ShardResult> results,
+  2: list<Match> matches,
+  3: bool last,
+}
+
+struct Cancel {
+  1: i64 target_id,
+}
+
+struct Submit {
+  1: string service_name,
+  2: string leaf,
+  3: string key,
+  4: string body,
+  5: double remaining_ms,
+}
+
+struct SubmitReply {
+  1: bool sent,             // False: no byte of the request left this process.
+  2: bool known,            // True: the outcome is known.
+  3: string outcome,        // JSON text of the leaf's answer.
+  4: string reason,
+}
+
+struct CrashRecord {
+  1: string fingerprint,
+  2: i32 crashes,
+  3: double expires_in_ms,
+}
+
+struct Ping {
+  1: string member,
+  2: string cell,
+  3: i64 roster_revision,
+  4: i64 config_revision,
+  5: bool released,         // The sender gives up its grants.
+  6: list<CrashRecord> quarantine,
+  7: string address,
+  8: string failure_domain,
+  9: i64 incarnation,
+  10: optional list<string> roster, // Set when the revisions differ.
+}
+
+struct Pong {
+  1: string member,
+  2: bool granted,
+  3: list<string> fenced,
+  4: i64 roster_revision,
+  5: i64 config_revision,
+  6: list<CrashRecord> quarantine,
+  7: optional list<string> roster, // Set when the revisions differ.
+}
+
+struct View {
+  1: i64 known,             // The sequence number of the last view received.
+  2: i64 config_revision,
+}
+
+struct LeafVersion {
+  1: string version,
+  2: i32 shard,
+  3: i32 shards,
+  4: i32 documents,
+}
+
+struct LeafView {
+  1: string leaf,
+  2: string service_name,
+  3: string failure_domain,
+  4: LeafState state,
+  5: double latency_ms,
+  6: i32 queued,
+  7: list<LeafVersion> versions,
+}
+
+struct ViewReply {
+  1: string member,
+  2: i64 sequence,
+  3: bool changed,
+  4: list<LeafView> leaves,
+  5: i64 config_revision,
+  6: list<CrashRecord> quarantine,
+  7: bool leaving,
+  8: list<string> peers,    // Addresses of the aggregators of the cell.
+}
+
+struct FetchConfig {
+}
+
+struct ConfigReply {
+  1: i64 revision,          // 0: none known.
+  2: string document,       // JSON text.
+}
+
+// One message. Exactly one optional field is set; a reply repeats the id.
+struct Frame {
+  1: i64 id,
+  2: optional Scatter scatter,
+  3: optional Part part,
+  4: optional Cancel cancel,
+  5: optional Submit submit,
+  6: optional SubmitReply submit_reply,
+  7: optional Ping ping,
+  8: optional Pong pong,
+  9: optional View view,
+  10: optional ViewReply view_reply,
+  11: optional FetchConfig fetch_config,
+  12: optional ConfigReply config_reply,
+}
--- /dev/null
+++ b/libs/wire/src/sapphire_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and clients between processes."""
--- /dev/null
+++ b/libs/wire/src/sapphire_wire/channel.py
@@ -0,0 +1,289 @@
+"""Framed request and reply channels between daemons."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import trio
+from prometheus_client import Counter
+from sapphire_core.errors import ChannelError
+
+from sapphire_wire.frames import Decoder, encode
+from sapphire_wire.gen.ttypes import Cancel, Frame
+
+CONNECT_TIMEOUT_S = 1.0
+MAX_UNSENT_BYTES = 16 << 20
+_READ_BYTES = 1 << 16
+
+_UNMATCHED = Counter(
+    "sapphirecross_channel_unmatched_replies_total",
+    "Replies that matched no waiting request and were dropped.",
+)
+
+Reply = Callable[[Any], None]
+Handler = Callable[[Any, Reply], Awaitable[None]]
+
+
+class FrameWriter:
+    """Sends frames over a stream; frames queued together leave together."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._unsent: list[bytes] = []
+        self._unsent_bytes = 0
+        self._wake = trio.Event()
+        self._closed = False
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the stream has failed or was closed."""
+        return self._closed
+
+    def send(self, frame: Any) -> None:
+        """Queues a frame for sending.
+
+        Raises:
+            ChannelError: The channel is closed or the peer reads too slowly.
+        """
+        if self._closed:
+            raise ChannelError("the channel is closed.", sent=False)
+        data = encode(frame)
+        if self._unsent_bytes + len(data) > MAX_UNSENT_BYTES:
+            raise ChannelError("the peer reads too slowly.", sent=False)
+        self._unsent.append(data)
+        self._unsent_bytes += len(data)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Sends queued frames until the stream fails."""
+        try:
+            while True:
+                await self._wake.wait()
+                self._wake = trio.Event()
+                data = b"".join(self._unsent)
+                self._unsent.clear()
+                self._unsent_bytes = 0
+                await self._stream.send_all(data)
+        finally:
+            self._closed = True
+
+
+async def read_frames(stream: trio.abc.Stream) -> AsyncIterator[list[Any]]:
+    """Yields the frames received together until the stream ends."""
+    decoder = Decoder()
+    while data := await stream.receive_some(_READ_BYTES):
+        if frames := decoder.feed(bytes(data)):
+            yield frames
+
+
+async def serve_stream(stream: trio.abc.Stream, handler: Handler) -> None:
+    """Serves one connection: starts the handler for each frame received.
+
+    The handler of a request is cancelled when a Cancel names its id or when
+    the connection ends.
+    """
+    writer = FrameWriter(stream)
+    scopes: dict[int, trio.CancelScope] = {}
+
+    async def run_handler(frame: Any) -> None:
+        def reply(answer: Any) -> None:
+            answer.id = frame.id
+            with contextlib.suppress(ChannelError):
+                writer.send(answer)
+
+        with trio.CancelScope() as scope:
+            scopes[frame.id] = scope
+            try:
+                await handler(frame, reply)
+            finally:
+                scopes.pop(frame.id, None)
+
+    async with stream:
+        with contextlib.suppress(
+            trio.BrokenResourceError, trio.ClosedResourceError, ChannelError
+        ):
+            async with _collapse(), trio.open_nursery() as nursery:
+                nursery.start_soon(writer.run)
+                async for frames in read_frames(stream):
+                    for frame in frames:
+                        if frame.cancel is not None:
+                            scope = scopes.get(frame.cancel.target_id)
+                            if scope is not None:
+                                scope.cancel()
+                        else:
+                            nursery.start_soon(run_handler, frame)
+                nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def _collapse() -> AsyncIterator[None]:
+    """Reduces a group of connection failures to a single ChannelError."""
+    try:
+        yield
+    except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
+        raise ChannelError("the connection failed.", sent=True) from group
+    except* ChannelError as group:
+        raise ChannelError("the peer sent a bad frame.", sent=True) from group
+
+
+async def serve(
+    handler: Handler,
+    host: str,
+    port: int,
+    *,
+    task_status: trio.TaskStatus[list[trio.SocketListener]],
+) -> None:
+    """Accepts connections and serves each until cancelled.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
+
+    async def serve_one(stream: trio.SocketStream) -> None:
+        await serve_stream(stream, handler)
+
+    await trio.serve_tcp(serve_one, port, host=host, task_status=task_status)
+
+
+class Channel:
+    """One client connection to a daemon; requests run concurrently."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._writer = FrameWriter(stream)
+        self._waiting: dict[int, trio.MemorySendChannel[Any]] = {}
+        self._ids = itertools.count(1)
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection has ended."""
+        return self._writer.is_closed
+
+    async def run(self) -> None:
+        """Moves frames until the connection ends."""
+        try:
+            async with _collapse(), trio.open_nursery() as nursery:
+                nursery.start_soon(self._writer.run)
+                async for frames in read_frames(self._stream):
+                    for frame in frames:
+                        self._deliver(frame)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._writer._closed = True
+            for waiting in self._waiting.values():
+                waiting.close()
+            self._waiting.clear()
+            await trio.aclose_forcefully(self._stream)
+
+    def _deliver(self, frame: Any) -> None:
+        waiting = self._waiting.get(frame.id)
+        if waiting is None:
+            _UNMATCHED.inc()
+            return
+        waiting.send_nowait(frame)
+
+    @contextlib.asynccontextmanager
+    async def open_request(
+        self, frame: Any
+    ) -> AsyncIterator[trio.MemoryReceiveChannel[Any]]:
+        """Sends a request and gives the channel of its replies.
+
+        Leaving the block before the last reply cancels the request at the
+        peer. The receive channel ends when the connection is lost.
+
+        Raises:
+            ChannelError: The request could not be queued; sent is False.
+        """
+        frame.id = next(self._ids)
+        send, receive = trio.open_memory_channel[Any](math.inf)
+        self._writer.send(frame)
+        self._waiting[frame.id] = send
+        finished = False
+        try:
+            yield receive
+            finished = True
+        finally:
+            self._waiting.pop(frame.id, None)
+            receive.close()
+            if not finished:
+                with contextlib.suppress(ChannelError):
+                    self._writer.send(
+                        Frame(id=0, cancel=Cancel(target_id=frame.id))
+                    )
+
+    async def request(self, frame: Any) -> Any:
+        """Sends a request and returns its only reply.
+
+        Raises:
+            ChannelError: The connection was lost; sent tells whether the
+                peer may have received the request.
+        """
+        async with self.open_request(frame) as replies:
+            try:
+                return await replies.receive()
+            except trio.EndOfChannel:
+                raise ChannelError(
+                    "the connection was lost before the reply.", sent=True
+                ) from None
+
+
+class Peer:
+    """The channel to one daemon, opened again after it was lost.
+
+    Owned by the nursery that it is given; closes with it.
+    """
+
+    def __init__(self, address: str, nursery: trio.Nursery) -> None:
+        self._address = address
+        self._nursery = nursery
+        self._channel: Channel | None = None
+        self._connecting = trio.Lock()
+
+    @property
+    def address(self) -> str:
+        """Address of the daemon as host:port."""
+        return self._address
+
+    async def channel(self) -> Channel:
+        """Returns an open channel.
+
+        Raises:
+            ChannelError: No connection could be opened; sent is False.
+        """
+        if self._channel is not None and not self._channel.is_closed:
+            return self._channel
+        async with self._connecting:
+            if self._channel is None or self._channel.is_closed:
+                self._channel = await self._connect()
+        return self._channel
+
+    async def request(self, frame: Any) -> Any:
+        """Sends a request and returns its only reply.
+
+        Raises:
+            ChannelError: The daemon can't be reached or was lost.
+        """
+        channel = await self.channel()
+        return await channel.request(frame)
+
+    async def _connect(self) -> Channel:
+        host, _, port = self._address.rpartition(":")
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await trio.open_tcp_stream(host, int(port))
+        except (OSError, trio.TooSlowError) as error:
+            raise ChannelError(
+                f"no connection to {self._address}.", sent=False
+            ) from error
+        channel = Channel(stream)
+        self._nursery.start_soon(_run_quietly, channel)
+        return channel
+
+
+async def _run_quietly(channel: Channel) -> None:
+    with contextlib.suppress(ChannelError):
+        await channel.run()
--- /dev/null
+++ b/libs/wire/src/sapphire_wire/frames.py
@@ -0,0 +1,64 @@
+"""Encoding of frames: a length of four bytes and a compact thrift struct."""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+
+from sapphire_core.errors import ChannelError
+from thrift.protocol.TCompactProtocol import (
+    TCompactProtocolAcceleratedFactory,
+)
+from thrift.TSerialization import deserialize, serialize
+
+from sapphire_wire.gen.ttypes import Frame
+
+MAX_FRAME_BYTES = 8 << 20
+_LENGTH = struct.Struct("!I")
+_PROTOCOL = TCompactProtocolAcceleratedFactory()
+
+
+def encode(frame: Any) -> bytes:
+    """Returns the bytes of a frame, its length first."""
+    body: bytes = serialize(frame, _PROTOCOL)
+    return _LENGTH.pack(len(body)) + body
+
+
+class Decoder:
+    """Cuts a byte stream into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Any]:
+        """Adds received bytes and returns the frames that are complete.
+
+        Raises:
+            ChannelError: A frame is too long or can't be decoded.
+        """
+        self._buffer += data
+        frames = []
+        offset = 0
+        while len(self._buffer) - offset >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._buffer, offset)
+            if length > MAX_FRAME_BYTES:
+                raise ChannelError(f"frame of {length} bytes", sent=True)
+            end = offset + _LENGTH.size + length
+            if len(self._buffer) < end:
+                break
+            body = bytes(self._buffer[offset + _LENGTH.size : end])
+            frames.append(_decode_body(body))
+            offset = end
+        del self._buffer[:offset]
+        return frames
+
+
+def _decode_body(body: bytes) -> Any:
+    try:
+        return deserialize(Frame(), body, _PROTOCOL)
+    except Exception as error:
+        # The thrift runtime raises errors of many unrelated types for
+        # malformed input.
+        raise ChannelError(
+            f"malformed frame: {type(error).__name__}", sent=True
+        ) from error
--- /dev/null
+++ b/libs/wire/src/sapphire_wire/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Generated thrift code of the messages between daemons."""
--- /dev/null
+++ b/libs/wire/src/sapphire_wire/platform.py
@@ -0,0 +1,183 @@
+"""Client of the platform: key-value service and list of VMs."""
+
+from __future__ import annotations
+
+import urllib.parse
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from prometheus_client import Counter
+from sapphire_core.errors import (
+    PlatformUnavailableError,
+    WriteConflictError,
+    WriteUnknownError,
+)
+
+from sapphire_wire.web import (
+    HttpClient,
+    HttpConnectError,
+    HttpLostError,
+    HttpReply,
+    HttpTimeoutError,
+)
+
+CALL_TIMEOUT_S = 1.0
+WATCH_WAIT_S = 30.0
+MAX_CONNECTIONS = 8
+
+_CALLS = Counter(
+    "sapphirecross_platform_calls_total",
+    "Calls to the platform, waiting watches included.",
+    ["operation", "result"],
+)
+
+
+@dataclass(frozen=True)
+class Item:
+    """A value of the key-value service; version 0 means absent."""
+
+    value: str
+    version: int
+
+
+@dataclass(frozen=True)
+class VmLists:
+    """Addresses of live and of leaving VMs, as the platform lists them."""
+
+    live: frozenset[str]
+    leaving: frozenset[str]
+
+
+class PlatformClient:
+    """Calls the platform's key-value service."""
+
+    def __init__(self, address: str, vm_list_address: str | None) -> None:
+        self._kv = HttpClient(address, MAX_CONNECTIONS)
+        self._vms = HttpClient(vm_list_address, 1) if vm_list_address else None
+
+    async def get(self, key: str) -> Item:
+        """Reads a key.
+
+        Raises:
+            PlatformUnavailableError: No answer within a second.
+        """
+        reply = await self._call("get", "GET", _path(key))
+        return _item(reply)
+
+    async def put(self, key: str, value: str, expect: int) -> int:
+        """Writes a key if it is at the expected version.
+
+        Args:
+            key: The key.
+            value: The new value, at most 1 MB.
+            expect: The version to replace; 0 creates an absent key.
+
+        Returns:
+            The new version.
+
+        Raises:
+            WriteConflictError: The key is at another version.
+            PlatformUnavailableError: The write was not sent.
+            WriteUnknownError: The write may or may not have taken effect.
+        """
+        body = {"value": value, "expect": expect}
+        try:
+            reply = await self._kv.call(
+                "PUT", _path(key), body, timeout_s=CALL_TIMEOUT_S
+            )
+        except HttpConnectError as error:
+            _CALLS.labels("put", "unsent").inc()
+            raise PlatformUnavailableError(
+                f"the write of {key!r} was not sent."
+            ) from error
+        except (HttpLostError, HttpTimeoutError) as error:
+            _CALLS.labels("put", "unknown").inc()
+            raise WriteUnknownError(
+                f"the answer to the write of {key!r} was lost."
+            ) from error
+        if reply.status == 409:
+            _CALLS.labels("put", "conflict").inc()
+            raise WriteConflictError(key, expect, reply.json()["version"])
+        if reply.status == 429:
+            _CALLS.labels("put", "limited").inc()
+            raise PlatformUnavailableError("the platform limits writes.")
+        if reply.status != 200:
+            _CALLS.labels("put", "unknown").inc()
+            raise WriteUnknownError(f"write answered {reply.status}.")
+        _CALLS.labels("put", "ok").inc()
+        return int(reply.json()["version"])
+
+    async def watch(self, key: str, after: int) -> Item:
+        """Waits up to 30 s for a version above after; returns the newest.
+
+        Raises:
+            PlatformUnavailableError: The service did not answer.
+        """
+        wait_ms = round(WATCH_WAIT_S * 1000)
+        path = f"/watch/{_quote(key)}?after={after}&wait_ms={wait_ms}"
+        reply = await self._call(
+            "watch", "GET", path, timeout_s=WATCH_WAIT_S + CALL_TIMEOUT_S
+        )
+        return _item(reply)
+
+    async def vms(self) -> VmLists:
+        """Reads the lagging list of VMs.
+
+        Raises:
+            PlatformUnavailableError: No list is set or it did not answer.
+        """
+        if self._vms is None:
+            raise PlatformUnavailableError("no VM list is set.")
+        reply = await self._call("vms", "GET", "/vms", client=self._vms)
+        lists = reply.json()
+        return VmLists(frozenset(lists["live"]), frozenset(lists["leaving"]))
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self._kv.aclose()
+        if self._vms is not None:
+            await self._vms.aclose()
+
+    async def _call(
+        self,
+        operation: str,
+        method: str,
+        path: str,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+        client: HttpClient | None = None,
+    ) -> HttpReply:
+        try:
+            reply = await (client or self._kv).call(
+                method, path, timeout_s=timeout_s
+            )
+        except (HttpConnectError, HttpLostError, HttpTimeoutError) as error:
+            _CALLS.labels(operation, "failed").inc()
+            raise PlatformUnavailableError(
+                f"the platform did not answer {operation}."
+            ) from error
+        if reply.status != 200:
+            _CALLS.labels(operation, "failed").inc()
+            raise PlatformUnavailableError(
+                f"the platform answered {operation} with {reply.status}."
+            )
+        _CALLS.labels(operation, "ok").inc()
+        return reply
+
+
+def _quote(key: str) -> str:
+    return urllib.parse.quote(key, safe="")
+
+
+def _path(key: str) -> str:
+    return f"/kv/{_quote(key)}"
+
+
+def _item(reply: HttpReply) -> Item:
+    fields = reply.json()
+    return Item(fields["value"], int(fields["version"]))
+
+
+def join(parts: Sequence[str]) -> str:
+    """Returns a key made of parts, each quoted so that none can overlap."""
+    return "/".join(_quote(part) for part in parts)
--- /dev/null
+++ b/libs/wire/src/sapphire_wire/web.py
@@ -0,0 +1,157 @@
+"""HTTP helpers: a hypercorn server on trio and an httpcore client."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import httpcore
+import hypercorn.trio
+import trio
+from hypercorn.config import Config
+
+KEEP_ALIVE_S = 60.0
+_CONNECT_ERRORS = (
+    httpcore.ConnectError,
+    httpcore.ConnectTimeout,
+    httpcore.PoolTimeout,
+)
+
+
+@dataclass(frozen=True)
+class Tls:
+    """Certificate and key files of an HTTP listener."""
+
+    certfile: str
+    keyfile: str
+
+
+async def serve_http(
+    app: Any,
+    host: str,
+    port: int,
+    shutdown: Callable[[], Awaitable[None]],
+    *,
+    graceful_s: float = 10.0,
+    tls: Tls | None = None,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves an ASGI app until shutdown returns, then finishes requests.
+
+    Args:
+        app: The ASGI application.
+        host: IP address to bind.
+        port: TCP port to bind; 0 lets the system choose.
+        shutdown: Returns when no new connection shall be accepted.
+        graceful_s: Seconds that running requests may take to finish.
+        tls: Certificate of the listener; None for plain HTTP.
+        task_status: Receives the bound addresses.
+    """
+    config = Config()
+    config.bind = [f"{host}:{port}"]
+    config.graceful_timeout = graceful_s
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.accesslog = None
+    config.errorlog = None
+    config.h11_max_incomplete_size = 64 << 10
+    if tls is not None:
+        config.certfile = tls.certfile
+        config.keyfile = tls.keyfile
+    await hypercorn.trio.serve(
+        app,
+        config,
+        shutdown_trigger=shutdown,
+        task_status=task_status,
+        mode="asgi",
+    )
+
+
+class HttpConnectError(Exception):
+    """No connection could be opened; no byte of the request was sent."""
+
+
+class HttpLostError(Exception):
+    """The connection was lost after the request may have been sent."""
+
+
+class HttpTimeoutError(Exception):
+    """No whole reply within the time given; the request may have run."""
+
+
+@dataclass(frozen=True)
+class HttpReply:
+    """A whole HTTP reply."""
+
+    status: int
+    body: bytes
+
+    def json(self) -> Any:
+        """Returns the decoded body.
+
+        Raises:
+            ValueError: The body is not JSON.
+        """
+        return json.loads(self.body)
+
+
+class HttpClient:
+    """Calls one HTTP server over a bounded set of kept connections."""
+
+    def __init__(self, address: str, max_connections: int) -> None:
+        self._address = address
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=max_connections,
+            max_keepalive_connections=max_connections,
+            keepalive_expiry=KEEP_ALIVE_S,
+        )
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        timeout_s: float,
+    ) -> HttpReply:
+        """Sends one request and reads the whole reply.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: Sent as JSON unless None.
+            timeout_s: Seconds for the whole call.
+
+        Raises:
+            HttpConnectError: No connection; the request was not sent.
+            HttpLostError: The connection was lost while the server ran it.
+            HttpTimeoutError: No whole reply in time.
+        """
+        content = b"" if body is None else json.dumps(body).encode()
+        headers: dict[bytes | str, bytes | str] = {
+            "Host": self._address,
+            "Content-Length": str(len(content)),
+            "Content-Type": "application/json",
+        }
+        try:
+            with trio.fail_after(max(timeout_s, 0.0)):
+                response = await self._pool.request(
+                    method,
+                    f"http://{self._address}{path}",
+                    headers=headers,
+                    content=content,
+                )
+        except _CONNECT_ERRORS as error:
+            raise HttpConnectError(str(error)) from error
+        except trio.TooSlowError as error:
+            raise HttpTimeoutError(f"no reply in {timeout_s:.3f} s") from error
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            raise HttpLostError(str(error)) from error
+        except httpcore.TimeoutException as error:
+            raise HttpTimeoutError(str(error)) from error
+        return HttpReply(response.status, response.content)
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        await self._pool.aclose()
