--- /dev/null
+++ b/libs/bench/src/sapphire_bench/caller.py
@@ -0,0 +1,234 @@
+"""A caller of the query tier: asks for addresses, then connects to them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+from sapphire_core.errors import SapphireError
+from sapphire_wire.web import (
+    HttpClient,
+    HttpConnectError,
+    HttpLostError,
+    HttpReply,
+    HttpTimeoutError,
+)
+
+ADDRESS_TIMEOUT_S = 1.0
+RETRY_PAUSE_S = 0.05
+MAX_CONNECTIONS = 200
+# Time that the network and the entry may add to a request's own deadline.
+REPLY_MARGIN_S = 1.0
+_REFUSALS_TO_MOVE = {"domain_out", "leaving", "not_ready"}
+
+
+class NoAddressError(SapphireError):
+    """No entry answered the question for addresses."""
+
+    kind = "no_address"
+    default_remedy = "Check that an entry daemon runs and is reachable."
+
+
+@dataclass(frozen=True)
+class Answer:
+    """The reply to one request of a caller.
+
+    Attributes:
+        status: HTTP status; 0 if no entry answered in time.
+        body: The decoded JSON body.
+        attempts: Entries that were asked.
+        elapsed_s: Seconds from the request to the reply.
+    """
+
+    status: int
+    body: dict[str, Any]
+    attempts: int
+    elapsed_s: float
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the answer is a search result that covers all shards."""
+        coverage = self.body.get("coverage", {})
+        return self.status == 200 and bool(coverage.get("complete"))
+
+    @property
+    def error_kind(self) -> str | None:
+        """Kind of the typed error, or None."""
+        error = self.body.get("error")
+        return error["kind"] if isinstance(error, dict) else None
+
+    @property
+    def run(self) -> str | None:
+        """What the answer states about the execution of the request."""
+        error = self.body.get("error")
+        source = error if isinstance(error, dict) else self.body
+        return source.get("run")
+
+
+class Caller:
+    """Sends requests to the entries that the system names."""
+
+    def __init__(
+        self,
+        bootstrap: Sequence[str],
+        failure_domain: str | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._bootstrap = list(bootstrap)
+        self._failure_domain = failure_domain
+        self._rng = rng or random.Random(0)
+        self._clients: dict[str, HttpClient] = {}
+        self._addresses: list[str] = []
+        self._keep_until = float("-inf")
+        self._next = 0
+
+    async def addresses(self) -> list[str]:
+        """Returns the addresses in use, asking again when they expired.
+
+        Raises:
+            NoAddressError: No entry answered.
+        """
+        if trio.current_time() < self._keep_until:
+            return self._addresses
+        known = self._addresses + self._bootstrap
+        for address in dict.fromkeys(known):
+            reply = await self._ask_addresses(address)
+            if reply is not None:
+                return self._keep(reply)
+        raise NoAddressError("no entry told which addresses to use.")
+
+    async def search(
+        self,
+        service: str,
+        text: str,
+        *,
+        request_class: str,
+        k: int = 10,
+        deadline_ms: int = 1000,
+    ) -> Answer:
+        """Searches; another entry is asked if one is lost or refuses.
+
+        Raises:
+            NoAddressError: No entry answered the question for addresses.
+        """
+        body = {
+            "service": service,
+            "text": text,
+            "k": k,
+            "class": request_class,
+            "deadline_ms": deadline_ms,
+        }
+        return await self._send("/v1/search", body, deadline_ms, repeat=True)
+
+    async def submit(
+        self,
+        service: str,
+        key: str,
+        body: dict[str, Any],
+        *,
+        deadline_ms: int = 2000,
+        repeat: bool = False,
+    ) -> Answer:
+        """Submits once; with repeat, sends the same key again if needed.
+
+        Raises:
+            NoAddressError: No entry answered the question for addresses.
+        """
+        fields = {
+            "service": service,
+            "key": key,
+            "body": body,
+            "deadline_ms": deadline_ms,
+        }
+        return await self._send(
+            "/v1/submit", fields, deadline_ms, repeat=repeat
+        )
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        for client in self._clients.values():
+            await client.aclose()
+
+    async def _send(
+        self,
+        path: str,
+        body: dict[str, Any],
+        deadline_ms: int,
+        *,
+        repeat: bool,
+    ) -> Answer:
+        start = trio.current_time()
+        end = start + deadline_ms / 1000 + REPLY_MARGIN_S
+        attempts = 0
+        while True:
+            address = await self._choose()
+            attempts += 1
+            left_s = end - trio.current_time()
+            reply = await self._call(address, path, body, left_s)
+            elapsed = trio.current_time() - start
+            if reply is None:
+                self._forget(address)
+                if repeat and trio.current_time() < end:
+                    await trio.sleep(RETRY_PAUSE_S)
+                    continue
+                return Answer(0, {}, attempts, elapsed)
+            answer = Answer(reply.status, reply.json(), attempts, elapsed)
+            if answer.error_kind in _REFUSALS_TO_MOVE and left_s > 0:
+                # These refusals state that the request did not run, so it
+                # may be sent to another address whatever its kind.
+                self._forget(address)
+                await trio.sleep(RETRY_PAUSE_S)
+                continue
+            return answer
+
+    async def _choose(self) -> str:
+        addresses = await self.addresses()
+        self._next += 1
+        return addresses[self._next % len(addresses)]
+
+    def _forget(self, address: str) -> None:
+        if address in self._addresses:
+            self._addresses.remove(address)
+        if not self._addresses:
+            self._keep_until = float("-inf")
+
+    def _keep(self, reply: dict[str, Any]) -> list[str]:
+        self._addresses = [item["address"] for item in reply["addresses"]]
+        self._keep_until = trio.current_time() + reply["keep_ms"] / 1000
+        self._next = self._rng.randrange(max(len(self._addresses), 1))
+        if not self._addresses:
+            raise NoAddressError("the system named no address.")
+        return self._addresses
+
+    async def _ask_addresses(self, address: str) -> dict[str, Any] | None:
+        path = "/v1/addresses"
+        if self._failure_domain is not None:
+            path += f"?failure_domain={self._failure_domain}"
+        try:
+            reply = await self._client(address).call(
+                "GET", path, timeout_s=ADDRESS_TIMEOUT_S
+            )
+        except (HttpConnectError, HttpLostError, HttpTimeoutError):
+            return None
+        if reply.status != 200:
+            return None
+        fields: dict[str, Any] = reply.json()
+        return fields if fields["addresses"] else None
+
+    async def _call(
+        self, address: str, path: str, body: dict[str, Any], timeout_s: float
+    ) -> HttpReply | None:
+        try:
+            return await self._client(address).call(
+                "POST", path, body, timeout_s=timeout_s
+            )
+        except (HttpConnectError, HttpLostError, HttpTimeoutError):
+            return None
+
+    def _client(self, address: str) -> HttpClient:
+        if address not in self._clients:
+            self._clients[address] = HttpClient(address, MAX_CONNECTIONS)
+        return self._clients[address]
--- /dev/null
+++ b/libs/bench/src/sapphire_bench/demo.py
@@ -0,0 +1,153 @@
+"""The demonstration: a small fleet, searches, a fault and a checked answer."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass
+
+import fire
+import trio
+from sapphire_standins.corpus import single_index_answer
+
+from sapphire_bench.caller import Answer, Caller
+from sapphire_bench.fleet import Fleet, open_fleet
+from sapphire_bench.shape import DEMO
+
+SERVICE = "toxdesk"
+REQUEST_CLASS = "sweep"
+TEXTS = ("skin sensitisation study", "tender deadline", "paraben safety")
+K = 10
+DEADLINE_MS = 1500
+SETTLE_S = 0.3
+LOST_SHARD = 0
+
+
+@dataclass(frozen=True)
+class Summary:
+    """The last line of the demonstration."""
+
+    fault: str
+    complete: bool
+    shards_total: int
+    shards_answered: int
+    missing: list[int]
+    index_version: str
+    elapsed_ms: float
+    matches_single_index: bool
+    attempts: int
+    expected: bool
+
+
+Fault = Callable[[Fleet], Awaitable[None]]
+
+
+async def _no_fault(fleet: Fleet) -> None:
+    del fleet
+
+
+async def _kill_leaf(fleet: Fleet) -> None:
+    place = next(p for p in fleet.leaves if p.service.name == SERVICE)
+    fleet.kill(f"leaf-{place.name}")
+
+
+async def _kill_shard(fleet: Fleet) -> None:
+    for place in fleet.leaves:
+        if place.service.name == SERVICE and place.shard == LOST_SHARD:
+            fleet.kill(f"leaf-{place.name}")
+
+
+async def _kill_entry(fleet: Fleet) -> None:
+    fleet.kill(f"entry-{fleet.vms[0].name}")
+
+
+FAULTS: dict[str, Fault] = {
+    "none": _no_fault,
+    "leaf-kill": _kill_leaf,
+    "shard-loss": _kill_shard,
+    "entry-kill": _kill_entry,
+}
+
+
+def matches_reference(answer: Answer, text: str) -> bool:
+    """Whether the answer's matches equal those of one index over all."""
+    reference = single_index_answer(answer.body["index_version"], text, K)
+    found = [(m["id"], round(m["score"], 9)) for m in answer.body["matches"]]
+    return found == [(m.id, round(m.score, 9)) for m in reference]
+
+
+def summarise(fault: str, answers: list[Answer]) -> Summary:
+    """Returns the summary of the searches made after the fault."""
+    last = answers[-1]
+    coverage = last.body["coverage"]
+    complete = all(a.is_complete for a in answers)
+    missing = [item["shard"] for item in coverage["missing"]]
+    matches = all(
+        matches_reference(a, t) for a, t in zip(answers, TEXTS, strict=True)
+    )
+    if fault == "shard-loss":
+        expected = not complete and missing == [LOST_SHARD]
+    else:
+        expected = complete and matches
+    return Summary(
+        fault=fault,
+        complete=complete,
+        shards_total=coverage["shards_total"],
+        shards_answered=coverage["shards_answered"],
+        missing=missing,
+        index_version=last.body["index_version"],
+        elapsed_ms=round(last.elapsed_s * 1000, 1),
+        matches_single_index=matches,
+        attempts=max(a.attempts for a in answers),
+        expected=expected,
+    )
+
+
+async def run_demo(fault: str) -> Summary:
+    """Runs the demonstration with one fault and returns its summary."""
+    async with open_fleet(DEMO) as fleet:
+        print(f"{len(fleet.members)} processes are ready.", file=sys.stderr)
+        caller = Caller(fleet.entries, DEMO.failure_domains[0])
+        await caller.addresses()
+        await FAULTS[fault](fleet)
+        if fault != "entry-kill":
+            # A caller that meets a killed entry notices it by itself; the
+            # other faults get a moment to take effect.
+            await trio.sleep(SETTLE_S)
+        answers = []
+        for text in TEXTS:
+            answer = await caller.search(
+                SERVICE,
+                text,
+                request_class=REQUEST_CLASS,
+                k=K,
+                deadline_ms=DEADLINE_MS,
+            )
+            print(f"{text!r}: HTTP {answer.status}", file=sys.stderr)
+            answers.append(answer)
+        await caller.aclose()
+        return summarise(fault, answers)
+
+
+def demo(fault: str = "none") -> None:
+    """Runs the demonstration.
+
+    Args:
+        fault: One of none, leaf-kill, shard-loss and entry-kill.
+    """
+    if fault not in FAULTS:
+        print(f"fault must be one of {', '.join(FAULTS)}.", file=sys.stderr)
+        sys.exit(2)
+    summary = trio.run(run_demo, fault)
+    print(json.dumps(asdict(summary)))
+    sys.exit(0 if summary.expected else 1)
+
+
+def main() -> None:
+    """Entry point of the demonstration."""
+    fire.Fire(demo)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/libs/bench/src/sapphire_bench/fleet.py
@@ -0,0 +1,361 @@
+"""A fleet on one machine: every daemon and stand-in as its own process."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import uuid
+from collections.abc import AsyncIterator
+from typing import Any
+
+import trio
+from sapphire_config.document import Document, StoredDocument
+from sapphire_core.errors import SapphireError
+from sapphire_wire.platform import PlatformClient
+from sapphire_wire.web import (
+    HttpClient,
+    HttpConnectError,
+    HttpLostError,
+    HttpTimeoutError,
+)
+
+from sapphire_bench.shape import (
+    ENTRY_FRAMES_PORT,
+    PLATFORM_PORT,
+    VM_LIST_PORT,
+    FleetShape,
+    LeafPlace,
+    Vm,
+)
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+CALL_TIMEOUT_S = 2.0
+CONFIG_KEY = "config"
+_LOOPBACK_NETWORKS = 250
+
+
+class FleetError(SapphireError):
+    """A process of the fleet did not do what was asked."""
+
+    kind = "fleet"
+    default_remedy = "Read the process's log in the fleet's directory."
+
+
+@dataclasses.dataclass
+class Member:
+    """One process of the fleet and the command that started it."""
+
+    name: str
+    command: list[str]
+    process: trio.Process
+    log: pathlib.Path
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        return self.process.pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process if it still runs."""
+        if self.is_running:
+            os.kill(self.pid, number)
+
+
+class Fleet:
+    """The processes of one deployment on one machine."""
+
+    def __init__(self, shape: FleetShape, directory: pathlib.Path) -> None:
+        self._shape = shape
+        self._directory = directory
+        self._network = free_network()
+        self._members: dict[str, Member] = {}
+        self._clients: dict[str, HttpClient] = {}
+        self._vms = shape.vms(self._network)
+        self._leaves = shape.leaves(self._network)
+        self._document = shape.document(self._network)
+
+    @property
+    def document(self) -> Document:
+        """The deployment document at the start."""
+        return self._document
+
+    @property
+    def vms(self) -> list[Vm]:
+        """VMs of the query tier."""
+        return self._vms
+
+    @property
+    def leaves(self) -> list[LeafPlace]:
+        """Places of all leaves."""
+        return self._leaves
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """Processes by name."""
+        return self._members
+
+    @property
+    def entries(self) -> list[str]:
+        """HTTP addresses of all entries."""
+        return [vm.entry for vm in self._vms]
+
+    @property
+    def platform(self) -> str:
+        """Address of the platform stand-in."""
+        return f"{self._network}.250.1:{PLATFORM_PORT}"
+
+    @property
+    def vm_list(self) -> str:
+        """Address of the VM list stand-in."""
+        return f"{self._network}.250.1:{VM_LIST_PORT}"
+
+    async def start(self, ready_leaves: bool = True) -> None:
+        """Starts all processes and waits until searches can be served.
+
+        Raises:
+            FleetError: A process ended or isn't ready after 30 s.
+        """
+        await self._start_standins()
+        await self.apply(self._document, expect=0)
+        for vm in self._vms:
+            await self.start_aggregator(vm)
+            await self.start_entry(vm)
+        if ready_leaves:
+            await self.wait_ready()
+
+    async def apply(self, document: Document, expect: int) -> int:
+        """Writes a document as the next revision; returns the revision."""
+        stored = StoredDocument(
+            revision=expect + 1, change_id=uuid.uuid4().hex, document=document
+        )
+        client = PlatformClient(self.platform, None)
+        try:
+            await client.put(CONFIG_KEY, stored.model_dump_json(), expect)
+        finally:
+            await client.aclose()
+        return expect + 1
+
+    async def start_aggregator(self, vm: Vm) -> Member:
+        """Starts the aggregator of a VM."""
+        settings = self._daemon_settings(vm) | {
+            "frames": vm.aggregator,
+            "admin": vm.admin,
+            "cell": self._shape.region,
+        }
+        return await self._start_daemon(
+            f"aggregator-{vm.name}", "sapphire_aggregator.cmdline", settings
+        )
+
+    async def start_entry(self, vm: Vm) -> Member:
+        """Starts the entry of a VM."""
+        settings = self._daemon_settings(vm) | {
+            "listen": vm.entry,
+            "frames": f"{vm.ip}:{ENTRY_FRAMES_PORT}",
+        }
+        return await self._start_daemon(
+            f"entry-{vm.name}", "sapphire_entry.cmdline", settings
+        )
+
+    async def start_leaf(self, place: LeafPlace) -> Member:
+        """Starts the stand-in of one leaf."""
+        service = place.service
+        settings = {
+            "listen": place.address,
+            "service": service.name,
+            "slots": service.slots,
+            "connections": service.connections,
+            "connect_ms": service.connect_ms,
+            "service_ms": service.service_ms,
+            "versions": {
+                "v1": {"shard": place.shard, "shards": service.shards}
+            },
+        }
+        return await self._start_daemon(
+            f"leaf-{place.name}", "sapphire_standins.leafserver", settings
+        )
+
+    async def stop(self, name: str) -> int:
+        """Sends SIGTERM to a process and returns its exit code.
+
+        Raises:
+            FleetError: The process did not end within 20 s.
+        """
+        member = self._members[name]
+        member.signal(signal.SIGTERM)
+        with trio.move_on_after(STOP_TIMEOUT_S):
+            return await member.process.wait()
+        raise FleetError(f"{name} did not end {STOP_TIMEOUT_S} s after SIGTERM")
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once, without any clean-up of its own."""
+        self._members[name].signal(signal.SIGKILL)
+
+    async def call(
+        self, address: str, method: str, path: str, body: Any = None
+    ) -> Any:
+        """Calls an HTTP endpoint of the fleet and returns the JSON reply.
+
+        Raises:
+            FleetError: The endpoint can't be reached.
+        """
+        if address not in self._clients:
+            self._clients[address] = HttpClient(address, 4)
+        try:
+            reply = await self._clients[address].call(
+                method, path, body, timeout_s=CALL_TIMEOUT_S
+            )
+            return reply.json()
+        except (HttpConnectError, HttpLostError, HttpTimeoutError) as error:
+            raise FleetError(f"{address} did not answer {path}") from error
+
+    async def fault(self, address: str, **faults: Any) -> None:
+        """Sets faults of a stand-in."""
+        await self.call(address, "POST", "/faults", faults)
+
+    async def record(self, address: str) -> dict[str, Any]:
+        """Returns the counters of a stand-in."""
+        counters: dict[str, Any] = await self.call(address, "GET", "/record")
+        return counters
+
+    async def wait_ready(self) -> None:
+        """Waits until each entry serves a whole index of each service.
+
+        Raises:
+            FleetError: That takes more than 30 s.
+        """
+        with trio.move_on_after(START_TIMEOUT_S):
+            for vm in self._vms:
+                while not await self._entry_is_whole(vm.entry):
+                    self._check_running()
+                    await trio.sleep(POLL_S)
+            return
+        raise FleetError(f"entries are not ready after {START_TIMEOUT_S} s")
+
+    async def aclose(self) -> None:
+        """Ends every process that the fleet started, by its id."""
+        for client in self._clients.values():
+            await client.aclose()
+        for member in self._members.values():
+            member.signal(signal.SIGCONT)
+            member.signal(signal.SIGKILL)
+        for member in self._members.values():
+            await member.process.wait()
+
+    async def _entry_is_whole(self, address: str) -> bool:
+        for service in self._shape.services:
+            body = {
+                "service": service.name,
+                "text": "safety",
+                "k": 1,
+                "class": service.classes[0].name,
+                "deadline_ms": 1000,
+            }
+            try:
+                reply = await self.call(address, "POST", "/v1/search", body)
+            except (FleetError, ValueError):
+                return False
+            if not reply.get("coverage", {}).get("complete"):
+                return False
+        return True
+
+    async def _start_standins(self) -> None:
+        await self._start_daemon(
+            "platform",
+            "sapphire_standins.platformserver",
+            {"listen": self.platform},
+        )
+        await self._start_daemon(
+            "vmlist",
+            "sapphire_standins.vmserver",
+            {"listen": self.vm_list, "live": [vm.ip for vm in self._vms]},
+        )
+        for place in self._leaves:
+            await self.start_leaf(place)
+        addresses = [self.platform, self.vm_list]
+        addresses += [place.address for place in self._leaves]
+        for address in addresses:
+            await self._wait_answer(address)
+
+    async def _wait_answer(self, address: str) -> None:
+        with trio.move_on_after(START_TIMEOUT_S):
+            while True:
+                try:
+                    await self.call(address, "GET", "/record")
+                except (FleetError, ValueError):
+                    self._check_running()
+                    await trio.sleep(POLL_S)
+                else:
+                    return
+        raise FleetError(f"{address} does not answer")
+
+    def _check_running(self) -> None:
+        for member in self._members.values():
+            if not member.is_running:
+                code = member.process.returncode
+                tail = member.log.read_text()[-2000:]
+                raise FleetError(f"{member.name} ended with {code}: {tail}")
+
+    def _daemon_settings(self, vm: Vm) -> dict[str, Any]:
+        return {
+            "vm": vm.ip,
+            "failure_domain": vm.failure_domain,
+            "region": self._shape.region,
+            "platform": self.platform,
+            "vm_list": self.vm_list,
+            "seeds": [vm.aggregator for vm in self._vms],
+        }
+
+    async def _start_daemon(
+        self, name: str, module: str, settings: dict[str, Any]
+    ) -> Member:
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        command = [sys.executable, "-m", module, f"--settings={path}"]
+        log = self._directory / f"{name}.log"
+        with log.open("ab") as output:
+            process = await trio.lowlevel.open_process(
+                command, stdout=output, stderr=subprocess.STDOUT
+            )
+        member = Member(name, command, process, log)
+        self._members[name] = member
+        return member
+
+
+def free_network() -> str:
+    """Returns the first two bytes of a loopback network of this process.
+
+    Fleets of concurrent test runs get different networks, so that the fixed
+    ports of the daemons don't collide.
+    """
+    return f"127.{1 + os.getpid() % _LOOPBACK_NETWORKS}"
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(shape: FleetShape) -> AsyncIterator[Fleet]:
+    """Starts a fleet and ends all of its processes at the end.
+
+    Raises:
+        FleetError: A process of the fleet did not start.
+    """
+    with tempfile.TemporaryDirectory(prefix="sapphirecross-") as directory:
+        fleet = Fleet(shape, pathlib.Path(directory))
+        try:
+            await fleet.start()
+            yield fleet
+        finally:
+            with trio.CancelScope(shield=True):
+                await fleet.aclose()
--- /dev/null
+++ b/libs/bench/src/sapphire_bench/shape.py
@@ -0,0 +1,167 @@
+"""Shapes of deployments scaled to one machine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sapphire_config.document import (
+    Document,
+    Leaf,
+    LeafShape,
+    Limits,
+    Region,
+    RequestClass,
+    Service,
+)
+
+HTTP_PORT = 8080
+FRAMES_PORT = 7000
+ADMIN_PORT = 7001
+ENTRY_FRAMES_PORT = 7002
+LEAF_PORT = 9000
+PLATFORM_PORT = 9100
+VM_LIST_PORT = 9101
+
+DEFAULT_CLASSES = (
+    RequestClass(name="typing", priority=0, deadline_ms=1000, max_k=20),
+    RequestClass(name="sweep", priority=2, deadline_ms=2000, max_k=100),
+)
+
+
+@dataclass(frozen=True)
+class ServiceShape:
+    """One service: its shards, replicas and the limits of its leaves."""
+
+    name: str
+    shards: int
+    replicas: int
+    slots: int = 2
+    connections: int = 25
+    connect_ms: float = 6.0
+    service_ms: float = 5.0
+    accepts_submissions: bool = False
+    classes: tuple[RequestClass, ...] = DEFAULT_CLASSES
+
+
+@dataclass(frozen=True)
+class LeafPlace:
+    """One leaf of the fleet: where it runs and what it holds."""
+
+    name: str
+    service: ServiceShape
+    address: str
+    failure_domain: str
+    shard: int
+
+
+@dataclass(frozen=True)
+class Vm:
+    """One VM of the query tier: an entry and an aggregator."""
+
+    name: str
+    ip: str
+    failure_domain: str
+
+    @property
+    def entry(self) -> str:
+        """HTTP address of the entry."""
+        return f"{self.ip}:{HTTP_PORT}"
+
+    @property
+    def aggregator(self) -> str:
+        """Frame address of the aggregator."""
+        return f"{self.ip}:{FRAMES_PORT}"
+
+    @property
+    def admin(self) -> str:
+        """HTTP address of the aggregator's metrics and status."""
+        return f"{self.ip}:{ADMIN_PORT}"
+
+
+@dataclass(frozen=True)
+class FleetShape:
+    """Everything that a fleet on one machine consists of."""
+
+    name: str
+    region: str
+    failure_domains: tuple[str, ...]
+    vms_per_domain: int
+    services: tuple[ServiceShape, ...]
+    limits: Limits = field(default_factory=Limits)
+
+    def vms(self, network: str) -> list[Vm]:
+        """Returns the VMs; network is the first two bytes of their IPs."""
+        return [
+            Vm(f"vm{d}{i}", f"{network}.{d + 1}.{i + 1}", domain)
+            for d, domain in enumerate(self.failure_domains)
+            for i in range(self.vms_per_domain)
+        ]
+
+    def leaves(self, network: str) -> list[LeafPlace]:
+        """Returns the leaves; replicas of a shard are in distinct domains."""
+        places = []
+        number = 0
+        for service in self.services:
+            for shard in range(service.shards):
+                for replica in range(service.replicas):
+                    index = (shard + replica) % len(self.failure_domains)
+                    number += 1
+                    ip = f"{network}.{100 + index}.{number}"
+                    places.append(
+                        LeafPlace(
+                            f"{service.name}-{shard}-{replica}",
+                            service,
+                            f"{ip}:{LEAF_PORT}",
+                            self.failure_domains[index],
+                            shard,
+                        )
+                    )
+        return places
+
+    def document(self, network: str) -> Document:
+        """Returns the deployment document of the fleet."""
+        places = self.leaves(network)
+        services = [
+            Service(
+                name=service.name,
+                accepts_submissions=service.accepts_submissions,
+                leaf=LeafShape(
+                    slots=service.slots,
+                    connections=service.connections,
+                    connect_ms=service.connect_ms,
+                ),
+                leaves=[
+                    Leaf(
+                        address=place.address,
+                        failure_domain=place.failure_domain,
+                    )
+                    for place in places
+                    if place.service is service
+                ],
+                classes=list(service.classes),
+            )
+            for service in self.services
+        ]
+        region = Region(
+            name=self.region, failure_domains=list(self.failure_domains)
+        )
+        return Document(
+            name=self.name,
+            regions=[region],
+            services=services,
+            limits=self.limits,
+        )
+
+
+DEMO = FleetShape(
+    name="demo",
+    region="pk-north",
+    failure_domains=("pk-north-a", "pk-north-b", "pk-north-c"),
+    vms_per_domain=1,
+    services=(
+        ServiceShape("toxdesk", shards=4, replicas=2),
+        ServiceShape(
+            "registre-depots", shards=1, replicas=2, accepts_submissions=True
+        ),
+    ),
+)
