Start the fleet's processes by their console scripts

Cause: the stand-ins' modules have no command-line guard. Change: scripts from the environment's bin directory; settings in the stand-ins' format.

--- a/libs/bench/src/sapphire_bench/demo.py
+++ b/libs/bench/src/sapphire_bench/demo.py
@@ -9,7 +9,7 @@
 
 import fire
 import trio
-from sapphire_standins.corpus import single_index_answer
+from sapphire_standins.index import single_index_answer
 
 from sapphire_bench.caller import Answer, Caller
 from sapphire_bench.fleet import Fleet, open_fleet
--- a/libs/bench/src/sapphire_bench/fleet.py
+++ b/libs/bench/src/sapphire_bench/fleet.py
@@ -40,6 +40,8 @@
 POLL_S = 0.05
 CALL_TIMEOUT_S = 2.0
 CONFIG_KEY = "config"
+FIRST_VERSION = "v1"
+SCRIPTS = pathlib.Path(sys.executable).parent
 _LOOPBACK_NETWORKS = 250
 
 
@@ -157,7 +159,7 @@
             "cell": self._shape.region,
         }
         return await self._start_daemon(
-            f"aggregator-{vm.name}", "sapphire_aggregator.cmdline", settings
+            f"aggregator-{vm.name}", "aggregator", settings
         )
 
     async def start_entry(self, vm: Vm) -> Member:
@@ -166,9 +168,7 @@
             "listen": vm.entry,
             "frames": f"{vm.ip}:{ENTRY_FRAMES_PORT}",
         }
-        return await self._start_daemon(
-            f"entry-{vm.name}", "sapphire_entry.cmdline", settings
-        )
+        return await self._start_daemon(f"entry-{vm.name}", "entry", settings)
 
     async def start_leaf(self, place: LeafPlace) -> Member:
         """Starts the stand-in of one leaf."""
@@ -180,12 +180,16 @@
             "connections": service.connections,
             "connect_ms": service.connect_ms,
             "service_ms": service.service_ms,
-            "versions": {
-                "v1": {"shard": place.shard, "shards": service.shards}
-            },
+            "versions": [
+                {
+                    "version": FIRST_VERSION,
+                    "shard": place.shard,
+                    "shards": service.shards,
+                }
+            ],
         }
         return await self._start_daemon(
-            f"leaf-{place.name}", "sapphire_standins.leafserver", settings
+            f"leaf-{place.name}", "standin-leaf", settings
         )
 
     async def stop(self, name: str) -> int:
@@ -275,13 +279,16 @@
     async def _start_standins(self) -> None:
         await self._start_daemon(
             "platform",
-            "sapphire_standins.platformserver",
+            "standin-platform",
             {"listen": self.platform},
         )
         await self._start_daemon(
             "vmlist",
-            "sapphire_standins.vmserver",
-            {"listen": self.vm_list, "live": [vm.ip for vm in self._vms]},
+            "standin-vmlist",
+            {
+                "listen": self.vm_list,
+                "vms": {"live": [vm.ip for vm in self._vms]},
+            },
         )
         for place in self._leaves:
             await self.start_leaf(place)
@@ -320,11 +327,14 @@
         }
 
     async def _start_daemon(
-        self, name: str, module: str, settings: dict[str, Any]
+        self, name: str, script: str, settings: dict[str, Any]
     ) -> Member:
         path = self._directory / f"{name}.json"
         path.write_text(json.dumps(settings))
-        command = [sys.executable, "-m", module, f"--settings={path}"]
+        command = [
+            str(SCRIPTS / f"sapphirecross-{script}"),
+            f"--settings={path}",
+        ]
         log = self._directory / f"{name}.log"
         with log.open("ab") as output:
             process = await trio.lowlevel.open_process(
