Let entries announce themselves in views

Cause: GET /v1/addresses lists the entries of the deployment, and entries know only the aggregators.

Ruled out: entries polling each other need a list of entries to start from; the VM list names VMs that may run no entry and lags. A list in each reply repeats the same bytes twice a second for each entry.

Change: View carries the sender's EntryRecord and the sequence number of the last list of entries; ViewReply carries the list when it changed.

Both fields are optional, so that older daemons are understood.

Before and after: no behaviour changes with this commit alone.

--- a/libs/wire/idl/messages.thrift
+++ b/libs/wire/idl/messages.thrift
@@ -116,9 +116,20 @@
   7: optional list<string> roster, // Set when the revisions differ.
 }
 
+// What an entry daemon tells the others about itself.
+struct EntryRecord {
+  1: string address,        // HTTP address for callers.
+  2: string vm,
+  3: string failure_domain,
+  4: bool ready,            // False: out of service, leaving or starting.
+  5: i64 stamp,             // Higher after each change; the highest counts.
+}
+
 struct View {
   1: i64 known,             // The sequence number of the last view received.
   2: i64 config_revision,
+  3: optional EntryRecord entry,  // Set by entry daemons: the sender.
+  4: optional i64 known_entries,  // The last entries_sequence received.
 }
 
 struct LeafVersion {
@@ -147,6 +158,8 @@
   6: list<CrashRecord> quarantine,
   7: bool leaving,
   8: list<string> peers,    // Addresses of the aggregators of the cell.
+  9: optional list<EntryRecord> entries, // Unset: same as known_entries.
+  10: optional i64 entries_sequence,
 }
 
 struct FetchConfig {
--- a/libs/wire/src/sapphire_wire/gen/ttypes.py
+++ b/libs/wire/src/sapphire_wire/gen/ttypes.py
@@ -1373,23 +1373,145 @@
         return not (self == other)
 
 
+class EntryRecord(object):
+    """
+    Attributes:
+     - address
+     - vm
+     - failure_domain
+     - ready
+     - stamp
+
+    """
+
+    __slots__ = (
+        'address',
+        'vm',
+        'failure_domain',
+        'ready',
+        'stamp',
+    )
+
+
+    def __init__(self, address=None, vm=None, failure_domain=None, ready=None, stamp=None,):
+        self.address = address
+        self.vm = vm
+        self.failure_domain = failure_domain
+        self.ready = ready
+        self.stamp = stamp
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.vm = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.stamp = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryRecord')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.vm is not None:
+            oprot.writeFieldBegin('vm', TType.STRING, 2)
+            oprot.writeString(self.vm.encode('utf-8') if sys.version_info[0] == 2 else self.vm)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 3)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 4)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.stamp is not None:
+            oprot.writeFieldBegin('stamp', TType.I64, 5)
+            oprot.writeI64(self.stamp)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class View(object):
     """
     Attributes:
      - known
      - config_revision
+     - entry
+     - known_entries
 
     """
 
     __slots__ = (
         'known',
         'config_revision',
+        'entry',
+        'known_entries',
     )
 
 
-    def __init__(self, known=None, config_revision=None,):
+    def __init__(self, known=None, config_revision=None, entry=None, known_entries=None,):
         self.known = known
         self.config_revision = config_revision
+        self.entry = entry
+        self.known_entries = known_entries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1410,6 +1532,17 @@
                     self.config_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.entry = EntryRecord()
+                    self.entry.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.known_entries = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1428,6 +1561,14 @@
             oprot.writeFieldBegin('config_revision', TType.I64, 2)
             oprot.writeI64(self.config_revision)
             oprot.writeFieldEnd()
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRUCT, 3)
+            self.entry.write(oprot)
+            oprot.writeFieldEnd()
+        if self.known_entries is not None:
+            oprot.writeFieldBegin('known_entries', TType.I64, 4)
+            oprot.writeI64(self.known_entries)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1717,6 +1858,8 @@
      - quarantine
      - leaving
      - peers
+     - entries
+     - entries_sequence
 
     """
 
@@ -1729,10 +1872,12 @@
         'quarantine',
         'leaving',
         'peers',
+        'entries',
+        'entries_sequence',
     )
 
 
-    def __init__(self, member=None, sequence=None, changed=None, leaves=None, config_revision=None, quarantine=None, leaving=None, peers=None,):
+    def __init__(self, member=None, sequence=None, changed=None, leaves=None, config_revision=None, quarantine=None, leaving=None, peers=None, entries=None, entries_sequence=None,):
         self.member = member
         self.sequence = sequence
         self.changed = changed
@@ -1741,6 +1886,8 @@
         self.quarantine = quarantine
         self.leaving = leaving
         self.peers = peers
+        self.entries = entries
+        self.entries_sequence = entries_sequence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1808,6 +1955,22 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.entries = []
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = EntryRecord()
+                        _elem86.read(iprot)
+                        self.entries.append(_elem86)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.entries_sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1833,8 +1996,8 @@
         if self.leaves is not None:
             oprot.writeFieldBegin('leaves', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.leaves))
-            for iter81 in self.leaves:
-                iter81.write(oprot)
+            for iter87 in self.leaves:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_revision is not None:
@@ -1844,8 +2007,8 @@
         if self.quarantine is not None:
             oprot.writeFieldBegin('quarantine', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.quarantine))
-            for iter82 in self.quarantine:
-                iter82.write(oprot)
+            for iter88 in self.quarantine:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1855,10 +2018,21 @@
         if self.peers is not None:
             oprot.writeFieldBegin('peers', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.peers))
-            for iter83 in self.peers:
-                oprot.writeString(iter83.encode('utf-8') if sys.version_info[0] == 2 else iter83)
+            for iter89 in self.peers:
+                oprot.writeString(iter89.encode('utf-8') if sys.version_info[0] == 2 else iter89)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.entries))
+            for iter90 in self.entries:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.entries_sequence is not None:
+            oprot.writeFieldBegin('entries_sequence', TType.I64, 10)
+            oprot.writeI64(self.entries_sequence)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2321,11 +2495,22 @@
     (6, TType.LIST, 'quarantine', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 6
     (7, TType.LIST, 'roster', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
+all_structs.append(EntryRecord)
+EntryRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'vm', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
+    (4, TType.BOOL, 'ready', None, None, ),  # 4
+    (5, TType.I64, 'stamp', None, None, ),  # 5
+)
 all_structs.append(View)
 View.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'known', None, None, ),  # 1
     (2, TType.I64, 'config_revision', None, None, ),  # 2
+    (3, TType.STRUCT, 'entry', [EntryRecord, None], None, ),  # 3
+    (4, TType.I64, 'known_entries', None, None, ),  # 4
 )
 all_structs.append(LeafVersion)
 LeafVersion.thrift_spec = (
@@ -2357,6 +2542,8 @@
     (6, TType.LIST, 'quarantine', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 6
     (7, TType.BOOL, 'leaving', None, None, ),  # 7
     (8, TType.LIST, 'peers', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.LIST, 'entries', (TType.STRUCT, [EntryRecord, None], False), None, ),  # 9
+    (10, TType.I64, 'entries_sequence', None, None, ),  # 10
 )
 all_structs.append(FetchConfig)
 FetchConfig.thrift_spec = (
