Let one task wait for replies of many channels

Cause: a query sends one Scatter to each aggregator; a task per reply stream costs more than the frames themselves. Ruled out: one task per aggregator and query, for the same reason. Change: Channel.post and withdraw take any sink with send_nowait and close; open_request is written with them. Channel.abort closes the connection after a misrouted reply; Peer.current gives the open channel without waiting. EntryRecord names the frame address of the entry, so that an aggregator can fetch a newer configuration from it. Before/after: the channel tests pass unchanged.

--- a/libs/wire/idl/messages.thrift
+++ b/libs/wire/idl/messages.thrift
@@ -123,6 +123,7 @@
   3: string failure_domain,
   4: bool ready,            // False: out of service, leaving or starting.
   5: i64 stamp,             // Higher after each change; the highest counts.
+  6: optional string frames, // Frame address; serves FetchConfig.
 }
 
 struct View {
--- a/libs/wire/src/sapphire_wire/channel.py
+++ b/libs/wire/src/sapphire_wire/channel.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import trio
 from prometheus_client import Counter
@@ -24,6 +24,17 @@
     "Replies that matched no waiting request and were dropped.",
 )
 
+
+class Sink(Protocol):
+    """Takes the replies of a request; a memory channel is one."""
+
+    def send_nowait(self, value: Any, /) -> None:
+        """Takes one reply; must not fail or block."""
+
+    def close(self) -> None:
+        """Learns that the connection was lost."""
+
+
 Reply = Callable[[Any], None]
 Handler = Callable[[Any, Reply], Awaitable[None]]
 
@@ -155,28 +166,35 @@
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
         self._writer = FrameWriter(stream)
-        self._waiting: dict[int, trio.MemorySendChannel[Any]] = {}
+        self._waiting: dict[int, Sink] = {}
         self._ids = itertools.count(1)
+        self._scope = trio.CancelScope()
 
     @property
     def is_closed(self) -> bool:
         """Whether the connection has ended."""
-        return self._writer.is_closed
+        return self._writer.is_closed or self._scope.cancel_called
+
+    def abort(self) -> None:
+        """Closes the connection, for example after a misrouted reply."""
+        self._scope.cancel()
 
     async def run(self) -> None:
         """Moves frames until the connection ends."""
         try:
-            async with _collapse(), trio.open_nursery() as nursery:
-                nursery.start_soon(self._writer.run)
-                async for frames in read_frames(self._stream):
-                    for frame in frames:
-                        self._deliver(frame)
-                nursery.cancel_scope.cancel()
+            with self._scope:
+                async with _collapse(), trio.open_nursery() as nursery:
+                    nursery.start_soon(self._writer.run)
+                    async for frames in read_frames(self._stream):
+                        for frame in frames:
+                            self._deliver(frame)
+                    nursery.cancel_scope.cancel()
         finally:
             self._writer._closed = True
-            for waiting in self._waiting.values():
-                waiting.close()
+            waiting = list(self._waiting.values())
             self._waiting.clear()
+            for sink in waiting:
+                sink.close()
             await trio.aclose_forcefully(self._stream)
 
     def _deliver(self, frame: Any) -> None:
@@ -186,6 +204,35 @@
             return
         waiting.send_nowait(frame)
 
+    def post(self, frame: Any, sink: Sink) -> int:
+        """Sends a request whose replies go to the sink; returns its id.
+
+        One task can wait for the replies of requests to many daemons this
+        way. The sink gets replies until withdraw is called.
+
+        Raises:
+            ChannelError: The request could not be queued; sent is False.
+        """
+        frame.id = next(self._ids)
+        self._writer.send(frame)
+        self._waiting[frame.id] = sink
+        return int(frame.id)
+
+    def withdraw(self, request_id: int, *, cancel: bool) -> None:
+        """Ends a posted request.
+
+        Args:
+            request_id: What post returned.
+            cancel: Whether to cancel the request at the peer, if it has
+                not sent its last reply.
+        """
+        self._waiting.pop(request_id, None)
+        if cancel and not self.is_closed:
+            with contextlib.suppress(ChannelError):
+                self._writer.send(
+                    Frame(id=0, cancel=Cancel(target_id=request_id))
+                )
+
     @contextlib.asynccontextmanager
     async def open_request(
         self, frame: Any
@@ -198,22 +245,15 @@
         Raises:
             ChannelError: The request could not be queued; sent is False.
         """
-        frame.id = next(self._ids)
         send, receive = trio.open_memory_channel[Any](math.inf)
-        self._writer.send(frame)
-        self._waiting[frame.id] = send
+        request_id = self.post(frame, send)
         finished = False
         try:
             yield receive
             finished = True
         finally:
-            self._waiting.pop(frame.id, None)
             receive.close()
-            if not finished:
-                with contextlib.suppress(ChannelError):
-                    self._writer.send(
-                        Frame(id=0, cancel=Cancel(target_id=frame.id))
-                    )
+            self.withdraw(request_id, cancel=not finished)
 
     async def request(self, frame: Any) -> Any:
         """Sends a request and returns its only reply.
@@ -248,6 +288,13 @@
         """Address of the daemon as host:port."""
         return self._address
 
+    @property
+    def current(self) -> Channel | None:
+        """The open channel, or None."""
+        if self._channel is None or self._channel.is_closed:
+            return None
+        return self._channel
+
     async def channel(self) -> Channel:
         """Returns an open channel.
 
--- a/libs/wire/src/sapphire_wire/gen/ttypes.py
+++ b/libs/wire/src/sapphire_wire/gen/ttypes.py
@@ -1381,6 +1381,7 @@
      - failure_domain
      - ready
      - stamp
+     - frames
 
     """
 
@@ -1390,15 +1391,17 @@
         'failure_domain',
         'ready',
         'stamp',
+        'frames',
     )
 
 
-    def __init__(self, address=None, vm=None, failure_domain=None, ready=None, stamp=None,):
+    def __init__(self, address=None, vm=None, failure_domain=None, ready=None, stamp=None, frames=None,):
         self.address = address
         self.vm = vm
         self.failure_domain = failure_domain
         self.ready = ready
         self.stamp = stamp
+        self.frames = frames
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1434,6 +1437,11 @@
                     self.stamp = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.frames = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1464,6 +1472,10 @@
             oprot.writeFieldBegin('stamp', TType.I64, 5)
             oprot.writeI64(self.stamp)
             oprot.writeFieldEnd()
+        if self.frames is not None:
+            oprot.writeFieldBegin('frames', TType.STRING, 6)
+            oprot.writeString(self.frames.encode('utf-8') if sys.version_info[0] == 2 else self.frames)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2503,6 +2515,7 @@
     (3, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 3
     (4, TType.BOOL, 'ready', None, None, ),  # 4
     (5, TType.I64, 'stamp', None, None, ),  # 5
+    (6, TType.STRING, 'frames', 'UTF8', None, ),  # 6
 )
 all_structs.append(View)
 View.thrift_spec = (
