--- a/libs/wire/src/sapphire_wire/web.py
+++ b/libs/wire/src/sapphire_wire/web.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -96,6 +96,26 @@
         return json.loads(self.body)
 
 
+@dataclass(frozen=True)
+class LateBody:
+    """A request body that is made when the connection is ready for it.
+
+    Opening a connection can take long; a body that states the remaining time
+    has to be made after that.
+
+    Attributes:
+        length: Exact number of bytes that make returns.
+        make: Returns the body; what it raises ends the call.
+    """
+
+    length: int
+    make: Callable[[], bytes]
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the body in one piece."""
+        yield self.make()
+
+
 class HttpClient:
     """Calls one HTTP server over a bounded set of kept connections."""
 
@@ -120,7 +140,7 @@
         Args:
             method: HTTP method.
             path: Path and query.
-            body: Sent as JSON unless None.
+            body: A LateBody, or a value sent as JSON; None for no body.
             timeout_s: Seconds for the whole call.
 
         Raises:
@@ -128,10 +148,15 @@
             HttpLostError: The connection was lost while the server ran it.
             HttpTimeoutError: No whole reply in time.
         """
-        content = b"" if body is None else json.dumps(body).encode()
+        content: bytes | AsyncIterator[bytes]
+        if isinstance(body, LateBody):
+            content, length = body.chunks(), body.length
+        else:
+            content = b"" if body is None else json.dumps(body).encode()
+            length = len(content)
         headers: dict[bytes | str, bytes | str] = {
             "Host": self._address,
-            "Content-Length": str(len(content)),
+            "Content-Length": str(length),
             "Content-Type": "application/json",
         }
         try:
