Add leaf, platform and VM list stand-ins for the happy path

Cause: the daemons need servers to talk to in tests and in the demonstration. Ruled out: inverse document frequency in the score; it depends on the shard, so that merged shards would differ from one index.

--- /dev/null
+++ b/libs/standins/src/sapphire_standins/index.py
@@ -0,0 +1,80 @@
+"""Search over documents with a score of query and document only."""
+
+from __future__ import annotations
+
+import functools
+import heapq
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from sapphire_standins import corpus
+
+# Constants of the BM25 term weight. The mean length is fixed and there is no
+# inverse document frequency, so that the score does not depend on the shard.
+SATURATION = 1.2
+LENGTH_WEIGHT = 0.75
+MEAN_WORDS = 50
+SCORE_DIGITS = 6
+
+
+@dataclass(frozen=True)
+class Match:
+    """One matching document and its score."""
+
+    id: str
+    score: float
+    title: str
+
+
+class Index:
+    """Inverted index of some documents."""
+
+    def __init__(self, documents: Iterable[corpus.Document]) -> None:
+        self._titles: dict[str, str] = {}
+        self._weights: dict[str, dict[str, float]] = defaultdict(dict)
+        for document in documents:
+            self._titles[document.id] = document.title
+            length = len(document.words)
+            for word, count in Counter(document.words).items():
+                self._weights[word][document.id] = _weight(count, length)
+
+    @property
+    def documents(self) -> int:
+        """Number of documents."""
+        return len(self._titles)
+
+    def search(self, text: str, k: int) -> list[Match]:
+        """Returns the k best matches by falling score, ties by id."""
+        scores: dict[str, float] = defaultdict(float)
+        for word in sorted(set(text.lower().split())):
+            for document, weight in self._weights.get(word, {}).items():
+                scores[document] += weight
+        rounded = (
+            (-round(score, SCORE_DIGITS), document)
+            for document, score in scores.items()
+        )
+        return [
+            Match(document, -negative, self._titles[document])
+            for negative, document in heapq.nsmallest(k, rounded)
+        ]
+
+
+def _weight(count: int, length: int) -> float:
+    norm = 1 - LENGTH_WEIGHT + LENGTH_WEIGHT * length / MEAN_WORDS
+    return count * (SATURATION + 1) / (count + SATURATION * norm)
+
+
+@functools.lru_cache(maxsize=64)
+def shard_index(version: str, shards: int, shard: int) -> Index:
+    """Returns the index of one shard of a version."""
+    return Index(
+        document
+        for document in corpus.documents(version)
+        if corpus.shard_of(document.id, shards) == shard
+    )
+
+
+def single_index_answer(version: str, text: str, k: int) -> list[Match]:
+    """Returns the reference answer: the top k of one index of all documents."""
+    return shard_index(version, 1, 0).search(text, k)
--- /dev/null
+++ b/libs/standins/src/sapphire_standins/store.py
@@ -0,0 +1,153 @@
+"""Key-value store with compare-and-swap and leases."""
+
+from __future__ import annotations
+
+import itertools
+from collections import deque
+from dataclasses import dataclass, field
+
+MAX_VALUE_BYTES = 1_000_000
+_KEPT_VALUES = 8
+
+
+class ConflictError(Exception):
+    """The key is at another version than expected.
+
+    Attributes:
+        current: The version of the key.
+    """
+
+    def __init__(self, current: int) -> None:
+        super().__init__(f"the key is at version {current}")
+        self.current = current
+
+
+class ValueSizeError(Exception):
+    """The value is larger than the limit."""
+
+
+class LeaseError(Exception):
+    """The lease does not exist or has lapsed."""
+
+
+@dataclass(frozen=True)
+class Item:
+    """A value and its version; version 0 means absent."""
+
+    value: str
+    version: int
+
+
+_ABSENT = Item("", 0)
+
+
+@dataclass
+class _Lease:
+    ttl_s: float
+    ends_at: float
+    keys: set[str] = field(default_factory=set)
+
+
+class Store:
+    """Values in memory; all times are given by the caller, in seconds.
+
+    Versions of a key keep rising after its lease lapsed, so that an old
+    expectation never matches a new value.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[str, Item] = {}
+        self._history: dict[str, deque[Item]] = {}
+        self._last: dict[str, int] = {}
+        self._leases: dict[str, _Lease] = {}
+        self._lease_of: dict[str, str] = {}
+        self._numbers = itertools.count(1)
+
+    @property
+    def keys(self) -> list[str]:
+        """Keys that are present."""
+        return sorted(self._items)
+
+    def get(self, key: str) -> Item:
+        """Returns the newest item of a key."""
+        return self._items.get(key, _ABSENT)
+
+    def get_old(self, key: str, age: int = 1) -> Item:
+        """Returns the item of a key as it was that many writes ago."""
+        history = self._history.get(key, ())
+        return history[-age] if age <= len(history) else _ABSENT
+
+    def put(
+        self, key: str, value: str, expect: int, lease: str | None = None
+    ) -> int:
+        """Writes a value if the key is at the expected version.
+
+        Returns:
+            The new version.
+
+        Raises:
+            ConflictError: The key is at another version.
+            ValueSizeError: The value is larger than the limit.
+            LeaseError: The lease does not exist.
+        """
+        if len(value.encode()) > MAX_VALUE_BYTES:
+            raise ValueSizeError(f"values have up to {MAX_VALUE_BYTES} bytes")
+        current = self.get(key)
+        if current.version != expect:
+            raise ConflictError(current.version)
+        if lease is not None and lease not in self._leases:
+            raise LeaseError(lease)
+        version = self._last.get(key, 0) + 1
+        self._replace(key, Item(value, version))
+        self._last[key] = version
+        self._attach(key, lease)
+        return version
+
+    def open_lease(self, ttl_s: float, now: float) -> str:
+        """Returns the id of a new lease that ends after ttl_s."""
+        lease = f"lease-{next(self._numbers)}"
+        self._leases[lease] = _Lease(ttl_s, now + ttl_s)
+        return lease
+
+    def renew(self, lease: str, now: float) -> float:
+        """Extends a lease by its duration and returns that, in seconds.
+
+        Raises:
+            LeaseError: The lease does not exist or has lapsed.
+        """
+        held = self._leases.get(lease)
+        if held is None or held.ends_at <= now:
+            raise LeaseError(lease)
+        held.ends_at = now + held.ttl_s
+        return held.ttl_s
+
+    def lapse(self, now: float) -> list[str]:
+        """Ends lapsed leases and returns the keys removed with them."""
+        lapsed = [x for x, held in self._leases.items() if held.ends_at <= now]
+        removed: list[str] = []
+        for lease in lapsed:
+            removed.extend(sorted(self._leases.pop(lease).keys))
+        for key in removed:
+            del self._lease_of[key]
+            self._replace(key, _ABSENT)
+        return removed
+
+    def next_lapse(self) -> float | None:
+        """Returns the time at which the next lease ends, or None."""
+        return min((x.ends_at for x in self._leases.values()), default=None)
+
+    def _replace(self, key: str, item: Item) -> None:
+        history = self._history.setdefault(key, deque(maxlen=_KEPT_VALUES))
+        history.append(self.get(key))
+        if item.version:
+            self._items[key] = item
+        else:
+            self._items.pop(key, None)
+
+    def _attach(self, key: str, lease: str | None) -> None:
+        former = self._lease_of.pop(key, None)
+        if former is not None:
+            self._leases[former].keys.discard(key)
+        if lease is not None:
+            self._leases[lease].keys.add(key)
+            self._lease_of[key] = lease
--- /dev/null
+++ b/libs/standins/src/sapphire_standins/vms.py
@@ -0,0 +1,71 @@
+"""Stand-in of the platform's lagging list of VMs."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import fire
+import trio
+from pydantic import Field
+from starlette.applications import Starlette
+from starlette.requests import Request
+
+from sapphire_standins import server
+from sapphire_standins.lag import Lagged
+from sapphire_standins.server import Model, Reply, route
+
+
+class VmList(Model):
+    """IP addresses of the VMs that exist."""
+
+    live: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
+
+
+class VmSettings(server.ListenSettings):
+    """Settings of the VM list stand-in."""
+
+    lag_ms: float = Field(0.0, ge=0, description="Age of the list shown.")
+    vms: VmList = VmList()
+
+
+class Vms:
+    """Answers the calls of the VM list."""
+
+    def __init__(self, settings: VmSettings) -> None:
+        self._lag_s = settings.lag_ms / 1000
+        self._newest = settings.vms
+        self._shown = Lagged(settings.vms)
+
+    async def show(self, request: Request) -> Reply:
+        """Answers GET /vms with the list as it was lag_ms ago."""
+        shown = self._shown.get(trio.current_time(), self._lag_s)
+        return Reply(200, shown.model_dump())
+
+    async def change(self, request: Request) -> Reply:
+        """Answers POST /vms; lists that are not named stay as they are."""
+        fields = await server.read_json(request)
+        self._newest = server.changed(self._newest, fields)
+        self._shown.set(self._newest, trio.current_time())
+        return Reply(200, self._newest.model_dump())
+
+
+def build_app(vms: Vms) -> Starlette:
+    """Returns the ASGI app of the list."""
+    return Starlette(
+        routes=[
+            route("/vms", "GET", vms.show),
+            route("/vms", "POST", vms.change),
+        ]
+    )
+
+
+def run(settings: str | None = None, **flags: Any) -> None:
+    """Serves the VM list until SIGTERM."""
+    values = server.read_settings(VmSettings, settings, flags)
+    trio.run(server.serve, build_app(Vms(values)), values)
+
+
+def main() -> None:
+    """Runs the command line."""
+    fire.Fire(run)
