--- /dev/null
+++ b/libs/core/src/sapphire_core/coverage.py
@@ -0,0 +1,105 @@
+"""Coverage of an answer: which shards of the pinned map it contains."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class MissingShard:
+    """A shard that an answer does not contain, and why."""
+
+    shard: int
+    reason: str
+
+
+class Coverage:
+    """Counts the shards and documents that were merged into an answer."""
+
+    def __init__(self, documents: Sequence[int]) -> None:
+        """Starts with nothing answered.
+
+        Args:
+            documents: Documents of each shard of the pinned map; 0 if not
+                known.
+        """
+        self._documents = list(documents)
+        self._answered: dict[int, int] = {}
+        self._reasons: dict[int, str] = {}
+
+    @property
+    def shards_total(self) -> int:
+        """Shards of the pinned map."""
+        return len(self._documents)
+
+    @property
+    def shards_answered(self) -> int:
+        """Shards that were merged."""
+        return len(self._answered)
+
+    @property
+    def documents_total(self) -> int:
+        """Documents of the pinned map."""
+        return sum(self._documents)
+
+    @property
+    def documents_answered(self) -> int:
+        """Documents of the shards that were merged."""
+        return sum(self._answered.values())
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all shards and all of their documents were merged.
+
+        A replica that holds fewer documents than another replica of its
+        shard makes the answer incomplete.
+        """
+        return (
+            self.shards_answered == self.shards_total
+            and self.documents_answered == self.documents_total
+        )
+
+    def is_answered(self, shard: int) -> bool:
+        """Whether the shard was merged."""
+        return shard in self._answered
+
+    def answer(self, shard: int, documents: int) -> None:
+        """Counts a merged shard; the first reply for a shard counts.
+
+        Args:
+            shard: A shard of the pinned map.
+            documents: Documents that the replica searched.
+
+        Raises:
+            IndexError: The shard is not in the pinned map.
+        """
+        if not 0 <= shard < len(self._documents):
+            raise IndexError(f"shard {shard} is not in the pinned map")
+        if shard in self._answered:
+            return
+        self._answered[shard] = documents
+        if documents > self._documents[shard]:
+            self._documents[shard] = documents
+        self._reasons.pop(shard, None)
+
+    def miss(self, shard: int, reason: str) -> None:
+        """Records why a shard is missing; no effect once it was merged."""
+        if shard not in self._answered:
+            self._reasons[shard] = reason
+
+    def reason(self, shard: int) -> str | None:
+        """Returns the recorded reason of a missing shard, if any."""
+        return self._reasons.get(shard)
+
+    def missing(self, default: str) -> list[MissingShard]:
+        """Returns the shards that were not merged.
+
+        Args:
+            default: Reason of the shards for which none was recorded.
+        """
+        return [
+            MissingShard(shard, self._reasons.get(shard, default))
+            for shard in range(len(self._documents))
+            if shard not in self._answered
+        ]
