Add the thin path of the entry daemon

Cause: the other daemons need a caller's way in. Ruled out: a task per shard or per aggregator; one task takes the replies of all channels. Change: views of the aggregators, the gathering of one query, search and addresses over HTTP, configuration, standing and shutdown. Before/after: a search over a fake cell of 8 leaves answers from all 4 shards; the daemon has not run against a real aggregator yet.

--- /dev/null
+++ b/libs/entry/src/sapphire_entry/addresses.py
@@ -0,0 +1,57 @@
+"""The list of addresses that callers use."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An entry that callers may use."""
+
+    address: str
+    failure_domain: str
+
+
+class Rotation:
+    """Orders addresses so that the callers spread over them."""
+
+    def __init__(self, start: int) -> None:
+        """Takes the first offset; entries start at different ones."""
+        self._offsets = itertools.count(start)
+
+    def order(
+        self, addresses: Iterable[Address], nearest: str | None
+    ) -> list[Address]:
+        """Returns the addresses of the nearest domain first, both rotated."""
+        offset = next(self._offsets)
+        listed = sorted(addresses, key=lambda a: a.address)
+        near = [a for a in listed if a.failure_domain == nearest]
+        far = [a for a in listed if a.failure_domain != nearest]
+        return _rotate(near, offset) + _rotate(far, offset)
+
+
+def usable(
+    records: Iterable[Any], is_out: Callable[[str, str], bool]
+) -> list[Address]:
+    """Returns the addresses of the entries that are ready and in service.
+
+    Args:
+        records: Newest EntryRecord of each entry.
+        is_out: Whether a VM in a failure domain is out or leaving.
+    """
+    return [
+        Address(record.address, record.failure_domain)
+        for record in records
+        if record.ready and not is_out(record.vm, record.failure_domain)
+    ]
+
+
+def _rotate(items: Sequence[Address], offset: int) -> list[Address]:
+    if not items:
+        return []
+    start = offset % len(items)
+    return [*items[start:], *items[:start]]
--- /dev/null
+++ b/libs/entry/src/sapphire_entry/daemon.py
@@ -0,0 +1,171 @@
+"""The entry daemon: starts its parts and stops them gracefully."""
+
+from __future__ import annotations
+
+import functools
+import math
+import signal
+import sys
+from typing import Any
+
+import eliot
+import trio
+from sapphire_config.settings import EntrySettings
+from sapphire_core.errors import SettingsError
+from sapphire_wire.platform import PlatformClient
+from sapphire_wire.web import Tls, serve_http
+
+from sapphire_entry.entry import Entry
+from sapphire_entry.standing import Phase, Standing
+from sapphire_entry.web import Api, build_app
+
+# Requests that run at the shutdown may take this long to finish.
+FINISH_S = 10.0
+# The longest deadline of a request and some time for its answer: a server
+# that was replaced while out of service finishes all of its requests.
+REPLACED_S = 70.0
+BIND_ATTEMPTS = 50
+BIND_PAUSE_S = 0.02
+
+
+def main(settings: EntrySettings) -> None:
+    """Runs the daemon until SIGTERM or SIGINT.
+
+    Raises:
+        SettingsError: The log file or an address can't be opened.
+    """
+    _open_log(settings.log_file)
+    try:
+        trio.run(_run, settings)
+    except BaseExceptionGroup as group:
+        bad, others = group.split(SettingsError)
+        if bad is None or others is not None:
+            raise
+        raise first_leaf(bad) from None
+
+
+def first_leaf(group: BaseExceptionGroup[Any]) -> BaseException:
+    """Returns the first error of a group of groups."""
+    first: BaseException = group
+    while isinstance(first, BaseExceptionGroup):
+        first = first.exceptions[0]
+    return first
+
+
+def _open_log(path: str | None) -> None:
+    if path is None:
+        eliot.to_file(sys.stderr)
+        return
+    try:
+        file = open(path, "a", encoding="utf-8")  # noqa: SIM115
+    except OSError as error:
+        raise SettingsError("log_file", path, str(error)) from error
+    eliot.to_file(file)
+
+
+async def _run(settings: EntrySettings) -> None:
+    platform = PlatformClient(settings.platform, settings.vm_list)
+    async with trio.open_nursery() as nursery:
+        entry = Entry(settings, nursery, platform)
+        try:
+            await entry.start()
+        except OSError as error:
+            raise SettingsError(
+                "frames", settings.frames, str(error)
+            ) from error
+        await nursery.start(_wait_for_stop, entry)
+        await serve_callers(entry)
+        nursery.cancel_scope.cancel()
+
+
+async def _wait_for_stop(
+    entry: Entry, *, task_status: trio.TaskStatus[None]
+) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
+        async for _ in signals:
+            entry.standing.set_leaving()
+
+
+async def serve_callers(
+    entry: Entry,
+    *,
+    task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves callers until the entry has left.
+
+    When the entry begins to refuse requests, the server is replaced by a
+    new one on the same address: the former closes its idle connections and
+    finishes the running requests, the new one names the other addresses.
+
+    Raises:
+        SettingsError: The address can't be opened.
+    """
+    app = build_app(Api(entry))
+    async with trio.open_nursery() as servers:
+        stop = trio.Event()
+        entry.address = await _start_server(servers, entry, app, stop)
+        task_status.started(entry.address)
+        while True:
+            await _wait_refusing(entry)
+            stop.set()
+            if entry.standing.phase is Phase.LEAVING:
+                servers.cancel_scope.deadline = trio.current_time() + FINISH_S
+                return
+            stop = trio.Event()
+            await _start_server(servers, entry, app, stop)
+
+
+async def _start_server(
+    servers: trio.Nursery, entry: Entry, app: Any, stop: trio.Event
+) -> str:
+    """Starts a server and returns its address.
+
+    The former server on the address closes its listener within a few turns
+    of the event loop, so that the address can be busy for a moment.
+    """
+    settings = entry.settings
+    host, _, port = entry.address.rpartition(":")
+    tls = None
+    if settings.tls is not None:
+        tls = Tls(settings.tls.certfile, settings.tls.keyfile)
+    start = functools.partial(
+        serve_http,
+        app,
+        host,
+        int(port),
+        stop.wait,
+        graceful_s=REPLACED_S,
+        tls=tls,
+    )
+    for attempt in range(BIND_ATTEMPTS):
+        try:
+            binds = await servers.start(start)
+        except OSError as error:
+            if entry.standing.phase is Phase.STARTING:
+                raise SettingsError(
+                    "listen", settings.listen, str(error)
+                ) from error
+            if attempt + 1 == BIND_ATTEMPTS:
+                raise
+            await trio.sleep(BIND_PAUSE_S)
+        else:
+            return str(binds[0]).rpartition("/")[2]
+    raise AssertionError("unreachable")
+
+
+async def _wait_refusing(entry: Entry) -> None:
+    """Returns when a period of refusal begins, or the shutdown is due."""
+    standing = entry.standing
+    while True:
+        phase, changed = standing.phase, standing.changed
+        # A server that was started in a period of refusal stays.
+        is_served = phase is not Phase.LEAVING and _is_refusing(standing)
+        with trio.move_on_at(math.inf if is_served else standing.refuse_at):
+            await changed.wait()
+            continue
+        return
+
+
+def _is_refusing(standing: Standing) -> bool:
+    return trio.current_time() >= standing.refuse_at
--- /dev/null
+++ b/libs/entry/src/sapphire_entry/gather.py
@@ -0,0 +1,496 @@
+"""The gathering of one query's shards: calls, retries, hedges, canary."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from sapphire_core.budget import Budget
+from sapphire_core.coverage import Coverage
+from sapphire_core.errors import QuarantinedError, SapphireError
+from sapphire_core.latency import RunningQuantile
+from sapphire_core.merge import merge
+from sapphire_core.rendezvous import ranking
+from sapphire_core.shardmap import Replica, ShardMap
+from sapphire_wire.gen.ttypes import ShardStatus
+
+MAX_ATTEMPTS = 3
+MAX_CANARY_CALLS = 4
+# A second crash quarantines a fingerprint.
+MAX_CRASHES = 2
+
+REASON_NO_LEAF = "no_leaf"
+REASON_LOST = "lost"
+REASON_DEADLINE = "deadline"
+REASON_CRASHED = "crashed"
+
+_REASONS = {
+    ShardStatus.FAILED: "failed",
+    ShardStatus.SHED: "shed",
+    ShardStatus.NOT_HOLDER: "not_holder",
+    ShardStatus.VERSION_GONE: "version_gone",
+    ShardStatus.LATE: "late",
+    ShardStatus.QUARANTINED: "quarantined",
+    ShardStatus.DRAINING: "draining",
+    ShardStatus.CRASHED: REASON_CRASHED,
+}
+# The leaf can't have received the query, so that a retry adds no load.
+_FREE = frozenset(
+    {ShardStatus.NOT_HOLDER, ShardStatus.DRAINING, ShardStatus.VERSION_GONE}
+)
+
+
+class MisroutedError(SapphireError):
+    """A reply names a shard or leaf that was not asked."""
+
+    kind = "misrouted"
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One Scatter to one aggregator.
+
+    Attributes:
+        holder: Frame address of the aggregator.
+        targets: Replica to ask, by shard.
+        hedge: Whether the call repeats one that is still running.
+        alone: Whether the query must run alone in its batch.
+        started: Time of the call in seconds.
+        waiting: Shards without a result from this call.
+    """
+
+    holder: str
+    targets: dict[int, Replica]
+    hedge: bool
+    alone: bool
+    started: float
+    waiting: set[int] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Tally:
+    """Shard calls of one query, for the metrics."""
+
+    sent: int = 0
+    hedges: int = 0
+    retries: int = 0
+    wait_ms: float = 0.0
+    waits: int = 0
+
+
+class Gather:
+    """Decides which calls one query makes; does no I/O.
+
+    Each method that takes an event returns the calls to send next.
+    """
+
+    def __init__(
+        self,
+        shard_map: ShardMap,
+        k: int,
+        fingerprint: str,
+        rng: Random,
+        budget: Budget,
+        quantile: RunningQuantile,
+        *,
+        canary: bool,
+        crashes: int = 0,
+    ) -> None:
+        """Pins the map.
+
+        Args:
+            shard_map: Version and replicas to use.
+            k: Matches wanted.
+            fingerprint: Chooses the canary's shard and leaf.
+            rng: Source of the choices of replicas.
+            budget: Pays for hedges and retries.
+            quantile: Latency after which shards are hedged.
+            canary: Whether one shard must answer before the others.
+            crashes: Leaves that the query is known to have crashed.
+        """
+        self._map = shard_map
+        self._k = k
+        self._fingerprint = fingerprint
+        self._rng = rng
+        self._budget = budget
+        self._quantile = quantile
+        self._coverage = Coverage(shard_map.documents)
+        self._matches: list[Any] = []
+        self._open = len(shard_map.shards)
+        self._closed: set[int] = set()
+        self._attempts = [0] * len(shard_map.shards)
+        self._running = [0] * len(shard_map.shards)
+        self._tried: dict[int, set[Replica]] = {}
+        self._hedged: set[int] = set()
+        self._calls: set[Call] = set()
+        self._is_canary = canary
+        self._canaries = self._canary_leaves()
+        self._canary_calls = 0
+        self._crashes = crashes
+        self._suspect: int | None = None
+        self._held: set[int] = set()
+        self._hedge_at = math.inf
+        self.tally = Tally()
+        self.is_harmless = False
+        self.version_gone = False
+        self.has_crashed = False
+        self._is_suspected = False
+
+    @property
+    def coverage(self) -> Coverage:
+        """What was merged so far."""
+        return self._coverage
+
+    @property
+    def matches(self) -> list[Any]:
+        """The best matches so far."""
+        return self._matches
+
+    @property
+    def version(self) -> str:
+        """The pinned index version."""
+        return self._map.version
+
+    @property
+    def is_done(self) -> bool:
+        """Whether no further result can come."""
+        return self._open == 0
+
+    @property
+    def hedge_at(self) -> float:
+        """When hedge has to be called, in seconds."""
+        return self._hedge_at
+
+    def begin(self, now: float) -> list[Call]:
+        """Returns the first calls."""
+        if self._is_canary:
+            return self._next_canary(now, REASON_NO_LEAF)
+        return self._begin_all(now)
+
+    def take(self, call: Call, part: Any, now: float) -> list[Call]:
+        """Takes a Part that belongs to the call.
+
+        Raises:
+            MisroutedError: The part is not an answer to the call.
+            QuarantinedError: The query has crashed a second leaf.
+        """
+        results = part.results or ()
+        self._check(call, results, part.matches or ())
+        calls: list[Call] = []
+        again: list[int] = []
+        answered = 0
+        for result in results:
+            if result.shard not in call.waiting:
+                continue
+            self._end(call, result.shard)
+            if result.status == ShardStatus.OK:
+                answered += 1
+                self._answer(call, result)
+                if result.shard == self._suspect or call.alone:
+                    calls += self._clear(result.shard, now)
+            else:
+                self._fail(call, result, again)
+        if answered:
+            self._matches = merge(self._matches, part.matches, self._k)
+            if not call.hedge:
+                self._quantile.add((now - call.started) * 1000, answered)
+        if part.last:
+            again += self._drop(call)
+        return calls + self._retry(again, now)
+
+    def lose(self, call: Call, now: float, *, sent: bool) -> list[Call]:
+        """Takes the loss of a call's channel.
+
+        Args:
+            call: The call.
+            now: Time in seconds.
+            sent: Whether a leaf may have received the query.
+        """
+        again = self._drop(call, free=not sent)
+        return self._retry(again, now)
+
+    def hedge(self, now: float) -> list[Call]:
+        """Returns calls for the shards that are slower than usual."""
+        self._hedge_at = math.inf
+        if self._suspect is not None:
+            return []
+        if self._is_canary:
+            return self._hedge_canary(now)
+        chosen: list[tuple[int, Replica]] = []
+        for shard, running in enumerate(self._running):
+            if running != 1 or shard in self._closed or shard in self._hedged:
+                continue
+            replica = self._choose(shard)
+            if replica is None or not replica.is_ready:
+                continue
+            if not self._budget.take_hedge():
+                break
+            self._hedged.add(shard)
+            chosen.append((shard, replica))
+        self.tally.hedges += len(chosen)
+        return self._group(chosen, now, hedge=True)
+
+    def close(self, now: float) -> list[Call]:
+        """Ends the query; returns the calls that are still running."""
+        running = list(self._calls)
+        for call in running:
+            if not call.hedge and call.waiting:
+                # Without these lower bounds, the quantile would sink each
+                # time that a hedge wins.
+                elapsed_ms = (now - call.started) * 1000
+                self._quantile.add(elapsed_ms, len(call.waiting))
+            for shard in list(call.waiting):
+                self._end(call, shard)
+        self._calls.clear()
+        return running
+
+    def _begin_all(self, now: float) -> list[Call]:
+        self._is_canary = False
+        chosen: list[tuple[int, Replica]] = []
+        for shard, entry in enumerate(self._map.shards):
+            if shard in self._closed or self._running[shard]:
+                continue
+            tried = self._tried.get(shard, ())
+            replica = entry.choose(self._rng, tried)
+            if replica is None:
+                if not tried:
+                    self._coverage.miss(shard, REASON_NO_LEAF)
+                self._close(shard)
+            else:
+                chosen.append((shard, replica))
+        self._budget.earn(len(chosen))
+        self._hedge_at = now + self._quantile.value_ms / 1000
+        return self._group(chosen, now)
+
+    def _choose(self, shard: int) -> Replica | None:
+        tried = self._tried.get(shard, ())
+        return self._map.shards[shard].choose(self._rng, tried)
+
+    def _group(
+        self,
+        chosen: Iterable[tuple[int, Replica]],
+        now: float,
+        *,
+        hedge: bool = False,
+        alone: bool = False,
+    ) -> list[Call]:
+        by_holder: dict[str, Call] = {}
+        for shard, replica in chosen:
+            # The caller chose the replica because it has a holder.
+            holder = replica.holder or ""
+            call = by_holder.get(holder)
+            if call is None:
+                call = Call(holder, {}, hedge, alone, now)
+                by_holder[holder] = call
+            call.targets[shard] = replica
+            call.waiting.add(shard)
+            replica.pending += 1
+            self._attempts[shard] += 1
+            self._running[shard] += 1
+            self._tried.setdefault(shard, set()).add(replica)
+        calls = list(by_holder.values())
+        self._calls.update(calls)
+        self.tally.sent += sum(len(call.targets) for call in calls)
+        return calls
+
+    def _check(
+        self, call: Call, results: Iterable[Any], matches: Iterable[Any]
+    ) -> None:
+        for result in results:
+            replica = call.targets.get(result.shard)
+            if replica is None or replica.address != result.leaf:
+                raise MisroutedError(
+                    f"{call.holder} answered for shard {result.shard} of"
+                    f" leaf {result.leaf!r}, which was not asked."
+                )
+        for match in matches:
+            if not math.isfinite(match.score):
+                raise MisroutedError(f"{call.holder} sent a bad score.")
+
+    def _end(self, call: Call, shard: int) -> None:
+        call.waiting.discard(shard)
+        call.targets[shard].pending -= 1
+        self._running[shard] -= 1
+
+    def _close(self, shard: int) -> None:
+        if shard not in self._closed:
+            self._closed.add(shard)
+            self._open -= 1
+
+    def _answer(self, call: Call, result: Any) -> None:
+        self._coverage.answer(result.shard, result.documents or 0)
+        self._close(result.shard)
+        self.tally.wait_ms += result.wait_ms or 0.0
+        self.tally.waits += 1
+
+    def _fail(self, call: Call, result: Any, again: list[int]) -> None:
+        shard, status = result.shard, ShardStatus(result.status)
+        if status == ShardStatus.QUARANTINED:
+            raise QuarantinedError("the query has crashed leaves.")
+        if status == ShardStatus.VERSION_GONE:
+            self.version_gone = True
+        if status == ShardStatus.CRASHED:
+            self._crash(alone=call.alone)
+        if shard in self._closed:
+            return
+        self._coverage.miss(shard, _REASONS[status])
+        replica = call.targets[shard]
+        if status == ShardStatus.NOT_HOLDER:
+            self._forget_holder(call, replica, shard)
+        if status in _FREE or self._may_repeat(shard):
+            again.append(shard)
+
+    def _forget_holder(self, call: Call, replica: Replica, shard: int) -> None:
+        """Lets the replica be tried again if its holder has changed."""
+        if replica.holder == call.holder:
+            replica.holder = None
+        elif replica.holder is not None:
+            self._tried[shard].discard(replica)
+
+    def _may_repeat(self, shard: int) -> bool:
+        if self._is_canary or self._running[shard]:
+            return True
+        if self._budget.take_retry():
+            return True
+        self._close(shard)
+        return False
+
+    def _crash(self, *, alone: bool) -> None:
+        """Counts a crash; the first one makes the query a suspect."""
+        self._is_suspected = True
+        self.is_harmless = False
+        self.has_crashed = True
+        if self._is_canary or alone or self._crashes == 0:
+            self._crashes += 1
+        if self._crashes >= MAX_CRASHES and (self._is_canary or alone):
+            raise QuarantinedError("the query has crashed two leaves.")
+
+    def _drop(self, call: Call, *, free: bool = False) -> list[int]:
+        """Ends a call; returns its shards that may be tried again."""
+        self._calls.discard(call)
+        again = []
+        for shard in list(call.waiting):
+            self._end(call, shard)
+            if shard in self._closed:
+                continue
+            self._coverage.miss(shard, REASON_LOST)
+            if free:
+                self._forget_holder(call, call.targets[shard], shard)
+            if free or self._may_repeat(shard):
+                again.append(shard)
+        return again
+
+    def _retry(self, shards: list[int], now: float) -> list[Call]:
+        # The suspect may have been closed without another call.
+        if not shards and self._suspect not in self._closed:
+            return []
+        if self._is_canary:
+            return self._retry_canary(shards, now)
+        if self._suspect is not None:
+            return self._retry_held(shards, now)
+        if self._is_suspected:
+            return self._retry_suspect(shards, now)
+        return self._retry_all(shards, now)
+
+    def _retry_all(
+        self, shards: Iterable[int], now: float, *, alone: bool = False
+    ) -> list[Call]:
+        chosen = []
+        for shard in shards:
+            if shard in self._closed or self._running[shard]:
+                continue
+            replica = self._choose(shard)
+            if replica is None or self._attempts[shard] >= MAX_ATTEMPTS:
+                self._close(shard)
+            else:
+                chosen.append((shard, replica))
+        self.tally.retries += len(chosen)
+        return self._group(chosen, now, alone=alone)
+
+    # A crash outside the canary phase: one shard runs alone at another
+    # replica, and the other failed shards wait for its verdict.
+
+    def _retry_suspect(self, shards: list[int], now: float) -> list[Call]:
+        self._held.update(shards)
+        while self._held:
+            shard = min(self._held)
+            self._held.discard(shard)
+            calls = self._retry_all([shard], now, alone=True)
+            if calls:
+                self._suspect = shard
+                return calls
+        return []
+
+    def _retry_held(self, shards: list[int], now: float) -> list[Call]:
+        self._held.update(shards)
+        if self._suspect not in shards and self._suspect not in self._closed:
+            return []
+        self._suspect = None
+        return self._retry_suspect(shards, now)
+
+    def _clear(self, shard: int, now: float) -> list[Call]:
+        """Takes a good answer of a canary or of a suspect's retry."""
+        self.is_harmless = True
+        self._crashes = 0
+        self._is_suspected = False
+        if self._is_canary:
+            return self._begin_all(now)
+        if shard != self._suspect:
+            return []
+        self._suspect = None
+        held, self._held = self._held, set()
+        return self._retry_all(sorted(held), now)
+
+    # The canary: leaves in an order that all entries share.
+
+    def _canary_leaves(self) -> Iterator[tuple[int, Replica]]:
+        count = len(self._map.shards)
+        first = int(self._fingerprint[:8], 16) % max(1, count)
+        for offset in range(count):
+            shard = (first + offset) % count
+            usable = {
+                replica.address: replica
+                for replica in self._map.shards[shard].replicas
+                if replica.is_usable
+            }
+            order = ranking(self._fingerprint, usable)
+            order.sort(key=lambda address: not usable[address].is_ready)
+            for address in order:
+                yield shard, usable[address]
+
+    def _next_canary(
+        self, now: float, reason: str, *, hedge: bool = False
+    ) -> list[Call]:
+        if self._canary_calls < MAX_CANARY_CALLS:
+            for shard, replica in self._canaries:
+                if not replica.is_usable:
+                    continue
+                self._canary_calls += 1
+                self._budget.earn(1)
+                if not hedge and self._canary_calls == 1:
+                    self._hedge_at = now + self._quantile.value_ms / 1000
+                chosen = [(shard, replica)]
+                return self._group(chosen, now, hedge=hedge, alone=True)
+        if any(self._running):
+            return []
+        for shard in range(len(self._map.shards)):
+            self._coverage.miss(shard, reason)
+            self._close(shard)
+        return []
+
+    def _retry_canary(self, shards: list[int], now: float) -> list[Call]:
+        if any(self._running):
+            return []
+        self.tally.retries += 1
+        reason = self._coverage.reason(shards[0]) or REASON_LOST
+        return self._next_canary(now, reason)
+
+    def _hedge_canary(self, now: float) -> list[Call]:
+        if self._crashes or not self._budget.take_hedge():
+            return []
+        calls = self._next_canary(now, REASON_DEADLINE, hedge=True)
+        self.tally.hedges += len(calls)
+        return calls
--- /dev/null
+++ b/libs/entry/src/sapphire_entry/standing.py
@@ -0,0 +1,116 @@
+"""Whether this entry serves callers: starting, ready, out or leaving."""
+
+from __future__ import annotations
+
+import enum
+import math
+import time
+from collections.abc import Callable
+
+import trio
+from eliot import log_message
+from sapphire_core.errors import (
+    DomainOutError,
+    LeavingError,
+    NotReadyError,
+    RequestRefusedError,
+)
+
+# Callers may have read the addresses just before the change and use them
+# for keep_ms; this much more covers their connection and the request.
+GRACE_S = 1.0
+DEFAULT_KEEP_S = 2.0
+
+
+class Phase(enum.Enum):
+    """What an entry does with callers."""
+
+    STARTING = "starting"
+    READY = "ready"
+    OUT = "out"
+    LEAVING = "leaving"
+
+
+class Standing:
+    """The phase of this entry and when it refuses requests."""
+
+    def __init__(self) -> None:
+        """Starts without a configuration."""
+        self._phase = Phase.STARTING
+        self._refuse_at = math.inf
+        self._stamp = _stamp(0)
+        self._changed = trio.Event()
+        self.keep_s = DEFAULT_KEEP_S
+        self.on_change: Callable[[], None] = lambda: None
+
+    @property
+    def phase(self) -> Phase:
+        """The phase now."""
+        return self._phase
+
+    @property
+    def stamp(self) -> int:
+        """Number of the last change; rises over restarts too."""
+        return self._stamp
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether callers may be sent here."""
+        return self._phase is Phase.READY
+
+    @property
+    def refuse_at(self) -> float:
+        """Time from which requests are refused, in seconds."""
+        return self._refuse_at
+
+    @property
+    def changed(self) -> trio.Event:
+        """Event of the next change."""
+        return self._changed
+
+    def set_out(self, out: bool) -> None:
+        """Follows the configuration; out leaves time for cached answers."""
+        if self._phase is Phase.LEAVING or self._phase is Phase.STARTING:
+            return
+        phase = Phase.OUT if out else Phase.READY
+        if phase is not self._phase:
+            self._move(phase, self._deadline() if out else math.inf)
+
+    def set_ready(self, out: bool) -> None:
+        """Ends the start; an entry that starts out of service refuses."""
+        if self._phase is Phase.STARTING:
+            phase = Phase.OUT if out else Phase.READY
+            self._move(phase, trio.current_time() if out else math.inf)
+
+    def set_leaving(self) -> None:
+        """Begins the shutdown."""
+        if self._phase is not Phase.LEAVING:
+            refuse_at = min(self._refuse_at, self._deadline())
+            self._move(Phase.LEAVING, refuse_at)
+
+    def refusal(self) -> RequestRefusedError | None:
+        """Returns why a request that arrives now is refused, if it is."""
+        if self._phase is Phase.STARTING:
+            return NotReadyError("the entry has no configuration yet.")
+        if trio.current_time() < self._refuse_at:
+            return None
+        if self._phase is Phase.LEAVING:
+            return LeavingError("the entry is shutting down.")
+        return DomainOutError("the entry is out of service.")
+
+    def _deadline(self) -> float:
+        return trio.current_time() + self.keep_s + GRACE_S
+
+    def _move(self, phase: Phase, refuse_at: float) -> None:
+        log_message("entry_phase", former=self._phase.value, phase=phase.value)
+        self._phase = phase
+        self._refuse_at = refuse_at
+        self._stamp = _stamp(self._stamp)
+        self._changed.set()
+        self._changed = trio.Event()
+        self.on_change()
+
+
+def _stamp(former: int) -> int:
+    """Returns a number above the former one and above earlier starts'."""
+    return max(former + 1, time.time_ns() // 1_000_000)
--- /dev/null
+++ b/libs/entry/src/sapphire_entry/web.py
@@ -0,0 +1,272 @@
+"""The callers' HTTP interface."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+from eliot import log_message
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from sapphire_core.admission import ClassLimit
+from sapphire_core.errors import (
+    BadRequestError,
+    DeadlinePassedError,
+    DomainOutError,
+    KeyConflictError,
+    LeavingError,
+    OutcomeUnknownError,
+    RunState,
+    SapphireError,
+    SlowBodyError,
+    TooLargeError,
+    UnknownServiceError,
+)
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from sapphire_entry import metrics
+from sapphire_entry.entry import Entry
+from sapphire_entry.gather import REASON_DEADLINE, Gather
+from sapphire_entry.requests import SearchRequest, parse_body, read_body
+from sapphire_entry.search import Query
+from sapphire_entry.standing import Phase
+from sapphire_entry.suspects import fingerprint
+
+# Part of the deadline that is kept for merging and sending the answer.
+MARGIN_SHARE = 0.05
+MIN_MARGIN_MS = 2.0
+MAX_MARGIN_MS = 20.0
+
+NO_LABEL = "none"
+_CALLER_FAULTS = (
+    BadRequestError,
+    UnknownServiceError,
+    TooLargeError,
+    SlowBodyError,
+    KeyConflictError,
+)
+_TOO_LATE = (DeadlinePassedError, OutcomeUnknownError)
+
+
+@dataclass(slots=True)
+class Account:
+    """What the metrics record about one request."""
+
+    started: float
+    service: str = NO_LABEL
+    request_class: str = NO_LABEL
+    result: str = "good"
+
+    def close(self) -> None:
+        """Counts the request."""
+        elapsed_s = trio.current_time() - self.started
+        labels = (self.service, self.request_class)
+        metrics.REQUESTS.labels(*labels, self.result).inc()
+        metrics.LATENCY.labels(*labels).observe(elapsed_s)
+
+
+Handler = Callable[[Request, Account], Awaitable[dict[str, Any]]]
+
+
+def margin_ms(deadline_ms: float) -> float:
+    """Returns how long before its deadline an answer is made."""
+    share = deadline_ms * MARGIN_SHARE
+    return min(max(share, MIN_MARGIN_MS), MAX_MARGIN_MS, deadline_ms / 2)
+
+
+class Api:
+    """Answers callers on behalf of one entry."""
+
+    def __init__(self, entry: Entry) -> None:
+        """Takes the entry whose parts do the work."""
+        self._entry = entry
+
+    async def search(self, request: Request) -> Response:
+        """Answers POST /v1/search."""
+        return await self._run(request, self._search)
+
+    async def addresses(self, request: Request) -> Response:
+        """Answers GET /v1/addresses."""
+        entry = self._entry
+        nearest = request.query_params.get("failure_domain")
+        listed = entry.addresses(nearest)
+        return self._reply(
+            {
+                "addresses": [_address(item) for item in listed],
+                "keep_ms": round(entry.standing.keep_s * 1000),
+                "revision": entry.config.revision,
+            }
+        )
+
+    async def metrics(self, request: Request) -> Response:
+        """Answers GET /metrics."""
+        metrics.RUNNING.set(self._entry.admission.running)
+        return Response(generate_latest(), media_type=CONTENT_TYPE_LATEST)
+
+    async def readyz(self, request: Request) -> Response:
+        """Answers GET /readyz."""
+        phase = self._entry.standing.phase
+        status = 200 if phase is Phase.READY else 503
+        return self._reply({"phase": phase.value}, status)
+
+    async def _run(self, request: Request, handler: Handler) -> Response:
+        account = Account(trio.current_time())
+        try:
+            return self._reply(await handler(request, account))
+        except SapphireError as error:
+            _blame(account, error)
+            return self._refuse(error)
+        except Exception as error:
+            # Whatever went wrong with one request, the others go on.
+            account.result = "wrong"
+            metrics.UNEXPECTED.inc()
+            log_message("unexpected_error", error=repr(error))
+            return self._refuse(SapphireError("unexpected error."))
+        finally:
+            account.close()
+
+    async def _search(
+        self, request: Request, account: Account
+    ) -> dict[str, Any]:
+        in_force = self._admit()
+        data = await read_body(request, in_force.document.limits)
+        asked = parse_body(SearchRequest, data)
+        if in_force.service(asked.service) is None:
+            raise UnknownServiceError(f"no service {asked.service!r}.")
+        chosen = in_force.request_class(asked.service, asked.request_class)
+        if chosen is None:
+            raise BadRequestError(f"no class {asked.request_class!r}.")
+        account.service, account.request_class = asked.service, chosen.name
+        if asked.k > chosen.max_k:
+            raise BadRequestError(f"field 'k': at most {chosen.max_k}.")
+        answer_at = _answer_at(account.started, asked.deadline_ms)
+        query = Query(
+            service=asked.service,
+            text=asked.text,
+            k=asked.k,
+            priority=chosen.priority,
+            canary=chosen.canary,
+            fingerprint=fingerprint(asked.service, asked.text, asked.k),
+            started=account.started,
+            answer_at=answer_at,
+        )
+        limit = ClassLimit(
+            asked.service,
+            chosen.name,
+            chosen.priority,
+            chosen.max_concurrent,
+            chosen.deadline_ms,
+        )
+        admission = self._entry.admission
+        admission.enter(limit, trio.current_time())
+        try:
+            gather = await self._entry.searcher.run(query)
+        finally:
+            admission.leave(limit)
+        elapsed_ms = (trio.current_time() - account.started) * 1000
+        if not gather.coverage.is_complete:
+            account.result = "incomplete"
+        elif elapsed_ms > asked.deadline_ms:
+            account.result = "late"
+        request_id = asked.request_id or uuid.uuid4().hex
+        return _answer(gather, request_id, elapsed_ms)
+
+    def _admit(self) -> Any:
+        refusal = self._entry.standing.refusal()
+        if refusal is not None:
+            raise refusal
+        return self._entry.in_force()
+
+    def _reply(self, body: dict[str, Any], status: int = 200) -> Response:
+        response = Response(
+            json.dumps(body, allow_nan=False),
+            status,
+            media_type="application/json",
+        )
+        if self._entry.standing.phase in (Phase.OUT, Phase.LEAVING):
+            # Kept connections move away before the listener closes.
+            response.headers["Connection"] = "close"
+        return response
+
+    def _refuse(self, error: SapphireError) -> Response:
+        body: dict[str, Any] = {
+            "kind": error.kind,
+            "message": error.message,
+            "remedy": error.remedy,
+            "run": error.run.value,
+        }
+        if isinstance(error, DomainOutError | LeavingError):
+            listed = self._entry.addresses(None)
+            body["addresses"] = [_address(item) for item in listed]
+        return self._reply({"error": body}, error.status)
+
+
+def build_app(api: Api) -> Starlette:
+    """Returns the ASGI application of an entry."""
+    return Starlette(
+        routes=[
+            Route("/v1/search", api.search, methods=["POST"]),
+            Route("/v1/addresses", api.addresses, methods=["GET"]),
+            Route("/metrics", api.metrics, methods=["GET"]),
+            Route("/readyz", api.readyz, methods=["GET"]),
+        ]
+    )
+
+
+def _answer_at(started: float, deadline_ms: float) -> float:
+    """Returns when to answer.
+
+    Raises:
+        DeadlinePassedError: The time is over already.
+    """
+    answer_at = started + (deadline_ms - margin_ms(deadline_ms)) / 1000
+    if deadline_ms <= 0 or trio.current_time() >= answer_at:
+        raise DeadlinePassedError(
+            "the deadline passed before the request was started.",
+            run=RunState.NOT_RUN,
+        )
+    return answer_at
+
+
+def _blame(account: Account, error: SapphireError) -> None:
+    account.result = "late" if isinstance(error, _TOO_LATE) else "refused"
+    if isinstance(error, _CALLER_FAULTS):
+        # Requests that no service could answer are no service's failures.
+        account.service = account.request_class = NO_LABEL
+
+
+def _address(item: Any) -> dict[str, str]:
+    return {"address": item.address, "failure_domain": item.failure_domain}
+
+
+def _answer(
+    gather: Gather, request_id: str, elapsed_ms: float
+) -> dict[str, Any]:
+    coverage = gather.coverage
+    return {
+        "request_id": request_id,
+        "run": RunState.RUN.value,
+        "matches": [
+            {"id": m.document, "score": m.score, "title": m.title}
+            for m in gather.matches
+        ],
+        "coverage": {
+            "shards_total": coverage.shards_total,
+            "shards_answered": coverage.shards_answered,
+            "missing": [
+                {"shard": item.shard, "reason": item.reason}
+                for item in coverage.missing(REASON_DEADLINE)
+            ],
+            "documents_total": coverage.documents_total,
+            "documents_answered": coverage.documents_answered,
+            "complete": coverage.is_complete,
+        },
+        "index_version": gather.version,
+        "elapsed_ms": round(elapsed_ms, 3),
+    }
--- /dev/null
+++ b/libs/entry/tests/conftest.py
@@ -0,0 +1,233 @@
+"""A fake cell and platform around the parts of one entry."""
+
+import json
+
+import pytest
+import trio
+from sapphire_config.settings import EntrySettings
+from sapphire_core.errors import PlatformUnavailableError
+from sapphire_entry.daemon import serve_callers
+from sapphire_entry.entry import Entry
+from sapphire_wire import channel
+from sapphire_wire.gen.ttypes import (
+    ConfigReply,
+    Frame,
+    LeafState,
+    LeafVersion,
+    LeafView,
+    Match,
+    Part,
+    ShardResult,
+    ShardStatus,
+    SubmitReply,
+    ViewReply,
+)
+from sapphire_wire.platform import Item
+from sapphire_wire.web import HttpClient
+
+SHARDS = 4
+DOCUMENTS = 10
+LEAVES = [f"10.0.{replica}.{n}:80" for replica in (1, 2) for n in range(4)]
+_CLASSES = [
+    {"name": "typing", "priority": 0, "deadline_ms": 500},
+    {"name": "bulk", "priority": 5, "canary": False, "max_concurrent": 1},
+]
+
+
+def document(revision=1, **changes):
+    """Returns the stored document of the fake deployment."""
+    leaves = [
+        {"address": leaf, "failure_domain": f"d{leaf[5]}"} for leaf in LEAVES
+    ]
+    service = {
+        "name": "tox",
+        "leaves": leaves,
+        "classes": _CLASSES,
+        "accepts_submissions": True,
+    }
+    body = {
+        "name": "test",
+        "regions": [{"name": "r", "failure_domains": ["d1", "d2"]}],
+        "services": [service],
+        "limits": {"address_keep_ms": 100, "body_timeout_ms": 200},
+        **changes,
+    }
+    stored = {"revision": revision, "change_id": "c", "document": body}
+    return json.dumps(stored)
+
+
+class Cell:
+    """One fake aggregator that holds all leaves."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.version = "v1"
+        self.answers = {}
+        self.scatters = []
+        self.submits = []
+        self.submit_reply = SubmitReply(
+            sent=True, known=True, outcome='{"score": 1}', reason=""
+        )
+        self.entries = []
+        self.config = ""
+        self.revision = 0
+        self._sequence = 0
+
+    async def handle(self, frame, reply):
+        if frame.view is not None:
+            reply(Frame(view_reply=self._view(frame.view)))
+        elif frame.scatter is not None:
+            self.scatters.append(frame.scatter)
+            await self._scatter(frame.scatter, reply)
+        elif frame.submit is not None:
+            self.submits.append(frame.submit)
+            if self.submit_reply is not None:
+                reply(Frame(submit_reply=self.submit_reply))
+        elif frame.fetch_config is not None:
+            answer = ConfigReply(revision=self.revision, document=self.config)
+            reply(Frame(config_reply=answer))
+
+    def _view(self, view):
+        if view.entry is not None:
+            self.entries = [
+                e for e in self.entries if e.address != view.entry.address
+            ] + [view.entry]
+        self._sequence += 1
+        return ViewReply(
+            member=self.address,
+            sequence=self._sequence,
+            changed=True,
+            leaves=[self._leaf(leaf) for leaf in LEAVES],
+            config_revision=self.revision,
+            quarantine=[],
+            leaving=False,
+            peers=[self.address],
+            entries=self.entries,
+            entries_sequence=self._sequence,
+        )
+
+    def _leaf(self, leaf):
+        held = LeafVersion(
+            version=self.version,
+            shard=int(leaf[7]),
+            shards=SHARDS,
+            documents=DOCUMENTS,
+        )
+        return LeafView(
+            leaf=leaf,
+            service_name="tox",
+            failure_domain=f"d{leaf[5]}",
+            state=LeafState.WARM,
+            latency_ms=1.0,
+            queued=0,
+            versions=[held],
+        )
+
+    async def _scatter(self, scatter, reply):
+        results, matches = [], []
+        for target in scatter.targets:
+            status = self.answers.get(target.leaf, ShardStatus.OK)
+            if status is None:
+                continue
+            results.append(
+                ShardResult(
+                    shard=target.shard,
+                    leaf=target.leaf,
+                    status=status,
+                    documents=DOCUMENTS,
+                    leaf_ms=1.0,
+                    wait_ms=0.0,
+                )
+            )
+            if status == ShardStatus.OK:
+                name = f"doc-{target.shard}"
+                score = 1.0 + target.shard
+                matches.append(Match(document=name, score=score, title="t"))
+        hang = len(results) < len(scatter.targets)
+        reply(Frame(part=Part(results=results, matches=matches, last=not hang)))
+        if hang:
+            await trio.sleep_forever()
+
+
+class FakePlatform:
+    """Holds keys in memory; an outage makes all calls fail."""
+
+    def __init__(self) -> None:
+        self.items = {}
+        self.down = False
+
+    def _check(self):
+        if self.down:
+            raise PlatformUnavailableError("down.")
+
+    async def get(self, key):
+        self._check()
+        return self.items.get(key, Item("", 0))
+
+    async def watch(self, key, after):
+        await trio.sleep(0.05)
+        self._check()
+        return self.items.get(key, Item("", 0))
+
+
+class Stage:
+    """One entry that serves HTTP, with its cell and platform."""
+
+    def __init__(self, nursery) -> None:
+        self.cell = Cell()
+        self.platform = FakePlatform()
+        self._nursery = nursery
+
+    async def start(self):
+        listeners = await self._nursery.start(
+            channel.serve, self.cell.handle, "127.0.0.1", 0
+        )
+        port = listeners[0].socket.getsockname()[1]
+        self.cell.address = f"127.0.0.1:{port}"
+        self.platform.items["config"] = Item(document(), 1)
+        settings = EntrySettings(
+            vm="127.0.0.1",
+            failure_domain="d1",
+            region="r",
+            platform="127.0.0.1:1",
+            seeds=[self.cell.address],
+            listen="127.0.0.1:0",
+            frames="127.0.0.1:0",
+        )
+        self.entry = Entry(settings, self._nursery, self.platform, seed=1)
+        await self.entry.start()
+        await self._nursery.start(serve_callers, self.entry)
+        self.client = HttpClient(self.entry.address, 20)
+        while not self.entry.standing.is_listed:
+            await trio.sleep(0.01)
+        return self
+
+    async def post(self, path, **fields):
+        return await self.client.call("POST", path, fields, timeout_s=5)
+
+    async def search(self, **changes):
+        fields = {
+            "service": "tox",
+            "text": "retinol",
+            "k": 3,
+            "class": "typing",
+            "deadline_ms": 1000,
+            **changes,
+        }
+        return await self.post("/v1/search", **fields)
+
+
+@pytest.fixture
+def on_stage():
+    """Runs an async test with a started Stage."""
+
+    def run(test):
+        async def main():
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    await test(await Stage(nursery).start())
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    return run
