Serve status, and test failures through the callers' interface

Cause: typed errors, retries, quarantine, places out of service and the shutdown need to hold with all parts joined. Ruled out: rerunning only on a map that is known when the leaf refuses the version, since the views lag behind by up to half a second. Change: GET /v1/status; a query whose version is gone asks for new views and waits for them shortly; an announcement made during a poll is sent with the next one; tests with a fake cell. Before/after: the rerun after a version change failed, since a request for new views within 50 ms of another was dropped; it passes now.

--- a/libs/entry/src/sapphire_entry/search.py
+++ b/libs/entry/src/sapphire_entry/search.py
@@ -30,6 +30,9 @@
 
 # Time taken off the remaining time for one hop.
 HOP_MS = 1.0
+# When all leaves of a shard have lost the pinned version, the views are
+# asked again; their replies take a poll pause and a round trip.
+VIEW_WAIT_S = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,6 +211,7 @@
         self._posted: dict[Call, _Posted] = {}
         self._noted = not canary
         self._is_suspect = False
+        self._has_refreshed = False
         now = trio.current_time()
         self.gather = Gather(
             shard_map,
@@ -238,7 +242,7 @@
                     return newer
                 if now >= gather.hedge_at:
                     self._send(gather.hedge(now))
-            return self._newer()
+            return await self._await_newer()
         except QuarantinedError:
             self._suspects.quarantine(
                 self._query.fingerprint, trio.current_time()
@@ -250,9 +254,28 @@
     def _newer(self) -> ShardMap | None:
         if not self.gather.version_gone or not self._may_rerun:
             return None
-        self._views.refresh()
+        if not self._has_refreshed:
+            self._has_refreshed = True
+            self._views.refresh()
         return self._searcher.newer_map(self._query, self._map)
 
+    async def _await_newer(self) -> ShardMap | None:
+        """Returns a newer map if the views show one soon."""
+        if self.gather.coverage.is_complete:
+            return None
+        newer = self._newer()
+        if newer is not None or not self.gather.version_gone:
+            return newer
+        until = min(
+            trio.current_time() + VIEW_WAIT_S,
+            (self._query.started + self._query.answer_at) / 2,
+        )
+        while newer is None and trio.current_time() < until:
+            with trio.move_on_at(until):
+                await self._views.wait_reply()
+            newer = self._newer()
+        return newer
+
     def _take(self, call: Call, frame: Any, now: float) -> list[Call]:
         posted = self._posted.get(call)
         if posted is None:
--- /dev/null
+++ b/libs/entry/src/sapphire_entry/status.py
@@ -0,0 +1,94 @@
+"""The status document of an entry."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import trio
+from sapphire_core.shardmap import Replica
+
+from sapphire_entry.entry import Entry
+
+
+def status(entry: Entry) -> dict[str, Any]:
+    """Returns what the entry knows now, as JSON fields."""
+    return {
+        "address": entry.address,
+        "vm": entry.settings.vm,
+        "failure_domain": entry.settings.failure_domain,
+        "phase": entry.standing.phase.value,
+        "running": entry.admission.running,
+        "hedge_tokens": round(entry.budget.tokens, 3),
+        "suspects": len(entry.suspects),
+        "config": _config(entry),
+        "aggregators": _aggregators(entry),
+        "entries": [
+            {
+                "address": record.address,
+                "failure_domain": record.failure_domain,
+                "ready": record.ready,
+            }
+            for record in entry.views.entries().values()
+        ],
+        "services": {
+            name: _service(entry, name) for name in entry.views.table.services()
+        },
+    }
+
+
+def _config(entry: Entry) -> dict[str, Any]:
+    in_force = entry.config.in_force
+    if in_force is None:
+        return {"revision": 0}
+    return {
+        "revision": in_force.revision,
+        "out_failure_domains": in_force.document.out_failure_domains,
+        "out_vms": in_force.document.out_vms,
+    }
+
+
+def _aggregators(entry: Entry) -> list[dict[str, Any]]:
+    now = trio.current_time()
+    return [
+        {
+            "address": address,
+            "reached": source.is_reached,
+            "leaving": source.is_leaving,
+            "config_revision": source.config_revision,
+            "last_reply_ms": round((now - source.last_reply) * 1000),
+        }
+        for address, source in sorted(entry.views.sources.items())
+    ]
+
+
+def _service(entry: Entry, name: str) -> dict[str, Any]:
+    table = entry.views.table
+    shard_map = table.shard_map(name)
+    return {
+        "version": shard_map.version if shard_map else None,
+        "whole": shard_map.is_whole if shard_map else False,
+        "shards": len(shard_map.shards) if shard_map else 0,
+        "shards_served": shard_map.served if shard_map else 0,
+        "documents": sum(shard_map.documents) if shard_map else 0,
+        "hedge_after_ms": round(entry.searcher.quantile(name).value_ms, 3),
+        "leaves": [
+            _leaf(replica)
+            for _, replica in sorted(table.replicas(name).items())
+        ],
+    }
+
+
+def _leaf(replica: Replica) -> dict[str, Any]:
+    return {
+        "leaf": replica.address,
+        "holder": replica.holder,
+        "failure_domain": replica.failure_domain,
+        "state": replica.state.name.lower(),
+        "in_service": replica.in_service,
+        "latency_ms": round(replica.latency_ms, 3),
+        "queued": replica.queued,
+        "versions": [
+            {"version": held.version, "shard": held.shard}
+            for held in replica.versions
+        ],
+    }
--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -150,7 +150,7 @@
         self._revision = revision
         self._sources: dict[str, Source] = {}
         self._refresh = trio.Event()
-        self._refreshed_at = -math.inf
+        self._replied = trio.Event()
         self.table = LeafTable()
         self.on_reply: Callable[[Source, Any], None] = lambda source, reply: (
             None
@@ -173,13 +173,13 @@
 
     def refresh(self) -> None:
         """Makes all polls happen now, for example to announce a change."""
-        now = trio.current_time()
-        if now - self._refreshed_at < MIN_REFRESH_S:
-            return
-        self._refreshed_at = now
         self._refresh.set()
         self._refresh = trio.Event()
 
+    async def wait_reply(self) -> None:
+        """Returns after the next reply of any aggregator."""
+        await self._replied.wait()
+
     def entries(self) -> dict[str, Any]:
         """Returns the newest known record of each other entry."""
         newest: dict[str, Any] = {}
@@ -214,7 +214,10 @@
                 # holds; the aggregator counts as not reached.
                 log_message("bad_view", source=address, error=repr(error))
                 self._lose(address, source)
-            with trio.move_on_after(POLL_S):
+            # The event was taken before the poll: a change that came
+            # meanwhile is announced by the next one.
+            await trio.sleep(MIN_REFRESH_S)
+            with trio.move_on_after(POLL_S - MIN_REFRESH_S):
                 await refresh.wait()
         self._lose(address, source)
         del self._sources[address]
@@ -263,6 +266,8 @@
         for peer in source.peers:
             self._add(peer)
         self.on_reply(source, reply)
+        self._replied.set()
+        self._replied = trio.Event()
 
 
 def entry_record(
--- a/libs/entry/src/sapphire_entry/web.py
+++ b/libs/entry/src/sapphire_entry/web.py
@@ -36,6 +36,7 @@
 from sapphire_entry.requests import SearchRequest, parse_body, read_body
 from sapphire_entry.search import Query
 from sapphire_entry.standing import Phase
+from sapphire_entry.status import status
 from sapphire_entry.suspects import fingerprint
 
 # Part of the deadline that is kept for merging and sending the answer.
@@ -104,6 +105,10 @@
             }
         )
 
+    async def status(self, request: Request) -> Response:
+        """Answers GET /v1/status."""
+        return self._reply(status(self._entry))
+
     async def metrics(self, request: Request) -> Response:
         """Answers GET /metrics."""
         metrics.RUNNING.set(self._entry.admission.running)
@@ -213,6 +218,7 @@
         routes=[
             Route("/v1/search", api.search, methods=["POST"]),
             Route("/v1/addresses", api.addresses, methods=["GET"]),
+            Route("/v1/status", api.status, methods=["GET"]),
             Route("/metrics", api.metrics, methods=["GET"]),
             Route("/readyz", api.readyz, methods=["GET"]),
         ]
--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -127,6 +127,8 @@
         results, matches = [], []
         for target in scatter.targets:
             status = self.answers.get(target.leaf, ShardStatus.OK)
+            if scatter.version != self.version:
+                status = ShardStatus.VERSION_GONE
             if status is None:
                 continue
             results.append(
@@ -173,6 +175,9 @@
 class Stage:
     """One entry that serves HTTP, with its cell and platform."""
 
+    leaves = LEAVES
+    document = staticmethod(document)
+
     def __init__(self, nursery) -> None:
         self.cell = Cell()
         self.platform = FakePlatform()
