--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/backlog.py
@@ -0,0 +1,343 @@
+"""Queue of one leaf: order, shared queries and batches.
+
+Calls are ordered by priority, then arrival. Calls of the same version, shard,
+text and k share one item, which runs once.
+"""
+
+from __future__ import annotations
+
+import enum
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from sapphire_core.quarantine import Verdict
+from sapphire_wire.gen.ttypes import ShardStatus
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """One search as received in a Scatter.
+
+    Attributes:
+        deadline: Absolute time, in seconds of trio's clock.
+        canary: Whether it has to run alone in its batch.
+    """
+
+    version: str
+    text: str
+    k: int
+    fingerprint: str
+    priority: int
+    deadline: float
+    canary: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a call ended.
+
+    Attributes:
+        leaf_s: Seconds at the leaf.
+        wait_s: Seconds in the queue.
+    """
+
+    status: ShardStatus
+    documents: int = 0
+    leaf_s: float = 0.0
+    wait_s: float = 0.0
+    matches: list[Any] = field(default_factory=list)
+
+
+class Call:
+    """One target of one query; ends exactly once."""
+
+    __slots__ = ("_deliver", "batch", "enqueued", "leaf", "query", "shard")
+
+    def __init__(
+        self,
+        query: Query,
+        shard: int,
+        leaf: str,
+        enqueued: float,
+        deliver: Callable[[Call, Outcome], None],
+    ) -> None:
+        self.query = query
+        self.shard = shard
+        self.leaf = leaf
+        self.enqueued = enqueued
+        self.batch: Batch | None = None
+        self._deliver: Callable[[Call, Outcome], None] | None = deliver
+
+    @property
+    def is_done(self) -> bool:
+        """Whether the call has ended or was abandoned."""
+        return self._deliver is None
+
+    def finish(self, outcome: Outcome) -> None:
+        """Delivers the outcome unless the call has ended."""
+        deliver, self._deliver = self._deliver, None
+        if deliver is not None:
+            deliver(self, outcome)
+
+    def abandon(self) -> None:
+        """Ends the call without an outcome; its caller has gone."""
+        if self._deliver is None:
+            return
+        self._deliver = None
+        if self.batch is not None:
+            self.batch.check_abandoned()
+
+
+class Item:
+    """Calls that wait for the same query."""
+
+    __slots__ = ("calls", "order", "taken")
+
+    def __init__(self, call: Call, order: tuple[int, int]) -> None:
+        self.calls = [call]
+        self.order = order
+        self.taken = False
+
+    @property
+    def query(self) -> Query:
+        """The query that runs; all calls have the same text, version and k."""
+        return self.calls[0].query
+
+    @property
+    def canary(self) -> bool:
+        """Whether any caller asked for a canary run."""
+        return any(call.query.canary for call in self.calls)
+
+    @property
+    def deadline(self) -> float:
+        """The latest deadline of the callers."""
+        return max(call.query.deadline for call in self.calls)
+
+    def finish(self, outcome: Outcome) -> None:
+        """Ends all calls with the same outcome."""
+        for call in self.calls:
+            call.finish(outcome)
+
+
+class Batch:
+    """Items that go to the leaf in one request."""
+
+    __slots__ = ("alone", "items", "on_abandoned", "shard", "version")
+
+    def __init__(
+        self, version: str, shard: int, items: list[Item], alone: bool
+    ) -> None:
+        self.version = version
+        self.shard = shard
+        self.items = items
+        self.alone = alone
+        self.on_abandoned: Callable[[], None] | None = None
+        for item in items:
+            for call in item.calls:
+                call.batch = self
+
+    @property
+    def deadline(self) -> float:
+        """The latest deadline of the callers."""
+        return max(item.deadline for item in self.items)
+
+    def check_abandoned(self) -> None:
+        """Reports to the runner when no caller is left."""
+        if self.on_abandoned is None:
+            return
+        if all(call.is_done for item in self.items for call in item.calls):
+            self.on_abandoned()
+
+
+class Flights:
+    """Fingerprints that run alone now; each runs at most once at a time."""
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, list[Callable[[], None]]] = {}
+
+    def is_busy(self, fingerprint: str) -> bool:
+        """Whether the fingerprint runs alone now."""
+        return fingerprint in self._waiting
+
+    def enter(self, fingerprint: str) -> None:
+        """Records the start of a run."""
+        self._waiting.setdefault(fingerprint, [])
+
+    def call_when_free(
+        self, fingerprint: str, callback: Callable[[], None]
+    ) -> None:
+        """Calls back once when the run has ended."""
+        callbacks = self._waiting[fingerprint]
+        if callback not in callbacks:
+            callbacks.append(callback)
+
+    def leave(self, fingerprint: str) -> None:
+        """Records the end of a run."""
+        for callback in self._waiting.pop(fingerprint, ()):
+            callback()
+
+
+class Admit(enum.Enum):
+    """How an item may be taken."""
+
+    SHARED = "shared"
+    ALONE = "alone"
+    LATER = "later"
+    REFUSED = "refused"
+
+
+_BY_VERDICT = {
+    Verdict.CLEAR: Admit.SHARED,
+    Verdict.SUSPECT: Admit.ALONE,
+    Verdict.QUARANTINED: Admit.REFUSED,
+}
+
+
+def admit(item: Item, verdict: Verdict, flights: Flights) -> Admit:
+    """Returns how an item may run, given what is known of its fingerprint."""
+    how = _BY_VERDICT[verdict]
+    if how is Admit.SHARED and item.canary:
+        how = Admit.ALONE
+    if how is Admit.ALONE and flights.is_busy(item.query.fingerprint):
+        return Admit.LATER
+    return how
+
+
+_Key = tuple[str, int]
+_Entry = tuple[tuple[int, int], Item]
+
+
+class Backlog:
+    """Calls that wait for one leaf."""
+
+    def __init__(self) -> None:
+        self._heaps: dict[_Key, list[_Entry]] = {}
+        self._items: dict[tuple[_Key, str, int], Item] = {}
+        self._arrivals = itertools.count()
+
+    def __len__(self) -> int:
+        """Queries that wait; identical ones count once."""
+        return len(self._items)
+
+    def add(self, call: Call) -> None:
+        """Queues a call, with an identical query if one waits."""
+        query = call.query
+        key = (query.version, call.shard)
+        order = (query.priority, next(self._arrivals))
+        identity = (key, query.text, query.k)
+        item = self._items.get(identity)
+        if item is None:
+            item = self._items[identity] = Item(call, order)
+        else:
+            item.calls.append(call)
+            if order >= item.order:
+                return
+            # The old heap entry stays and is skipped when it comes up.
+            item.order = order
+        heapq.heappush(self._heaps.setdefault(key, []), (order, item))
+
+    def holds(self, call: Call) -> bool:
+        """Whether an identical query waits already."""
+        key = (call.query.version, call.shard)
+        return (key, call.query.text, call.query.k) in self._items
+
+    def drop_ended(self) -> None:
+        """Removes items whose callers have all gone."""
+        for item in list(self._items.values()):
+            if all(call.is_done for call in item.calls):
+                self._remove(item)
+
+    def drop_last(self, priority: int) -> Item | None:
+        """Removes the last item if its priority is lower than the given."""
+        last = max(self._items.values(), key=lambda i: i.order, default=None)
+        if last is None or last.order[0] <= priority:
+            return None
+        self._remove(last)
+        return last
+
+    def drain(self) -> list[Item]:
+        """Removes and returns all items."""
+        items = list(self._items.values())
+        self._heaps.clear()
+        self._items.clear()
+        return items
+
+    def take(
+        self,
+        max_queries: int,
+        now: float,
+        how_to_run: Callable[[Item], Admit],
+    ) -> Batch | None:
+        """Removes and returns the next batch, or None.
+
+        Ends expired calls as late and refused ones as quarantined. Only items
+        of the version and shard that is first in order go in the batch; one
+        that must run alone goes alone.
+        """
+        held_back: list[tuple[_Key, _Entry]] = []
+        batch: Batch | None = None
+        while batch is None and (key := self._first_key()) is not None:
+            batch = self._take_from(
+                key, max_queries, now, how_to_run, held_back
+            )
+        for key, entry in held_back:
+            heapq.heappush(self._heaps.setdefault(key, []), entry)
+        return batch
+
+    def _take_from(
+        self,
+        key: _Key,
+        max_queries: int,
+        now: float,
+        how_to_run: Callable[[Item], Admit],
+        held_back: list[tuple[_Key, _Entry]],
+    ) -> Batch | None:
+        heap = self._heaps[key]
+        chosen: list[Item] = []
+        while heap and len(chosen) < max_queries:
+            entry = heapq.heappop(heap)
+            order, item = entry
+            if item.taken or item.order != order:
+                continue
+            if not _drop_expired(item, now):
+                self._remove(item)
+                continue
+            how = how_to_run(item)
+            if how is Admit.REFUSED:
+                self._remove(item)
+                item.finish(Outcome(ShardStatus.QUARANTINED))
+            elif how is Admit.ALONE and not chosen:
+                self._remove(item)
+                return Batch(*key, [item], alone=True)
+            elif how is Admit.SHARED:
+                self._remove(item)
+                chosen.append(item)
+            else:
+                held_back.append((key, entry))
+        return Batch(*key, chosen, alone=False) if chosen else None
+
+    def _first_key(self) -> _Key | None:
+        for key in [key for key, heap in self._heaps.items() if not heap]:
+            del self._heaps[key]
+        return min(
+            self._heaps, key=lambda key: self._heaps[key][0][0], default=None
+        )
+
+    def _remove(self, item: Item) -> None:
+        item.taken = True
+        query, shard = item.query, item.calls[0].shard
+        del self._items[((query.version, shard), query.text, query.k)]
+
+
+def _drop_expired(item: Item, now: float) -> bool:
+    """Ends expired calls as late; returns whether any call is left."""
+    for call in item.calls:
+        if call.query.deadline <= now:
+            call.finish(Outcome(ShardStatus.LATE, wait_s=now - call.enqueued))
+    left = [call for call in item.calls if not call.is_done]
+    if left:
+        item.calls = left
+    return bool(left)
--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/link.py
@@ -0,0 +1,578 @@
+"""One leaf: its window, its queue, and the tasks that call it."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import itertools
+import math
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import trio
+from sapphire_core.errors import (
+    LeafCrashedError,
+    LeafDrainingError,
+    LeafError,
+    LeafLateError,
+    LeafReplyError,
+    LeafUnreachableError,
+)
+from sapphire_core.quarantine import Quarantine, Verdict
+from sapphire_core.window import Estimate, Evidence, Shape, State, Window
+from sapphire_wire.gen.ttypes import ShardStatus
+from sapphire_wire.leaf import LeafClient, LeafIndex, LeafQuery, SearchReply
+
+from sapphire_aggregator import log, metrics
+from sapphire_aggregator.backlog import (
+    Admit,
+    Backlog,
+    Batch,
+    Call,
+    Flights,
+    Item,
+    Outcome,
+    admit,
+)
+from sapphire_aggregator.verdict import (
+    RightLostError,
+    evidence_of,
+    status_of,
+)
+
+# Connections beyond the slots: one for the index and one for cancellations.
+EXTRA_CONNECTIONS = 2
+# Full batches per slot that may wait. A request that waits for more rounds
+# than this at a usual reply time of 10 ms would miss a deadline of 170 ms.
+QUEUE_ROUNDS = 16
+INDEX_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 0.2
+# The leaf's deadline ends this much before the send right and the callers'
+# deadlines, so that its answer can still be received and sent on.
+MARGIN_S = 0.002
+# After a longer time without the send right, another member may have used
+# the leaf, so nothing is known about it.
+FORGET_AFTER_S = 1.0
+_UNUSABLE = {
+    State.DOWN: ShardStatus.FAILED,
+    State.DRAINING: ShardStatus.DRAINING,
+}
+
+
+class Rights(Protocol):
+    """Tells until when this member holds the send right of a leaf."""
+
+    def right_until(self, leaf: str, now: float) -> float | None:
+        """Returns the time at which the right ends; None without it."""
+        ...
+
+
+@dataclass(slots=True)
+class Context:
+    """What all leaves of one daemon share."""
+
+    rights: Rights
+    quarantine: Quarantine
+    nursery: trio.Nursery
+    on_crash: Callable[[], None]
+    flights: Flights = field(default_factory=Flights)
+    batch_ids: Any = field(default_factory=itertools.count)
+    batch_prefix: str = ""
+
+    def next_batch_id(self) -> str:
+        """Returns an id that no other batch of any daemon has."""
+        return f"{self.batch_prefix}-{next(self.batch_ids)}"
+
+
+class Client(Protocol):
+    """Calls to one leaf, as LeafClient offers them."""
+
+    async def search(
+        self,
+        batch_id: str,
+        version: str,
+        shard: int,
+        queries: list[LeafQuery],
+        *,
+        remaining: Callable[[], float],
+    ) -> SearchReply:
+        """Runs a batch."""
+        ...
+
+    async def submit(
+        self, key: str, body: str, *, remaining: Callable[[], float]
+    ) -> Any:
+        """Runs a submission."""
+        ...
+
+    async def index(self, timeout_s: float) -> LeafIndex:
+        """Reads the index versions."""
+        ...
+
+    async def cancel(self, batch_id: str, timeout_s: float) -> None:
+        """Cancels a batch."""
+        ...
+
+    async def aclose(self) -> None:
+        """Closes all connections."""
+        ...
+
+
+def open_client(address: str, shape: Shape, connections: int) -> LeafClient:
+    """Returns a client that stays within the leaf's limit of connections."""
+    return LeafClient(
+        address, min(shape.slots + EXTRA_CONNECTIONS, connections)
+    )
+
+
+class LeafLink:
+    """One leaf of one service."""
+
+    def __init__(
+        self,
+        context: Context,
+        service: str,
+        address: str,
+        failure_domain: str,
+        shape: Shape,
+        client: Client,
+        prior: Estimate | None = None,
+    ) -> None:
+        self.service = service
+        self.address = address
+        self.failure_domain = failure_domain
+        self.index: LeafIndex | None = None
+        self.next_poll = -math.inf
+        self._context = context
+        self._client = client
+        self._window = Window(shape, prior)
+        self._backlog = Backlog()
+        self._submitters: collections.deque[trio.Event] = collections.deque()
+        # Slots promised to runners and submissions whose tasks have not yet
+        # used them.
+        self._starting = 0
+        self._granted = 0
+        self._is_held = False
+        self._lost_at = -math.inf
+        self._is_out = False
+        self._is_polling = False
+        self._wake_at = math.inf
+
+    @property
+    def window(self) -> Window:
+        """State and limits of the leaf."""
+        return self._window
+
+    @property
+    def queued(self) -> int:
+        """Queries that wait."""
+        return len(self._backlog)
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this member held the send right when last checked."""
+        return self._is_held
+
+    @property
+    def is_out(self) -> bool:
+        """Whether the leaf was taken out of service."""
+        return self._is_out
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs or waits."""
+        return not (
+            self._window.running
+            or self._backlog
+            or self._starting
+            or self._granted
+            or self._is_polling
+        )
+
+    def expected_wait_s(self) -> float:
+        """Returns the expected seconds until a new query is answered."""
+        most = self._window.max_queries()
+        rounds = 1 + len(self._backlog) // max(1, most)
+        return rounds * self._window.expected_s(min(most, self.queued + 1))
+
+    def set_out(self, is_out: bool) -> None:
+        """Takes the leaf out of service or puts it back, cold."""
+        if is_out and not self._is_out:
+            self._end_waiting(ShardStatus.DRAINING)
+        if self._is_out and not is_out:
+            self._window.reset()
+        self._is_out = is_out
+
+    def reshape(self, shape: Shape) -> None:
+        """Adopts new limits without touching running work."""
+        self._window.reshape(shape)
+
+    def refresh_right(self, now: float) -> bool:
+        """Checks the send right again; returns whether it changed."""
+        held = self._right_until(now) is not None
+        if held == self._is_held:
+            return False
+        self._is_held = held
+        if held:
+            if now - self._lost_at > FORGET_AFTER_S:
+                self._window.reset()
+                self.index = None
+            self.next_poll = -math.inf
+        else:
+            self._lost_at = now
+            self._end_waiting(ShardStatus.NOT_HOLDER)
+        return True
+
+    def refuse_waiting(self) -> None:
+        """Ends all queries that wait, for a planned stop."""
+        self._end_waiting(ShardStatus.NOT_HOLDER)
+
+    def add(self, call: Call) -> None:
+        """Queues a call, or ends it at once if it can't run here."""
+        refusal = self._refusal(call)
+        if refusal is not None:
+            call.finish(Outcome(refusal))
+            return
+        self._backlog.add(call)
+        self.pump()
+
+    def pump(self) -> None:
+        """Starts a request if a slot is free and something waits."""
+        now = trio.current_time()
+        free = self._window.free_slots(now) - self._starting - self._granted
+        while free > 0 and self._submitters:
+            self._submitters.popleft().set()
+            self._granted += 1
+            free -= 1
+        if not self._backlog:
+            return
+        if free > 0:
+            # The runner takes its batch when it first runs, so queries that
+            # arrive in the same pass of the event loop share it.
+            self._starting += 1
+            self._context.nursery.start_soon(self._run)
+        elif now < self._window.paused_until < self._wake_at:
+            self._wake_at = self._window.paused_until
+            self._context.nursery.start_soon(self._pump_after_pause)
+
+    async def submit(
+        self, key: str, body: str, deadline: float, on_send: Callable[[], None]
+    ) -> Any:
+        """Runs a submission through the window and the send right.
+
+        Args:
+            key: Idempotency key.
+            body: Body of the submission.
+            deadline: Absolute time.
+            on_send: Called immediately before the first byte can leave.
+
+        Raises:
+            RightLostError: The right ended before the send.
+            LeafError: The call failed.
+        """
+        calls = itertools.count()
+
+        def remaining() -> float:
+            left = self._remaining(deadline)
+            if next(calls) == 0:
+                on_send()
+            return left
+
+        evidence = Evidence.NEUTRAL
+        async with self._slot(deadline) as end:
+            try:
+                answer = await self._client.submit(
+                    key, body, remaining=remaining
+                )
+                evidence = Evidence.GOOD
+            except LeafError as error:
+                evidence = evidence_of(error)
+                raise
+            finally:
+                end(evidence)
+        return answer
+
+    async def poll(self) -> None:
+        """Reads the leaf's index once."""
+        if self._is_polling:
+            return
+        self._is_polling = True
+        before = self._window.state
+        try:
+            index = await self._client.index(INDEX_TIMEOUT_S)
+        except LeafError as error:
+            self._window.observe(evidence_of(error), trio.current_time())
+            if isinstance(error, LeafUnreachableError):
+                self.index = None
+        else:
+            self._adopt_index(index)
+        finally:
+            self._is_polling = False
+        self._log_state(before)
+        self._end_if_unusable()
+        self.pump()
+
+    async def aclose(self) -> None:
+        """Closes all connections to the leaf."""
+        await self._client.aclose()
+
+    def _adopt_index(self, index: LeafIndex) -> None:
+        self.index = index
+        now = trio.current_time()
+        if index.draining:
+            self._window.observe(Evidence.DRAINING, now)
+        else:
+            self._window.reachable(now)
+
+    def _refusal(self, call: Call) -> ShardStatus | None:
+        """Returns the status of a call that can't run here, or None."""
+        if not self._is_held:
+            return ShardStatus.NOT_HOLDER
+        now = trio.current_time()
+        state = self._window.state
+        paused = now < self._window.paused_until
+        if self._is_out or (state is State.DRAINING and paused):
+            return ShardStatus.DRAINING
+        if state is State.DOWN:
+            return ShardStatus.FAILED
+        if not self._backlog.holds(call) and not self._make_room(call):
+            return ShardStatus.SHED
+        return None
+
+    def _make_room(self, call: Call) -> bool:
+        most = self._window.max_queries()
+        limit = QUEUE_ROUNDS * self._window.shape.slots * most
+        if len(self._backlog) < limit:
+            return True
+        self._backlog.drop_ended()
+        if len(self._backlog) < limit:
+            return True
+        dropped = self._backlog.drop_last(call.query.priority)
+        if dropped is None:
+            return False
+        dropped.finish(Outcome(ShardStatus.SHED))
+        return True
+
+    def _end_waiting(self, status: ShardStatus) -> None:
+        for item in self._backlog.drain():
+            item.finish(Outcome(status))
+
+    def _end_if_unusable(self) -> None:
+        status = _UNUSABLE.get(self._window.state)
+        if status is not None:
+            self._end_waiting(status)
+
+    def _right_until(self, now: float) -> float | None:
+        until = self._context.rights.right_until(self.address, now)
+        return until if until is not None and until > now else None
+
+    def _remaining(self, deadline: float) -> float:
+        """Returns the seconds that a request sent now may run.
+
+        Raises:
+            RightLostError: The send right is not held.
+            LeafDrainingError: The leaf was taken out of service.
+            LeafLateError: No time is left.
+        """
+        now = trio.current_time()
+        until = self._right_until(now)
+        if until is None:
+            raise RightLostError
+        if self._is_out:
+            raise LeafDrainingError("the leaf is out of service.")
+        left = min(deadline, until) - now - MARGIN_S
+        if left <= 0:
+            raise LeafLateError("no time is left.")
+        return left
+
+    async def _run(self) -> None:
+        """Sends batches until nothing waits or no slot is free."""
+        self._starting -= 1
+        try:
+            while (batch := self._take()) is not None:
+                await self._run_batch(batch)
+        except Exception as error:
+            # A fault in this code must end neither the daemon nor the queue.
+            metrics.UNEXPECTED.labels("runner").inc()
+            log.unexpected("runner", error)
+            self._end_waiting(ShardStatus.FAILED)
+
+    def _take(self) -> Batch | None:
+        now = trio.current_time()
+        wanted = self._granted + len(self._submitters)
+        if self._window.free_slots(now) <= wanted:
+            self.pump()
+            return None
+        return self._backlog.take(
+            self._window.max_queries(), now, self._how_to_run
+        )
+
+    def _how_to_run(self, item: Item) -> Admit:
+        flights = self._context.flights
+        fingerprint = item.query.fingerprint
+        verdict = self._context.quarantine.verdict(
+            fingerprint, trio.current_time()
+        )
+        how = admit(item, verdict, flights)
+        if how is Admit.LATER:
+            flights.call_when_free(fingerprint, self.pump)
+        return how
+
+    async def _run_batch(self, batch: Batch) -> None:
+        started = trio.current_time()
+        token = self._window.start(started, len(batch.items))
+        # Others may start while this one runs.
+        self.pump()
+        fingerprint = batch.items[0].query.fingerprint
+        if batch.alone:
+            self._context.flights.enter(fingerprint)
+        before = self._window.state
+        evidence = Evidence.NEUTRAL
+        try:
+            evidence = await self._send(batch, started)
+        finally:
+            # Callers that are still waiting learn of an unexpected error.
+            _finish_all(batch, Outcome(ShardStatus.FAILED))
+            self._window.finish(token, trio.current_time(), evidence)
+            if batch.alone:
+                self._context.flights.leave(fingerprint)
+        self._log_state(before)
+        self._end_if_unusable()
+
+    async def _send(self, batch: Batch, started: float) -> Evidence:
+        """Sends a batch and delivers its results."""
+        batch_id = self._context.next_batch_id()
+        queries = [
+            LeafQuery(str(number), item.query.text, item.query.k)
+            for number, item in enumerate(batch.items)
+        ]
+        scope = trio.CancelScope()
+        batch.on_abandoned = scope.cancel
+        deadline = batch.deadline
+        try:
+            with scope:
+                reply = await self._client.search(
+                    batch_id,
+                    batch.version,
+                    batch.shard,
+                    queries,
+                    remaining=lambda: self._remaining(deadline),
+                )
+        except (LeafError, RightLostError) as error:
+            return self._fail(batch, error, started)
+        if scope.cancelled_caught:
+            await self._cancel_at_leaf(batch_id)
+            return Evidence.NEUTRAL
+        self._succeed(batch, reply, started)
+        return Evidence.GOOD
+
+    async def _cancel_at_leaf(self, batch_id: str) -> None:
+        """Stops an abandoned batch; its slot stays taken until then."""
+        metrics.CANCELLED.labels(self.service).inc()
+        with contextlib.suppress(LeafError):
+            await self._client.cancel(batch_id, CANCEL_TIMEOUT_S)
+
+    def _succeed(
+        self, batch: Batch, reply: SearchReply, started: float
+    ) -> None:
+        now = trio.current_time()
+        leaf_s = now - started
+        calls = sum(len(item.calls) for item in batch.items)
+        metrics.BATCHES.labels(self.service, "ok").inc()
+        metrics.QUERIES.labels(self.service).inc(len(batch.items))
+        metrics.SHARED.labels(self.service).inc(calls - len(batch.items))
+        metrics.LEAF_SECONDS.labels(self.service).observe(leaf_s)
+        if batch.alone:
+            self._context.quarantine.survived(
+                batch.items[0].query.fingerprint, now
+            )
+        for item, matches in zip(batch.items, reply.matches, strict=True):
+            for call in item.calls:
+                call.finish(
+                    Outcome(
+                        ShardStatus.OK,
+                        reply.documents,
+                        leaf_s,
+                        started - call.enqueued,
+                        matches,
+                    )
+                )
+
+    def _fail(self, batch: Batch, error: Exception, started: float) -> Evidence:
+        now = trio.current_time()
+        status = status_of(error)
+        kind = getattr(error, "kind", "right_lost")
+        metrics.BATCHES.labels(self.service, kind).inc()
+        if isinstance(error, LeafReplyError):
+            metrics.REPLY_ERRORS.labels(self.service).inc()
+        if status in (ShardStatus.VERSION_GONE, ShardStatus.DRAINING):
+            self.next_poll = -math.inf
+        if isinstance(error, LeafCrashedError):
+            self._count_crash(batch, now)
+        for item in batch.items:
+            for call in item.calls:
+                call.finish(
+                    Outcome(
+                        status,
+                        leaf_s=now - started,
+                        wait_s=started - call.enqueued,
+                    )
+                )
+        return evidence_of(error)
+
+    def _count_crash(self, batch: Batch, now: float) -> None:
+        quarantine = self._context.quarantine
+        for item in batch.items:
+            fingerprint = item.query.fingerprint
+            verdict = quarantine.crashed(fingerprint, now, batch.alone)
+            if verdict is Verdict.QUARANTINED:
+                metrics.QUARANTINED.inc()
+                log.quarantined(fingerprint, self.service, self.address)
+        self._context.on_crash()
+
+    @contextlib.asynccontextmanager
+    async def _slot(
+        self, deadline: float
+    ) -> AsyncIterator[Callable[[Evidence], None]]:
+        """Waits for a free slot ahead of the queue and holds it."""
+        turn = trio.Event()
+        self._submitters.append(turn)
+        self.pump()
+        try:
+            with trio.move_on_at(deadline):
+                await turn.wait()
+        finally:
+            if turn.is_set():
+                self._granted -= 1
+            else:
+                self._submitters.remove(turn)
+        if not turn.is_set():
+            raise LeafUnreachableError("no slot was free in time.")
+        token = self._window.start(trio.current_time(), 0)
+        before = self._window.state
+
+        def end(evidence: Evidence) -> None:
+            self._window.finish(token, trio.current_time(), evidence)
+
+        try:
+            yield end
+        finally:
+            self._log_state(before)
+            self._end_if_unusable()
+            self.pump()
+
+    async def _pump_after_pause(self) -> None:
+        await trio.sleep_until(self._wake_at)
+        self._wake_at = math.inf
+        self.pump()
+
+    def _log_state(self, before: State) -> None:
+        state = self._window.state
+        if state is not before:
+            log.leaf_state(self.service, self.address, before, state)
+
+
+def _finish_all(batch: Batch, outcome: Outcome) -> None:
+    for item in batch.items:
+        item.finish(outcome)
--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/scatter.py
@@ -0,0 +1,213 @@
+"""Answers a Scatter with Parts."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable
+from typing import Any
+
+import trio
+from sapphire_core import quarantine
+from sapphire_core.quarantine import Quarantine, Verdict
+from sapphire_wire.gen.ttypes import Frame, Part, ShardResult, ShardStatus
+
+from sapphire_aggregator import metrics
+from sapphire_aggregator.backlog import Call, Outcome, Query
+from sapphire_aggregator.leaves import LeafSet
+
+# A result waits at most this long for others to go in the same part, and at
+# least the minimum, which gathers the results of batches that end together.
+MIN_HOLD_S = 0.001
+MAX_HOLD_S = 0.01
+# Part of the expected time of the median leaf that the first results wait.
+HOLD_SHARE = 0.5
+# The last part leaves this much before the remaining time ends, so that it
+# still reaches the entry in time.
+END_MARGIN_S = 0.005
+_END_MARGIN_SHARE = 0.1
+
+Send = Callable[[Any], None]
+
+
+def merge(lists: list[list[Any]], k: int) -> list[Any]:
+    """Returns the k best matches, by score and then by document id."""
+    if len(lists) == 1:
+        return lists[0][:k]
+    everything = [match for matches in lists for match in matches]
+    return heapq.nsmallest(
+        k, everything, key=lambda match: (-match.score, match.document)
+    )
+
+
+class Collector:
+    """Gathers the results of one Scatter and sends them in parts."""
+
+    def __init__(self, k: int, send: Send) -> None:
+        self._k = k
+        self._send = send
+        self._pending: dict[int, Call] = {}
+        self._results: list[ShardResult] = []
+        self._matches: list[list[Any]] = []
+        self._changed = trio.Event()
+
+    def add(self, call: Call) -> None:
+        """Registers a call before it is queued."""
+        self._pending[id(call)] = call
+
+    def deliver(self, call: Call, outcome: Outcome) -> None:
+        """Takes the outcome of a call."""
+        del self._pending[id(call)]
+        self.refuse(call.shard, call.leaf, outcome)
+        if outcome.status is ShardStatus.OK and outcome.matches:
+            self._matches.append(outcome.matches)
+
+    def refuse(self, shard: int, leaf: str, outcome: Outcome) -> None:
+        """Takes the outcome of a target."""
+        self._results.append(
+            ShardResult(
+                shard=shard,
+                leaf=leaf,
+                status=outcome.status,
+                documents=outcome.documents,
+                leaf_ms=outcome.leaf_s * 1000,
+                wait_ms=outcome.wait_s * 1000,
+            )
+        )
+        self._changed.set()
+
+    async def run(self, end: float, hold_s: float) -> None:
+        """Sends parts until every target has its result.
+
+        Args:
+            end: Absolute time at which the pending targets count as late.
+            hold_s: Seconds that a first unsent result waits for others.
+        """
+        with trio.move_on_at(end):
+            while self._pending:
+                await self._changed.wait()
+                await self._wait_for_more(hold_s)
+                if self._pending:
+                    self._send_part(last=False)
+        for call in list(self._pending.values()):
+            call.finish(
+                Outcome(
+                    ShardStatus.LATE,
+                    wait_s=trio.current_time() - call.enqueued,
+                )
+            )
+        self._send_part(last=True)
+
+    def abandon(self) -> None:
+        """Ends all pending calls; the caller has gone."""
+        for call in list(self._pending.values()):
+            call.abandon()
+        self._pending.clear()
+
+    async def _wait_for_more(self, hold_s: float) -> None:
+        with trio.move_on_after(hold_s):
+            while self._pending:
+                self._changed = trio.Event()
+                await self._changed.wait()
+        self._changed = trio.Event()
+
+    def _send_part(self, *, last: bool) -> None:
+        part = Part(
+            results=self._results,
+            matches=merge(self._matches, self._k) if self._matches else [],
+            last=last,
+        )
+        self._results = []
+        self._matches = []
+        metrics.PARTS.inc()
+        self._send(Frame(part=part))
+
+
+class ScatterHandler:
+    """Runs Scatters over the leaves of this daemon."""
+
+    def __init__(self, leaves: LeafSet, suspects: Quarantine) -> None:
+        self._leaves = leaves
+        self._quarantine = suspects
+        self.is_leaving = False
+
+    async def run(self, scatter: Any, send: Send) -> None:
+        """Answers one Scatter; ends all its calls when cancelled."""
+        metrics.SCATTERS.inc()
+        now = trio.current_time()
+        remaining_s = scatter.remaining_ms / 1000
+        deadline = now + remaining_s
+        query = Query(
+            version=scatter.version,
+            text=scatter.text,
+            k=scatter.k,
+            fingerprint=scatter.fingerprint
+            or quarantine.fingerprint(
+                scatter.service_name, scatter.text, scatter.k
+            ),
+            priority=scatter.priority,
+            deadline=deadline,
+            canary=bool(scatter.canary),
+        )
+        collector = Collector(scatter.k, self._count(scatter, send))
+        try:
+            hold_s = self._start(scatter, query, collector, now)
+            margin_s = min(END_MARGIN_S, remaining_s * _END_MARGIN_SHARE)
+            await collector.run(deadline - margin_s, hold_s)
+        finally:
+            collector.abandon()
+
+    def _start(
+        self, scatter: Any, query: Query, collector: Collector, now: float
+    ) -> float:
+        """Queues a call for each target; returns the time to hold results."""
+        refusal = self._refusal(query, now)
+        waits = []
+        for target in scatter.targets or ():
+            link = self._leaves.find(scatter.service_name, target.leaf)
+            status = refusal
+            if link is None or not link.is_held:
+                status = status or ShardStatus.NOT_HOLDER
+            if link is None or status is not None:
+                outcome = Outcome(status or ShardStatus.NOT_HOLDER)
+                collector.refuse(target.shard, target.leaf, outcome)
+                continue
+            waits.append(link.expected_wait_s())
+            call = Call(
+                query, target.shard, target.leaf, now, collector.deliver
+            )
+            collector.add(call)
+            link.add(call)
+        if not waits:
+            return 0.0
+        median = sorted(waits)[len(waits) // 2]
+        return min(MAX_HOLD_S, max(MIN_HOLD_S, median * HOLD_SHARE))
+
+    def _refusal(self, query: Query, now: float) -> ShardStatus | None:
+        """Returns the status of all targets, or None if they may run."""
+        if self.is_leaving:
+            return ShardStatus.NOT_HOLDER
+        if not math.isfinite(query.deadline) or query.deadline <= now:
+            return ShardStatus.LATE
+        verdict = self._quarantine.verdict(query.fingerprint, now)
+        if verdict is Verdict.QUARANTINED:
+            return ShardStatus.QUARANTINED
+        return None
+
+    def _count(self, scatter: Any, send: Send) -> Send:
+        service = scatter.service_name
+        if self._leaves.find_service(service) is None:
+            # Names that callers invent must not become metric labels.
+            service = "unknown"
+
+        def send_and_count(frame: Any) -> None:
+            for result in frame.part.results:
+                metrics.RESULTS.labels(
+                    service, _STATUS_NAMES[result.status]
+                ).inc()
+            send(frame)
+
+        return send_and_count
+
+
+_STATUS_NAMES = {status: status.name.lower() for status in ShardStatus}
--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/verdict.py
@@ -0,0 +1,95 @@
+"""What the end of a leaf call means for its callers and for the window."""
+
+from __future__ import annotations
+
+import functools
+
+from sapphire_core.errors import (
+    LeafColdError,
+    LeafCrashedError,
+    LeafDrainingError,
+    LeafLateError,
+    LeafShedError,
+    LeafUnreachableError,
+    VersionGoneError,
+)
+from sapphire_core.window import Evidence
+from sapphire_wire.gen.ttypes import ShardStatus
+
+
+class RightLostError(Exception):
+    """The send right ended before the request was sent."""
+
+
+@functools.singledispatch
+def status_of(error: Exception) -> ShardStatus:
+    """Returns the status that the callers of a failed call receive."""
+    del error
+    return ShardStatus.FAILED
+
+
+@status_of.register
+def _(error: LeafShedError) -> ShardStatus:
+    return ShardStatus.SHED
+
+
+@status_of.register
+def _(error: LeafDrainingError) -> ShardStatus:
+    return ShardStatus.DRAINING
+
+
+@status_of.register
+def _(error: LeafCrashedError) -> ShardStatus:
+    return ShardStatus.CRASHED
+
+
+@status_of.register
+def _(error: LeafLateError) -> ShardStatus:
+    return ShardStatus.LATE
+
+
+@status_of.register
+def _(error: VersionGoneError) -> ShardStatus:
+    return ShardStatus.VERSION_GONE
+
+
+@status_of.register
+def _(error: RightLostError) -> ShardStatus:
+    return ShardStatus.NOT_HOLDER
+
+
+@functools.singledispatch
+def evidence_of(error: Exception) -> Evidence:
+    """Returns what a failed call says about the leaf."""
+    del error
+    return Evidence.NEUTRAL
+
+
+@evidence_of.register
+def _(error: LeafColdError) -> Evidence:
+    return Evidence.COLD
+
+
+@evidence_of.register
+def _(error: LeafShedError) -> Evidence:
+    return Evidence.SHED
+
+
+@evidence_of.register
+def _(error: LeafDrainingError) -> Evidence:
+    return Evidence.DRAINING
+
+
+@evidence_of.register
+def _(error: LeafCrashedError) -> Evidence:
+    return Evidence.LOST
+
+
+@evidence_of.register
+def _(error: LeafUnreachableError) -> Evidence:
+    return Evidence.UNREACHABLE
+
+
+@evidence_of.register
+def _(error: LeafLateError) -> Evidence:
+    return Evidence.LATE
--- /dev/null
+++ b/libs/core/src/sapphire_core/window.py
@@ -0,0 +1,335 @@
+"""Limits of one leaf: how much may be sent to it now.
+
+The window receives evidence (how calls ended) and the time, and answers how
+many more requests may start and how many queries each may carry.
+"""
+
+from __future__ import annotations
+
+import enum
+import itertools
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+SLOW_FACTOR = 5.0
+# Scheduling delays of this process reach tens of milliseconds under load;
+# without a floor they would turn every fast leaf cold at once.
+MIN_OVERDUE_S = 0.05
+# Used until the first reply of the leaf or of its service is known.
+DEFAULT_EXPECTED_S = 0.05
+SHED_PAUSE_S = 0.05
+MAX_SHED_PAUSE_S = 1.0
+DOWN_PAUSE_S = 0.25
+MAX_DOWN_PAUSE_S = 4.0
+# A leaf that has answered "draining" and still runs after this time may have
+# been put back; one request then finds out.
+DRAINING_PAUSE_S = 15.0
+# A leaf that accepts connections but never answers counts as down after this
+# many overdue requests.
+MAX_LATE_IN_A_ROW = 3
+_LEARN_RATE = 0.2
+# A leaf that has become slower for good must be able to leave the cold state,
+# so slow replies move the estimate as well, but less.
+_SLOW_LEARN_RATE = 0.05
+
+
+class State(enum.IntEnum):
+    """State of a leaf; the numbers equal those of the wire format."""
+
+    DOWN = 0
+    COLD = 1
+    WARMING = 2
+    WARM = 3
+    SHEDDING = 4
+    DRAINING = 5
+
+
+class Evidence(enum.Enum):
+    """How a call to the leaf ended."""
+
+    GOOD = "good"
+    COLD = "cold"
+    SHED = "shed"
+    DRAINING = "draining"
+    LOST = "lost"
+    UNREACHABLE = "unreachable"
+    LATE = "late"
+    # The call says nothing about the leaf's capacity: cancelled, refused
+    # before the send, version gone.
+    NEUTRAL = "neutral"
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Limits of a leaf, from the deployment document."""
+
+    slots: int = 2
+    max_batch: int = 64
+    cold_concurrency: int = 1
+    cold_batch: int = 4
+    multi_search: bool = True
+
+
+class Estimate:
+    """Expected reply time by batch size, learned from replies."""
+
+    def __init__(self) -> None:
+        self._by_bucket: dict[int, float] = {}
+
+    def expected_s(self, queries: int) -> float | None:
+        """Returns the expected seconds for a batch; None if unknown.
+
+        A batch larger than any seen is expected to cost at most
+        proportionally more than the largest one seen.
+        """
+        bucket = queries.bit_length()
+        known = self._by_bucket.get(bucket)
+        if known is not None:
+            return known
+        smaller = [b for b in self._by_bucket if b < bucket]
+        if smaller:
+            nearest = max(smaller)
+            return self._by_bucket[nearest] * 2.0 ** (bucket - nearest)
+        if self._by_bucket:
+            return self._by_bucket[min(self._by_bucket)]
+        return None
+
+    def learn(self, queries: int, elapsed_s: float, rate: float) -> None:
+        """Moves the estimate for batches of this size."""
+        bucket = queries.bit_length()
+        known = self._by_bucket.get(bucket)
+        if known is None:
+            self._by_bucket[bucket] = elapsed_s
+        else:
+            self._by_bucket[bucket] = known + rate * (elapsed_s - known)
+
+
+@dataclass(slots=True)
+class _Running:
+    started: float
+    queries: int
+
+
+class Window:
+    """The state and limits of one leaf.
+
+    All times are seconds of one monotonic clock.
+    """
+
+    def __init__(self, shape: Shape, prior: Estimate | None = None) -> None:
+        """Starts cold with one request.
+
+        Args:
+            shape: Limits of the leaf.
+            prior: Estimate over all leaves of the service; also learns.
+        """
+        self._shape = shape
+        self._prior = prior or Estimate()
+        self._estimate = Estimate()
+        self._state = State.COLD
+        self._limit = 1
+        self._paused_until = -math.inf
+        self._pause_s = 0.0
+        self._late_in_a_row = 0
+        self._running: dict[int, _Running] = {}
+        self._tokens = itertools.count()
+
+    @property
+    def state(self) -> State:
+        """State after the last evidence."""
+        return self._state
+
+    @property
+    def shape(self) -> Shape:
+        """Limits of the leaf."""
+        return self._shape
+
+    @property
+    def running(self) -> int:
+        """Requests that run on the leaf."""
+        return len(self._running)
+
+    @property
+    def paused_until(self) -> float:
+        """Time before which nothing may be sent; -inf without a pause."""
+        return self._paused_until
+
+    def reshape(self, shape: Shape) -> None:
+        """Adopts new limits; running requests are kept."""
+        self._shape = shape
+        self._limit = min(self._limit, shape.slots)
+
+    def reset(self) -> None:
+        """Treats the leaf as unknown: cold, with one request."""
+        self._state = State.COLD
+        self._limit = 1
+        self._paused_until = -math.inf
+        self._pause_s = 0.0
+
+    def expected_s(self, queries: int) -> float:
+        """Returns the expected seconds for a batch of this size."""
+        own = self._estimate.expected_s(queries)
+        if own is not None:
+            return own
+        prior = self._prior.expected_s(queries)
+        return DEFAULT_EXPECTED_S if prior is None else prior
+
+    def free_slots(self, now: float) -> int:
+        """Returns how many more requests may start now."""
+        self._check_overdue(now)
+        if now < self._paused_until:
+            return 0
+        return max(0, self._current_limit() - len(self._running))
+
+    def max_queries(self) -> int:
+        """Returns how many queries the next request may carry."""
+        if not self._shape.multi_search:
+            return 1
+        if self._state is State.WARMING or self._state is State.WARM:
+            return self._shape.max_batch
+        return min(self._shape.cold_batch, self._shape.max_batch)
+
+    def overdue_at(self) -> float:
+        """Returns when the oldest running request is overdue, or inf."""
+        return min(
+            (
+                run.started + self._overdue_s(run.queries)
+                for run in self._running.values()
+                if run.queries
+            ),
+            default=math.inf,
+        )
+
+    def start(self, now: float, queries: int) -> int:
+        """Records the start of a request and returns its token.
+
+        A request with no queries is a submission; it occupies a slot, but its
+        time is not compared with that of searches.
+        """
+        token = next(self._tokens)
+        self._running[token] = _Running(now, queries)
+        return token
+
+    def finish(self, token: int, now: float, evidence: Evidence) -> None:
+        """Records how a request ended."""
+        run = self._running.pop(token)
+        if not run.queries:
+            good = evidence is Evidence.GOOD
+            self.observe(Evidence.NEUTRAL if good else evidence, now)
+            return
+        elapsed = now - run.started
+        slow = elapsed > self._overdue_s(run.queries)
+        if evidence is Evidence.GOOD:
+            rate = _SLOW_LEARN_RATE if slow else _LEARN_RATE
+            self._estimate.learn(run.queries, elapsed, rate)
+            if not slow:
+                self._prior.learn(run.queries, elapsed, rate)
+        if evidence is Evidence.LATE and not slow:
+            # The caller's deadline was short; the leaf is not to blame.
+            evidence = Evidence.NEUTRAL
+        if slow and evidence in (Evidence.GOOD, Evidence.NEUTRAL):
+            evidence = Evidence.COLD
+        self.observe(evidence, now)
+
+    def observe(self, evidence: Evidence, now: float) -> None:
+        """Applies evidence that does not end a counted request."""
+        if evidence in (Evidence.GOOD, Evidence.SHED, Evidence.COLD):
+            self._late_in_a_row = 0
+        _ACTIONS[evidence](self, now)
+
+    def reachable(self, now: float) -> None:
+        """Records that the leaf answers, though not to a search.
+
+        This says nothing about warmth: a leaf that was down, or that has not
+        refused anything for a while since it drained, is cold.
+        """
+        if self._state is State.DOWN:
+            self._late_in_a_row = 0
+            self.reset()
+        if self._state is State.DRAINING and now >= self._paused_until:
+            self.reset()
+
+    def _current_limit(self) -> int:
+        cold = min(self._shape.cold_concurrency, self._shape.slots)
+        if self._state is State.COLD:
+            return min(self._limit, cold)
+        if self._state is State.DOWN:
+            return 0
+        return self._limit
+
+    def _overdue_s(self, queries: int) -> float:
+        return max(MIN_OVERDUE_S, SLOW_FACTOR * self.expected_s(queries))
+
+    def _check_overdue(self, now: float) -> None:
+        if self._state in (State.WARM, State.WARMING) and (
+            now > self.overdue_at()
+        ):
+            self._on_cold(now)
+
+    def _on_good(self, now: float) -> None:
+        if self._state is State.WARM:
+            return
+        if now < self._paused_until:
+            # The request was sent before the leaf refused another one.
+            return
+        self._paused_until = -math.inf
+        self._pause_s = 0.0
+        self._limit = min(self._limit + 1, self._shape.slots)
+        full = self._limit == self._shape.slots
+        self._state = State.WARM if full else State.WARMING
+
+    def _on_cold(self, now: float) -> None:
+        del now
+        if self._state in (State.DOWN, State.DRAINING):
+            return
+        self._state = State.COLD
+        self._limit = self._cold_limit()
+
+    def _on_shed(self, now: float) -> None:
+        if self._state in (State.DOWN, State.DRAINING):
+            return
+        self._state = State.SHEDDING
+        self._limit = 1
+        self._pause(now, SHED_PAUSE_S, MAX_SHED_PAUSE_S)
+
+    def _on_draining(self, now: float) -> None:
+        self._state = State.DRAINING
+        self._limit = 1
+        self._pause(now, DRAINING_PAUSE_S, DRAINING_PAUSE_S)
+
+    def _on_unreachable(self, now: float) -> None:
+        self._state = State.DOWN
+        self._limit = 1
+        self._pause(now, DOWN_PAUSE_S, MAX_DOWN_PAUSE_S)
+
+    def _on_late(self, now: float) -> None:
+        self._late_in_a_row += 1
+        if self._late_in_a_row < MAX_LATE_IN_A_ROW:
+            self._on_cold(now)
+        else:
+            self._on_unreachable(now)
+
+    def _on_neutral(self, now: float) -> None:
+        del now
+
+    def _cold_limit(self) -> int:
+        return min(self._shape.cold_concurrency, self._shape.slots)
+
+    def _pause(self, now: float, first_s: float, most_s: float) -> None:
+        if now < self._paused_until:
+            return
+        self._pause_s = min(max(first_s, self._pause_s * 2), most_s)
+        self._paused_until = now + self._pause_s
+
+
+_ACTIONS: dict[Evidence, Callable[[Window, float], None]] = {
+    Evidence.GOOD: Window._on_good,
+    Evidence.COLD: Window._on_cold,
+    Evidence.SHED: Window._on_shed,
+    Evidence.DRAINING: Window._on_draining,
+    Evidence.LOST: Window._on_cold,
+    Evidence.UNREACHABLE: Window._on_unreachable,
+    Evidence.LATE: Window._on_late,
+    Evidence.NEUTRAL: Window._on_neutral,
+}
--- a/libs/wire/src/sapphire_wire/leaf.py
+++ b/libs/wire/src/sapphire_wire/leaf.py
@@ -76,6 +76,14 @@
     documents: int
 
 
+@dataclass(frozen=True, slots=True)
+class LeafIndex:
+    """What a leaf holds, and whether it is leaving."""
+
+    versions: tuple[IndexVersion, ...]
+    draining: bool
+
+
 class LeafClient:
     """Calls one leaf over a bounded set of kept connections."""
 
@@ -146,7 +154,7 @@
         _require_ok(reply)
         return _decode(reply)
 
-    async def index(self, timeout_s: float) -> list[IndexVersion]:
+    async def index(self, timeout_s: float) -> LeafIndex:
         """Reads the index versions that the leaf holds.
 
         Raises:
@@ -156,7 +164,10 @@
         _require_ok(reply)
         answer = _decode(reply)
         try:
-            return [_index_version(item) for item in answer["versions"]]
+            return LeafIndex(
+                tuple(_index_version(item) for item in answer["versions"]),
+                answer.get("draining") is True,
+            )
         except (KeyError, TypeError, ValueError) as error:
             raise LeafReplyError(f"malformed index: {error!r}.") from error
 
