Join the parts of the aggregator daemon

Cause: the first path had no send rights, no membership and no shutdown.

Ruled out: taking the start time of the grant table before the frame port is bound; a predecessor at the same address could still answer pings.

Change: cell (pings, votes, roster, list of VMs), config (watch and fetch from peers), view, submission, admin endpoints, SIGTERM.

--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/admin.py
@@ -0,0 +1,98 @@
+"""HTTP endpoints for operators: metrics, status and readiness."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import prometheus_client
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from sapphire_aggregator.cell import Cell
+from sapphire_aggregator.config import ConfigStore
+from sapphire_aggregator.leaves import LeafSet
+from sapphire_aggregator.link import LeafLink
+from sapphire_aggregator.view import leaf_state
+
+
+class Admin:
+    """Reports the state of the daemon."""
+
+    def __init__(
+        self, config: ConfigStore, cell: Cell, leaves: LeafSet
+    ) -> None:
+        self._config = config
+        self._cell = cell
+        self._leaves = leaves
+        self.is_leaving = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the daemon has a configuration and isn't leaving."""
+        return self._config.stored is not None and not self.is_leaving
+
+    def status(self) -> dict[str, Any]:
+        """Returns the content of /v1/status."""
+        cell = self._cell
+        return {
+            "member": cell.member,
+            "ready": self.is_ready,
+            "leaving": self.is_leaving,
+            "in_service": cell.is_in_service,
+            "config_revision": self._config.revision,
+            "roster_revision": cell.roster.revision,
+            "members": list(cell.roster.members),
+            "granted": cell.is_granted,
+            "fenced": sorted(cell.fenced),
+            "leaves": [_leaf_status(link) for link in self._leaves],
+        }
+
+    def build_app(self) -> Starlette:
+        """Returns the ASGI app."""
+        return Starlette(
+            routes=[
+                Route("/metrics", self._get_metrics),
+                Route("/v1/status", self._get_status),
+                Route("/readyz", self._get_ready),
+            ]
+        )
+
+    async def _get_metrics(self, request: Request) -> Response:
+        return Response(
+            prometheus_client.generate_latest(),
+            media_type=prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
+    async def _get_status(self, request: Request) -> Response:
+        return _json(200, self.status())
+
+    async def _get_ready(self, request: Request) -> Response:
+        return _json(200 if self.is_ready else 503, {"ready": self.is_ready})
+
+
+def _leaf_status(link: LeafLink) -> dict[str, Any]:
+    window = link.window
+    return {
+        "service": link.service,
+        "leaf": link.address,
+        "failure_domain": link.failure_domain,
+        "held": link.is_held,
+        "out": link.is_out,
+        "state": leaf_state(link).name.lower(),
+        "running": window.running,
+        "queued": link.queued,
+        "latency_ms": round(window.expected_s(1) * 1000, 3),
+        "versions": [
+            item.version for item in (link.index.versions if link.index else ())
+        ],
+        "calls": link.calls,
+        "queries": link.queries,
+        "failures": link.failures,
+    }
+
+
+def _json(status: int, body: Any) -> Response:
+    return Response(json.dumps(body), status, media_type="application/json")
--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/backoff.py
@@ -0,0 +1,57 @@
+"""Background loops that survive failures."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from sapphire_aggregator import log, metrics
+
+FIRST_PAUSE_S = 0.2
+MAX_PAUSE_S = 5.0
+
+
+class Backoff:
+    """Pauses that double with each failure in a row, with jitter."""
+
+    def __init__(
+        self, first_s: float = FIRST_PAUSE_S, most_s: float = MAX_PAUSE_S
+    ) -> None:
+        self._first_s = first_s
+        self._most_s = most_s
+        self._pause_s = first_s
+
+    def reset(self) -> None:
+        """Starts again after a success."""
+        self._pause_s = self._first_s
+
+    def next_s(self) -> float:
+        """Returns the next pause in seconds."""
+        pause_s = self._pause_s
+        self._pause_s = min(self._pause_s * 2, self._most_s)
+        return pause_s * random.uniform(0.5, 1.0)
+
+
+async def run_forever(
+    place: str, step: Callable[[], Awaitable[None]], interval_s: float
+) -> None:
+    """Repeats a step; an unexpected error delays it and ends nothing.
+
+    Args:
+        place: Name of the loop in logs and metrics.
+        step: One round.
+        interval_s: Seconds between two rounds.
+    """
+    backoff = Backoff()
+    while True:
+        try:
+            await step()
+        except Exception as error:
+            metrics.UNEXPECTED.labels(place).inc()
+            log.unexpected(place, error)
+            await trio.sleep(backoff.next_s())
+        else:
+            backoff.reset()
+            await trio.sleep(interval_s)
--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/cell.py
@@ -0,0 +1,532 @@
+"""Membership of the cell: pings, votes, roster and list of VMs."""
+
+from __future__ import annotations
+
+import json
+import secrets
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import trio
+from sapphire_config.document import Document
+from sapphire_config.settings import AggregatorSettings
+from sapphire_core.errors import (
+    ChannelError,
+    PlatformUnavailableError,
+    WriteConflictError,
+    WriteUnknownError,
+)
+from sapphire_core.quarantine import Quarantine, Record
+from sapphire_core.rights import (
+    PING_S,
+    GrantTable,
+    RightsLedger,
+    Roster,
+    vote_for_self,
+)
+from sapphire_core.roster import (
+    Absence,
+    Sightings,
+    next_roster,
+    track_fenced,
+)
+from sapphire_wire.gen.ttypes import CrashRecord, Frame, Ping, Pong
+from sapphire_wire.platform import Item, VmLists, join
+
+from sapphire_aggregator import log, metrics
+from sapphire_aggregator.backoff import run_forever
+
+PING_TIMEOUT_S = 1.0
+# News of a crash are sent at once, but not more often than this.
+MIN_PING_S = 0.05
+VM_LIST_INTERVAL_S = 1.0
+# A joiner that has been silent for longer than this is not added.
+JOINER_SILENCE_S = 1.5
+# A member outside the roster reads it again at this interval.
+ROSTER_INTERVAL_S = 2.0
+RELEASE_TIMEOUT_S = 1.0
+_INCARNATION_BITS = 62
+_NO_ROSTER = Roster(0, ())
+
+
+class Platform(Protocol):
+    """The calls of the platform client that are used here."""
+
+    async def get(self, key: str) -> Item:
+        """Reads a key."""
+        ...
+
+    async def put(self, key: str, value: str, expect: int) -> int:
+        """Writes a key if it is at the expected version."""
+        ...
+
+    async def vms(self) -> VmLists:
+        """Reads the list of VMs."""
+        ...
+
+
+class Peer(Protocol):
+    """A channel to another daemon."""
+
+    async def request(self, frame: Any) -> Any:
+        """Sends a request and returns its reply."""
+        ...
+
+
+def parse_roster(text: str) -> Roster:
+    """Returns the roster of a platform value.
+
+    Raises:
+        ValueError: The text is not a roster.
+    """
+    fields = json.loads(text)
+    members = tuple(str(member) for member in fields["members"])
+    return Roster(int(fields["revision"]), members)
+
+
+def format_roster(roster: Roster) -> str:
+    """Returns the platform value of a roster."""
+    fields = {"revision": roster.revision, "members": list(roster.members)}
+    return json.dumps(fields)
+
+
+def to_wire(records: Iterable[Record]) -> list[CrashRecord]:
+    """Returns quarantine records as they are sent."""
+    return [
+        CrashRecord(
+            fingerprint=record.fingerprint,
+            crashes=record.crashes,
+            expires_in_ms=record.expires_in_s * 1000,
+        )
+        for record in records
+    ]
+
+
+def from_wire(records: Iterable[CrashRecord] | None) -> list[Record]:
+    """Returns quarantine records as they were received."""
+    return [
+        Record(r.fingerprint, r.crashes, r.expires_in_ms / 1000)
+        for r in records or ()
+    ]
+
+
+def vm_of(member: str) -> str:
+    """Returns the IP address of a member's VM."""
+    return member.rpartition(":")[0]
+
+
+class Cell:
+    """This daemon's membership in its cell."""
+
+    def __init__(
+        self,
+        settings: AggregatorSettings,
+        platform: Platform,
+        quarantine: Quarantine,
+        open_peer: Callable[[str], Peer],
+        hint_config: Callable[[int | None, str], None],
+        is_idle: Callable[[], bool],
+    ) -> None:
+        """Starts outside the roster.
+
+        Args:
+            settings: Settings of the daemon.
+            platform: Holds the roster and the list of VMs.
+            quarantine: Entries to exchange with other members.
+            open_peer: Returns the channel to an address.
+            hint_config: Called with the revisions that others announce.
+            is_idle: Whether no leaf runs anything.
+        """
+        self._member = settings.frames
+        self._settings = settings
+        self._platform = platform
+        self._quarantine = quarantine
+        self._open_peer = open_peer
+        self._hint_config = hint_config
+        self._is_idle = is_idle
+        self._key = join(["roster", settings.cell])
+        self._incarnation = secrets.randbits(_INCARNATION_BITS)
+        now = trio.current_time()
+        self._table = GrantTable(self._member, _NO_ROSTER, now)
+        self._ledger = RightsLedger(self._member, _NO_ROSTER)
+        self._sightings = Sightings()
+        self._fenced_since: dict[str, float] = {}
+        self._joiners: dict[str, float] = {}
+        self._peers: dict[str, Peer] = {}
+        self._pinged: dict[str, trio.CancelScope] = {}
+        self._revisions: dict[str, int] = {}
+        self._read_at = -ROSTER_INTERVAL_S
+        self._out: frozenset[str] = frozenset()
+        self._out_domains: frozenset[str] = frozenset()
+        self._leaving_vms: frozenset[str] = frozenset()
+        self._is_stopping = False
+        self._is_suspended = False
+        self._had_majority = False
+        self._released_to: set[str] = set()
+        self._wake = trio.Event()
+        self.config_revision = 0
+        self.on_leaving_vms: Callable[[frozenset[str]], None] | None = None
+
+    @property
+    def member(self) -> str:
+        """Name of this member: its frame address."""
+        return self._member
+
+    @property
+    def roster(self) -> Roster:
+        """The roster in force."""
+        return self._table.roster
+
+    @property
+    def is_granted(self) -> bool:
+        """Whether a majority of the roster grants this member."""
+        return self._ledger.has_majority(trio.current_time())
+
+    @property
+    def fenced(self) -> set[str]:
+        """Members that a majority reports as fenced."""
+        return self._ledger.fenced_members(trio.current_time())
+
+    @property
+    def is_in_service(self) -> bool:
+        """Whether the configuration has this daemon in service."""
+        return not self._is_out(self._member, self._settings.failure_domain)
+
+    @property
+    def peers(self) -> list[str]:
+        """Addresses of the members of the cell."""
+        return list(self.roster.members) or [self._member]
+
+    def right_until(self, leaf: str, now: float) -> float | None:
+        """Returns the end of the send right of a leaf; None without it."""
+        if self._is_suspended:
+            return None
+        return self._ledger.right_until(leaf, now)
+
+    def adopt_document(self, revision: int, document: Document) -> None:
+        """Adopts what a configuration says about members."""
+        self.config_revision = revision
+        self._out = frozenset(document.out_vms)
+        self._out_domains = frozenset(document.out_failure_domains)
+        self._suspend_if_out()
+
+    def peer(self, address: str) -> Peer:
+        """Returns the channel to another daemon."""
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = self._open_peer(address)
+        return peer
+
+    def wake(self) -> None:
+        """Sends pings now, because there is news for the others."""
+        self._wake.set()
+        self._wake = trio.Event()
+
+    def answer(self, ping: Ping) -> Pong:
+        """Answers the ping of another member."""
+        now = trio.current_time()
+        if ping.cell != self._settings.cell:
+            return self._pong(granted=False, fenced=[], roster=None)
+        self._sightings.heard(ping.member)
+        self._quarantine.merge(from_wire(ping.quarantine), now)
+        self._hint_config(ping.config_revision, ping.address)
+        self._adopt_wire(ping.roster_revision, ping.roster, now)
+        in_service = not self._is_out(ping.member, ping.failure_domain)
+        granted = self._table.heard(
+            ping.member,
+            ping.incarnation,
+            released=bool(ping.released),
+            in_service=in_service,
+            roster_revision=ping.roster_revision,
+            now=now,
+        )
+        if in_service and not ping.released:
+            self._joiners[ping.member] = now
+        else:
+            self._joiners.pop(ping.member, None)
+        fenced = self._table.fenced(now, self._absence(now).members)
+        differs = ping.roster_revision != self.roster.revision
+        return self._pong(
+            granted=granted,
+            fenced=fenced,
+            roster=list(self.roster.members) if differs else None,
+        )
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Starts the loops of the cell."""
+        nursery.start_soon(self._run_pings, nursery)
+        nursery.start_soon(run_forever, "roster", self._update, PING_S)
+        nursery.start_soon(
+            run_forever, "vm_list", self._read_vms, VM_LIST_INTERVAL_S
+        )
+
+    async def stop(self) -> None:
+        """Gives up the send rights once nothing runs, and tells the others.
+
+        The caller bounds the time.
+        """
+        self._is_stopping = True
+        self._is_suspended = True
+        while not self._is_idle():
+            await trio.sleep(MIN_PING_S / 5)
+        self._release()
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            others = set(self.roster.members) - {self._member}
+            while not others <= self._released_to:
+                await trio.sleep(MIN_PING_S / 5)
+
+    def _is_out(self, member: str, failure_domain: str) -> bool:
+        vm = vm_of(member)
+        return (
+            failure_domain in self._out_domains
+            or vm in self._out
+            or vm in self._leaving_vms
+        )
+
+    def _suspend_if_out(self) -> None:
+        """Stops new work at once; the release follows when nothing runs."""
+        if not self.is_in_service and not self._is_suspended:
+            self._is_suspended = True
+            log.change("out_of_service")
+
+    def _release(self) -> None:
+        if self._ledger.is_released:
+            return
+        self._ledger.release()
+        self._released_to.clear()
+        log.change("send_rights_released")
+        self.wake()
+
+    def _return_to_service(self) -> None:
+        """Starts anew under another incarnation after a release."""
+        self._incarnation = secrets.randbits(_INCARNATION_BITS)
+        self._ledger = RightsLedger(self._member, self.roster)
+        self._is_suspended = False
+        log.change("back_in_service")
+
+    def _absence(self, now: float) -> Absence:
+        return self._sightings.absence(now)
+
+    def _pong(
+        self, *, granted: bool, fenced: list[str], roster: list[str] | None
+    ) -> Pong:
+        return Pong(
+            member=self._member,
+            granted=granted,
+            fenced=fenced,
+            roster_revision=self.roster.revision,
+            config_revision=self.config_revision,
+            quarantine=to_wire(self._quarantine.records(trio.current_time())),
+            roster=roster,
+        )
+
+    def _adopt_wire(
+        self, revision: int | None, members: list[str] | None, now: float
+    ) -> None:
+        if revision is not None and members:
+            self._adopt(Roster(revision, tuple(members)), now)
+
+    def _adopt(self, roster: Roster, now: float) -> None:
+        if not self._table.adopt(roster, now):
+            return
+        self._ledger.adopt(roster)
+        metrics.ROSTER_REVISION.set(roster.revision)
+        log.change(
+            "roster_adopted",
+            revision=roster.revision,
+            members=list(roster.members),
+        )
+        self.wake()
+
+    async def _run_pings(self, nursery: trio.Nursery) -> None:
+        """Keeps one ping loop for each other member and seed."""
+
+        async def step() -> None:
+            self._vote()
+            self._start_peers(nursery)
+            await self._next_round()
+
+        await run_forever("votes", step, MIN_PING_S)
+
+    def _start_peers(self, nursery: trio.Nursery) -> None:
+        wanted = set(self.roster.members)
+        if self._member not in wanted:
+            wanted |= set(self._settings.seeds)
+        wanted.discard(self._member)
+        for address in self._pinged.keys() - wanted:
+            self._pinged.pop(address).cancel()
+        for address in wanted - self._pinged.keys():
+            scope = self._pinged[address] = trio.CancelScope()
+            nursery.start_soon(self._run_peer, address, scope)
+
+    async def _run_peer(self, address: str, scope: trio.CancelScope) -> None:
+        async def step() -> None:
+            await self._ping(address)
+            await self._next_round()
+
+        with scope:
+            await run_forever("ping", step, MIN_PING_S)
+
+    async def _next_round(self) -> None:
+        with trio.move_on_after(PING_S - MIN_PING_S):
+            await self._wake.wait()
+
+    async def _ping(self, address: str) -> None:
+        peer = self.peer(address)
+        sent_at = trio.current_time()
+        ledger = self._ledger
+        released = ledger.is_released
+        ping = self._make_ping(address)
+        try:
+            with trio.fail_after(PING_TIMEOUT_S):
+                answer = await peer.request(Frame(ping=ping))
+        except (ChannelError, trio.TooSlowError):
+            metrics.PINGS.labels("failed").inc()
+            return
+        metrics.PINGS.labels("ok").inc()
+        self._take_pong(address, answer.pong, sent_at, ledger)
+        if released:
+            self._released_to.add(address)
+
+    def _make_ping(self, address: str) -> Ping:
+        known = self._revisions.get(address)
+        differs = known is not None and known != self.roster.revision
+        return Ping(
+            member=self._member,
+            cell=self._settings.cell,
+            roster_revision=self.roster.revision,
+            config_revision=self.config_revision,
+            released=self._ledger.is_released,
+            quarantine=to_wire(self._quarantine.records(trio.current_time())),
+            address=self._member,
+            failure_domain=self._settings.failure_domain,
+            incarnation=self._incarnation,
+            roster=list(self.roster.members) if differs else None,
+        )
+
+    def _take_pong(
+        self, address: str, pong: Any, sent_at: float, ledger: RightsLedger
+    ) -> None:
+        now = trio.current_time()
+        self._revisions[address] = pong.roster_revision
+        self._sightings.heard(pong.member)
+        self._quarantine.merge(from_wire(pong.quarantine), now)
+        self._hint_config(pong.config_revision, address)
+        # The vote belongs to the incarnation that sent the ping.
+        ledger.record(
+            pong.member,
+            sent_at=sent_at,
+            granted=bool(pong.granted),
+            fenced=pong.fenced or (),
+            roster_revision=pong.roster_revision,
+            now=now,
+        )
+        self._adopt_wire(pong.roster_revision, pong.roster, now)
+
+    def _vote(self) -> None:
+        """Counts this member's own vote."""
+        now = trio.current_time()
+        absence = self._absence(now)
+        self._ledger.set_absent(absence.members, absence.until)
+        vote_for_self(
+            self._table,
+            self._ledger,
+            self._member,
+            self._incarnation,
+            in_service=self.is_in_service and not self._is_stopping,
+            now=now,
+            absent=absence.members,
+        )
+        majority = self._ledger.has_majority(now)
+        if majority != self._had_majority:
+            self._had_majority = majority
+            log.change("majority_gained" if majority else "majority_lost")
+
+    async def _update(self) -> None:
+        """One round of service state and roster changes."""
+        self._suspend_if_out()
+        if self._is_stopping:
+            return
+        if self._is_suspended:
+            if self._is_idle():
+                self._release()
+            if self.is_in_service and self._ledger.is_released:
+                self._return_to_service()
+            return
+        now = trio.current_time()
+        if self._member not in self.roster.members:
+            if now - self._read_at >= ROSTER_INTERVAL_S:
+                self._read_at = now
+                await self._change_roster()
+        elif self._next_roster(self.roster, now) is not None:
+            await self._change_roster()
+
+    def _next_roster(self, current: Roster | None, now: float) -> Roster | None:
+        ledger = self._ledger
+        self._fenced_since = track_fenced(
+            self._fenced_since, ledger.fenced_members(now), now
+        )
+        joiners = [
+            member
+            for member, heard_at in self._joiners.items()
+            if now - heard_at <= JOINER_SILENCE_S
+        ]
+        return next_roster(
+            self._member,
+            current,
+            may_change=ledger.may_change_roster(now),
+            fenced_since=self._fenced_since,
+            absent=self._absence(now).members,
+            joiners=joiners,
+            now=now,
+        )
+
+    async def _change_roster(self) -> None:
+        """Reads the stored roster and writes the next one, if any."""
+        try:
+            item = await self._platform.get(self._key)
+            current = parse_roster(item.value) if item.version else None
+            now = trio.current_time()
+            if current is not None:
+                self._adopt(current, now)
+                if current.revision != self.roster.revision:
+                    # The platform answered with an old value.
+                    return
+            elif self.roster.revision:
+                return
+            new = self._next_roster(current, now)
+            if new is None:
+                return
+            await self._platform.put(
+                self._key, format_roster(new), item.version
+            )
+        except (
+            PlatformUnavailableError,
+            WriteConflictError,
+            WriteUnknownError,
+        ):
+            # The next round reads again and learns what took effect.
+            return
+        self._adopt(new, trio.current_time())
+
+    async def _read_vms(self) -> None:
+        if self._settings.vm_list is None:
+            return
+        asked_at = trio.current_time()
+        try:
+            lists = await self._platform.vms()
+        except PlatformUnavailableError:
+            return
+        listed = lists.live | lists.leaving
+        known = {*self.roster.members, *self._joiners, self._member}
+        self._sightings.listed(
+            [member for member in known if vm_of(member) in listed],
+            asked_at,
+            trio.current_time(),
+        )
+        if lists.leaving != self._leaving_vms:
+            self._leaving_vms = lists.leaving
+            log.change("leaving_vms", vms=sorted(lists.leaving))
+            self._suspend_if_out()
+        if self.on_leaving_vms is not None:
+            self.on_leaving_vms(lists.leaving)
--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/config.py
@@ -0,0 +1,137 @@
+"""The configuration in force, from the platform and from peers."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+import trio
+from sapphire_config.document import StoredDocument, parse
+from sapphire_core.errors import (
+    ChannelError,
+    PlatformUnavailableError,
+    SettingsError,
+)
+from sapphire_wire.gen.ttypes import ConfigReply, FetchConfig, Frame
+from sapphire_wire.platform import Item
+
+from sapphire_aggregator import log, metrics
+from sapphire_aggregator.backoff import Backoff
+
+KEY = "config"
+FETCH_TIMEOUT_S = 1.0
+
+
+class Watched(Protocol):
+    """The calls of the platform client that are used here."""
+
+    async def get(self, key: str) -> Item:
+        """Reads a key."""
+        ...
+
+    async def watch(self, key: str, after: int) -> Item:
+        """Waits for a newer value of a key."""
+        ...
+
+
+Ask = Callable[[str, Frame], Awaitable[Any]]
+
+
+class ConfigStore:
+    """Holds the highest revision seen; never adopts a lower one."""
+
+    def __init__(self, on_change: Callable[[StoredDocument], None]) -> None:
+        self._on_change = on_change
+        self._stored: StoredDocument | None = None
+        self._text = ""
+        self._hint: tuple[int, str] | None = None
+        self._hinted = trio.Event()
+
+    @property
+    def stored(self) -> StoredDocument | None:
+        """The configuration in force; None before the first one."""
+        return self._stored
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; 0 before the first one."""
+        return self._stored.revision if self._stored else 0
+
+    def reply(self) -> ConfigReply:
+        """Returns the answer to FetchConfig."""
+        return ConfigReply(revision=self.revision, document=self._text)
+
+    def offer(self, text: str) -> bool:
+        """Adopts a stored document of a higher revision.
+
+        Raises:
+            SettingsError: The text is not a valid stored document.
+        """
+        stored = parse(StoredDocument, text)
+        if stored.revision <= self.revision:
+            return False
+        self._stored = stored
+        self._text = text
+        metrics.CONFIG_REVISION.set(stored.revision)
+        log.change("config_adopted", revision=stored.revision)
+        self._on_change(stored)
+        return True
+
+    def hint(self, revision: int | None, address: str) -> None:
+        """Notes that a peer has a configuration of some revision."""
+        if revision is not None and revision > self.revision:
+            self._hint = (revision, address)
+            self._hinted.set()
+
+    async def run_watch(self, platform: Watched) -> None:
+        """Follows the platform's key until cancelled."""
+        backoff = Backoff()
+        after: int | None = None
+        while True:
+            try:
+                if after is None:
+                    item = await platform.get(KEY)
+                else:
+                    item = await platform.watch(KEY, after)
+                if item.version:
+                    self.offer(item.value)
+            except PlatformUnavailableError:
+                await trio.sleep(backoff.next_s())
+            except Exception as error:
+                # A document that can't be used must not end the watch.
+                _report("config_watch", error)
+                await trio.sleep(backoff.next_s())
+                after = None
+            else:
+                backoff.reset()
+                after = max(after or 0, item.version)
+
+    async def run_peers(self, ask: Ask) -> None:
+        """Fetches revisions that peers announce until cancelled."""
+        backoff = Backoff()
+        while True:
+            await self._hinted.wait()
+            self._hinted = trio.Event()
+            hint, self._hint = self._hint, None
+            if hint is None or hint[0] <= self.revision:
+                continue
+            try:
+                with trio.fail_after(FETCH_TIMEOUT_S):
+                    frame = Frame(fetch_config=FetchConfig())
+                    answer = await ask(hint[1], frame)
+                self.offer(answer.config_reply.document)
+            except (ChannelError, trio.TooSlowError):
+                await trio.sleep(backoff.next_s())
+            except Exception as error:
+                _report("config_fetch", error)
+                await trio.sleep(backoff.next_s())
+            else:
+                backoff.reset()
+
+
+def _report(place: str, error: Exception) -> None:
+    metrics.UNEXPECTED.labels(place).inc()
+    if isinstance(error, SettingsError):
+        log.change("config_refused", place=place, error=str(error))
+    else:
+        log.unexpected(place, error)
--- a/libs/aggregator/src/sapphire_aggregator/daemon.py
+++ b/libs/aggregator/src/sapphire_aggregator/daemon.py
@@ -2,77 +2,228 @@
 
 from __future__ import annotations
 
-import itertools
-from typing import Any
+import secrets
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
 
 import trio
-from sapphire_config.document import StoredDocument, parse
+from sapphire_config.document import StoredDocument
 from sapphire_config.settings import AggregatorSettings
-from sapphire_core.errors import LeafError
+from sapphire_core.errors import SettingsError
+from sapphire_core.quarantine import Quarantine
 from sapphire_wire import channel
-from sapphire_wire.gen.ttypes import Frame, Part, ShardResult, ShardStatus
-from sapphire_wire.leaf import LeafClient, LeafQuery
+from sapphire_wire.gen.ttypes import Frame
 from sapphire_wire.platform import PlatformClient
+from sapphire_wire.web import serve_http
+
+from sapphire_aggregator import log, metrics
+from sapphire_aggregator.admin import Admin
+from sapphire_aggregator.cell import Cell
+from sapphire_aggregator.config import ConfigStore
+from sapphire_aggregator.leaves import LeafSet
+from sapphire_aggregator.link import Context, open_client
+from sapphire_aggregator.scatter import ScatterHandler
+from sapphire_aggregator.submission import SubmitHandler
+from sapphire_aggregator.view import ViewHandler
+
+STOP_LIMIT_S = 10.0
+DEFAULT_QUARANTINE_S = 600.0
+_BATCH_PREFIX_BYTES = 6
+ErrorType = TypeVar("ErrorType", bound=BaseException)
 
 
 def main(settings: AggregatorSettings) -> None:
-    """Runs the daemon."""
-    trio.run(_run, settings)
+    """Runs the daemon until SIGTERM.
+
+    Raises:
+        SettingsError: An address can't be bound or a file can't be opened.
+    """
+    try:
+        log.write_to(settings.log_file)
+    except OSError as error:
+        raise SettingsError(
+            "log_file", settings.log_file, str(error)
+        ) from error
+    try:
+        trio.run(run, settings)
+    except BaseExceptionGroup as group:
+        bad = _first(group, SettingsError)
+        if bad is None:
+            raise
+        raise bad from None
+
+
+def _first(error: BaseException, kind: type[ErrorType]) -> ErrorType | None:
+    """Returns the first error of a kind in an error or group, or None."""
+    if isinstance(error, kind):
+        return error
+    if isinstance(error, BaseExceptionGroup):
+        found = (_first(inner, kind) for inner in error.exceptions)
+        return next((inner for inner in found if inner is not None), None)
+    return None
+
+
+async def run(settings: AggregatorSettings) -> None:
+    """Runs the daemon until SIGTERM."""
+    async with trio.open_nursery() as nursery:
+        daemon = Daemon(settings, nursery)
+        await daemon.start()
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
+            async for _ in stops:
+                break
+        await daemon.stop()
+        nursery.cancel_scope.cancel()
 
 
-async def _run(settings: AggregatorSettings) -> None:
-    platform = PlatformClient(settings.platform, settings.vm_list)
-    item = await platform.get("config")
-    document = parse(StoredDocument, item.value).document
-    clients = {
-        (service.name, leaf.address): LeafClient(
-            leaf.address, service.leaf.slots + 2
+class Daemon:
+    """All parts of one aggregator, in one nursery."""
+
+    def __init__(
+        self, settings: AggregatorSettings, nursery: trio.Nursery
+    ) -> None:
+        self._settings = settings
+        self._nursery = nursery
+        self._answers: dict[str, Answer] = {}
+        self._admin_stop = trio.Event()
+
+    async def start(self) -> None:
+        """Binds the addresses, then starts all parts.
+
+        The frame address is bound first: it proves that no predecessor
+        answers pings when this member takes its start time.
+
+        Raises:
+            SettingsError: An address can't be bound.
+        """
+        await self._bind(self._settings.frames, "frames", self._serve_frames)
+        self._build()
+        await self._bind(self._settings.admin, "admin", self._serve_admin)
+        await self.cell.run(self._nursery)
+        self._nursery.start_soon(self.config.run_watch, self._platform)
+        self._nursery.start_soon(self.config.run_peers, self._ask)
+        self._nursery.start_soon(self.leaves.run)
+        log.change("started", member=self._settings.frames)
+
+    async def stop(self) -> None:
+        """Refuses new work, finishes what runs and releases the rights."""
+        log.change("stopping")
+        for part in (self.scatter, self.submit, self.view, self.admin):
+            part.is_leaving = True
+        with trio.move_on_after(STOP_LIMIT_S) as limit:
+            self.leaves.refuse_waiting()
+            await self.cell.stop()
+        self._admin_stop.set()
+        log.change("stopped", in_time=not limit.cancelled_caught)
+
+    def _build(self) -> None:
+        settings = self._settings
+        self._platform = PlatformClient(settings.platform, settings.vm_list)
+        self.quarantine = Quarantine(DEFAULT_QUARANTINE_S)
+        self.config = ConfigStore(self._adopt)
+        self.cell = Cell(
+            settings,
+            self._platform,
+            self.quarantine,
+            lambda address: channel.Peer(address, self._nursery),
+            self.config.hint,
+            lambda: self.leaves.is_idle,
         )
-        for service in document.services
-        for leaf in service.leaves
-    }
-    ids = itertools.count(1)
-
-    async def handle(frame: Any, reply: channel.Reply) -> None:
-        scatter = frame.scatter
-        if scatter is None:
-            return
-        deadline = trio.current_time() + scatter.remaining_ms / 1000
-        results: list[Any] = []
-        matches: list[Any] = []
-
-        async def ask(target: Any) -> None:
-            result = ShardResult(
-                shard=target.shard,
-                leaf=target.leaf,
-                status=ShardStatus.FAILED,
-                documents=0,
-                leaf_ms=0.0,
-                wait_ms=0.0,
-            )
-            results.append(result)
-            client = clients[(scatter.service_name, target.leaf)]
+        context = Context(
+            rights=self.cell,
+            quarantine=self.quarantine,
+            nursery=self._nursery,
+            on_crash=self.cell.wake,
+            batch_prefix=secrets.token_hex(_BATCH_PREFIX_BYTES),
+        )
+        self.leaves = LeafSet(context, settings.region, open_client)
+        self.cell.on_leaving_vms = self.leaves.set_leaving
+        self.scatter = ScatterHandler(self.leaves, self.quarantine)
+        self.submit = SubmitHandler(self.leaves)
+        self.view = ViewHandler(self.leaves, self.cell, self.quarantine)
+        self.admin = Admin(self.config, self.cell, self.leaves)
+        self._answers = {
+            "scatter": self._on_scatter,
+            "submit": self._on_submit,
+            "ping": self._on_ping,
+            "view": self._on_view,
+            "fetch_config": self._on_fetch_config,
+        }
+
+    def _adopt(self, stored: StoredDocument) -> None:
+        self.quarantine.set_expiry(stored.document.limits.quarantine_s)
+        self.cell.adopt_document(stored.revision, stored.document)
+        self.leaves.apply(stored.document)
+
+    async def handle(self, frame: Any, reply: channel.Reply) -> None:
+        """Answers one frame; an error ends only this request."""
+        for name, answer in self._answers.items():
+            message = getattr(frame, name)
+            if message is None:
+                continue
             try:
-                answer = await client.search(
-                    f"b{next(ids)}",
-                    scatter.version,
-                    target.shard,
-                    [LeafQuery("0", scatter.text, scatter.k)],
-                    remaining=lambda: deadline - trio.current_time(),
-                )
-            except LeafError:
-                return
-            result.status = ShardStatus.OK
-            result.documents = answer.documents
-            matches.extend(answer.matches[0])
-
-        async with trio.open_nursery() as nursery:
-            for target in scatter.targets:
-                nursery.start_soon(ask, target)
-        matches.sort(key=lambda m: (-m.score, m.document))
-        part = Part(results=results, matches=matches[: scatter.k], last=True)
-        reply(Frame(part=part))
-
-    host, _, port = settings.frames.rpartition(":")
-    async with trio.open_nursery() as nursery:
-        await nursery.start(channel.serve, handle, host, int(port))
+                await answer(message, reply)
+            except Exception as error:
+                metrics.UNEXPECTED.labels(name).inc()
+                log.unexpected(name, error)
+            return
+
+    async def _on_scatter(self, message: Any, reply: channel.Reply) -> None:
+        await self.scatter.run(message, reply)
+
+    async def _on_submit(self, message: Any, reply: channel.Reply) -> None:
+        reply(Frame(submit_reply=await self.submit.run(message)))
+
+    async def _on_ping(self, message: Any, reply: channel.Reply) -> None:
+        reply(Frame(pong=self.cell.answer(message)))
+
+    async def _on_view(self, message: Any, reply: channel.Reply) -> None:
+        reply(Frame(view_reply=self.view.run(message)))
+
+    async def _on_fetch_config(
+        self, message: Any, reply: channel.Reply
+    ) -> None:
+        reply(Frame(config_reply=self.config.reply()))
+
+    async def _ask(self, address: str, frame: Frame) -> Any:
+        return await self.cell.peer(address).request(frame)
+
+    async def _bind(
+        self, address: str, field: str, serve: Callable[..., Awaitable[Any]]
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        try:
+            await self._nursery.start(serve, host, int(port))
+        except (Exception, BaseExceptionGroup) as error:
+            cause = _first(error, OSError) or _first(error, OverflowError)
+            if cause is None:
+                raise
+            raise SettingsError(field, address, str(cause)) from error
+
+    async def _serve_frames(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[Any],
+    ) -> None:
+        await channel.serve(self.handle, host, port, task_status=task_status)
+
+    async def _serve_admin(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[Any],
+    ) -> None:
+        await serve_http(
+            self.admin.build_app(),
+            host,
+            port,
+            self._admin_stop.wait,
+            graceful_s=1.0,
+            task_status=task_status,
+        )
+
+
+Answer = Callable[[Any, channel.Reply], Awaitable[None]]
--- a/libs/aggregator/src/sapphire_aggregator/link.py
+++ b/libs/aggregator/src/sapphire_aggregator/link.py
@@ -144,6 +144,9 @@
         self.failure_domain = failure_domain
         self.index: LeafIndex | None = None
         self.next_poll = -math.inf
+        self.calls = 0
+        self.queries = 0
+        self.failures = 0
         self._context = context
         self._client = client
         self._window = Window(shape, prior)
@@ -479,6 +482,8 @@
         now = trio.current_time()
         leaf_s = now - started
         calls = sum(len(item.calls) for item in batch.items)
+        self.calls += 1
+        self.queries += len(batch.items)
         metrics.BATCHES.labels(self.service, "ok").inc()
         metrics.QUERIES.labels(self.service).inc(len(batch.items))
         metrics.SHARED.labels(self.service).inc(calls - len(batch.items))
@@ -501,6 +506,8 @@
 
     def _fail(self, batch: Batch, error: Exception, started: float) -> Evidence:
         now = trio.current_time()
+        self.calls += 1
+        self.failures += 1
         status = status_of(error)
         kind = getattr(error, "kind", "right_lost")
         metrics.BATCHES.labels(self.service, kind).inc()
--- a/libs/aggregator/src/sapphire_aggregator/scatter.py
+++ b/libs/aggregator/src/sapphire_aggregator/scatter.py
@@ -12,7 +12,7 @@
 from sapphire_core.quarantine import Quarantine, Verdict
 from sapphire_wire.gen.ttypes import Frame, Part, ShardResult, ShardStatus
 
-from sapphire_aggregator import metrics
+from sapphire_aggregator import log, metrics
 from sapphire_aggregator.backlog import Call, Outcome, Query
 from sapphire_aggregator.leaves import LeafSet
 
@@ -98,6 +98,13 @@
             )
         self._send_part(last=True)
 
+    def fail_rest(self, targets: list[Any]) -> None:
+        """Fails pending calls and the targets that have no call yet."""
+        for call in list(self._pending.values()):
+            call.finish(Outcome(ShardStatus.FAILED))
+        for target in targets[len(self._results) :]:
+            self.refuse(target.shard, target.leaf, Outcome(ShardStatus.FAILED))
+
     def abandon(self) -> None:
         """Ends all pending calls; the caller has gone."""
         for call in list(self._pending.values()):
@@ -151,7 +158,14 @@
         )
         collector = Collector(scatter.k, self._count(scatter, send))
         try:
-            hold_s = self._start(scatter, query, collector, now)
+            try:
+                hold_s = self._start(scatter, query, collector, now)
+            except Exception as error:
+                # Every target still gets its result.
+                metrics.UNEXPECTED.labels("scatter_start").inc()
+                log.unexpected("scatter_start", error)
+                collector.fail_rest(scatter.targets)
+                hold_s = 0.0
             margin_s = min(END_MARGIN_S, remaining_s * _END_MARGIN_SHARE)
             await collector.run(deadline - margin_s, hold_s)
         finally:
--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/submission.py
@@ -0,0 +1,79 @@
+"""Answers a Submit: one call to the leaf, never repeated."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import trio
+from sapphire_core.errors import SapphireError
+from sapphire_wire.gen.ttypes import Submit, SubmitReply
+
+from sapphire_aggregator import log, metrics
+from sapphire_aggregator.leaves import LeafSet
+from sapphire_aggregator.verdict import RightLostError
+
+NOT_HOLDER = "not_holder"
+LEAVING = "leaving"
+
+
+class SubmitHandler:
+    """Runs submissions through the windows and send rights."""
+
+    def __init__(self, leaves: LeafSet) -> None:
+        self._leaves = leaves
+        self.is_leaving = False
+
+    async def run(self, submit: Submit) -> SubmitReply:
+        """Runs one submission.
+
+        The call goes on when the entry cancels, since its outcome would be
+        unknown otherwise. The deadline bounds it.
+        """
+        with trio.CancelScope(shield=True):
+            reply = await self._run(submit)
+        metrics.SUBMITS.labels(_outcome(reply)).inc()
+        return reply
+
+    async def _run(self, submit: Submit) -> SubmitReply:
+        link = self._leaves.find(submit.service_name, submit.leaf)
+        if self.is_leaving:
+            return _unsent(LEAVING)
+        if link is None or not link.is_held:
+            return _unsent(NOT_HOLDER)
+        deadline = trio.current_time() + submit.remaining_ms / 1000
+        sent: list[bool] = []
+        try:
+            answer = await link.submit(
+                submit.key,
+                submit.body,
+                deadline,
+                on_send=lambda: sent.append(True),
+            )
+        except Exception as error:
+            return _failed(error, bool(sent))
+        return SubmitReply(
+            sent=True, known=True, outcome=json.dumps(answer), reason=""
+        )
+
+
+def _failed(error: Exception, started: bool) -> SubmitReply:
+    reason = error.kind if isinstance(error, SapphireError) else "internal"
+    if isinstance(error, RightLostError):
+        reason = NOT_HOLDER
+    elif not isinstance(error, SapphireError):
+        metrics.UNEXPECTED.labels("submit").inc()
+        log.unexpected("submit", error)
+    if not started or reason == "leaf_unreachable":
+        return _unsent(reason)
+    return SubmitReply(sent=True, known=False, outcome="", reason=reason)
+
+
+def _unsent(reason: str) -> SubmitReply:
+    return SubmitReply(sent=False, known=False, outcome="", reason=reason)
+
+
+def _outcome(reply: Any) -> str:
+    if reply.known:
+        return "known"
+    return "unknown" if reply.sent else "not_sent"
--- /dev/null
+++ b/libs/aggregator/src/sapphire_aggregator/view.py
@@ -0,0 +1,141 @@
+"""Views: what entries need to know about this daemon's leaves."""
+
+from __future__ import annotations
+
+import math
+import secrets
+from typing import Any
+
+import trio
+from sapphire_core.quarantine import Quarantine
+from sapphire_core.window import State
+from sapphire_wire.gen.ttypes import (
+    LeafState,
+    LeafVersion,
+    LeafView,
+    View,
+    ViewReply,
+)
+
+from sapphire_aggregator.cell import Cell, to_wire
+from sapphire_aggregator.leaves import LeafSet
+from sapphire_aggregator.link import LeafLink
+
+# All entries ask several times a second; one snapshot serves them all.
+SNAPSHOT_S = 0.05
+# A latency or queue that changes by less than this factor is not news.
+NEWS_FACTOR = 1.25
+_MIN_LATENCY_S = 0.0005
+_SEQUENCE_BITS = 40
+# The usual batch of a leaf with little load.
+_USUAL_QUERIES = 1
+
+
+class ViewHandler:
+    """Answers View; the sequence number changes only with the content."""
+
+    def __init__(
+        self, leaves: LeafSet, cell: Cell, quarantine: Quarantine
+    ) -> None:
+        self._leaves = leaves
+        self._cell = cell
+        self._quarantine = quarantine
+        # A random start keeps the numbers of a restarted daemon apart from
+        # those of its predecessor.
+        self._sequence = secrets.randbits(_SEQUENCE_BITS) + 1
+        self._digest: Any = None
+        self._made_at = -math.inf
+        self.is_leaving = False
+
+    def run(self, view: View) -> ViewReply:
+        """Answers one View."""
+        self._refresh()
+        changed = view.known != self._sequence
+        return ViewReply(
+            member=self._cell.member,
+            sequence=self._sequence,
+            changed=changed,
+            leaves=self._views() if changed else [],
+            config_revision=self._cell.config_revision,
+            quarantine=(
+                to_wire(self._quarantine.records(trio.current_time()))
+                if changed
+                else []
+            ),
+            leaving=self._is_leaving(),
+            peers=self._cell.peers if changed else [],
+        )
+
+    def _refresh(self) -> None:
+        now = trio.current_time()
+        if now - self._made_at < SNAPSHOT_S:
+            return
+        self._made_at = now
+        digest = self._make_digest(now)
+        if digest != self._digest:
+            self._digest = digest
+            self._sequence += 1
+
+    def _make_digest(self, now: float) -> Any:
+        return (
+            tuple(_leaf_digest(link) for link in self._held()),
+            self._cell.config_revision,
+            tuple(self._cell.peers),
+            tuple(
+                (record.fingerprint, record.crashes)
+                for record in self._quarantine.records(now)
+            ),
+            self._is_leaving(),
+        )
+
+    def _is_leaving(self) -> bool:
+        return self.is_leaving or not self._cell.is_in_service
+
+    def _held(self) -> list[LeafLink]:
+        return [link for link in self._leaves if link.is_held]
+
+    def _views(self) -> list[LeafView]:
+        return [_leaf_view(link) for link in self._held()]
+
+
+def leaf_state(link: LeafLink) -> LeafState:
+    """Returns the state that entries see; a leaf taken out is draining."""
+    if link.is_out:
+        return LeafState.DRAINING
+    return LeafState(int(link.window.state))
+
+
+def _leaf_digest(link: LeafLink) -> Any:
+    versions = link.index.versions if link.index else ()
+    latency_s = max(_MIN_LATENCY_S, link.window.expected_s(_USUAL_QUERIES))
+    return (
+        link.address,
+        link.service,
+        link.failure_domain,
+        leaf_state(link),
+        round(math.log(latency_s, NEWS_FACTOR)),
+        link.queued.bit_length(),
+        versions,
+    )
+
+
+def _leaf_view(link: LeafLink) -> LeafView:
+    index = link.index
+    usable = index is not None and link.window.state is not State.DOWN
+    return LeafView(
+        leaf=link.address,
+        service_name=link.service,
+        failure_domain=link.failure_domain,
+        state=leaf_state(link),
+        latency_ms=link.window.expected_s(_USUAL_QUERIES) * 1000,
+        queued=link.queued,
+        versions=[
+            LeafVersion(
+                version=item.version,
+                shard=item.shard,
+                shards=item.shards,
+                documents=item.documents,
+            )
+            for item in (index.versions if index and usable else ())
+        ],
+    )
