Add faults, limits and counters to the stand-ins

Cause: tests of the guarantees need cold starts, crashes, lost answers, outages and a record of what the external services really received. Ruled out: closing connections from the ASGI application; hypercorn offers no hold on a connection, so a gate accepts them and forwards the bytes. Ruled out: a stand-in's own accept loop on hypercorn's internal TCPServer; it would bypass serve_http. Change: slot queue, cold state, rate limit and store as classes without I/O; a worker with deadlines, cancellation, crash and fall; faulty replies from a seed; POST /faults and GET /record; a control address that answers while the stand-in is down.

--- /dev/null
+++ b/libs/standins/src/sapphire_standins/gate.py
@@ -0,0 +1,225 @@
+"""Accepts callers' connections and forwards them to the HTTP server.
+
+hypercorn gives an application no hold on its connections. Faults of a
+connection (refused, cut, reply sent twice) are therefore made here.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import math
+import socket
+from collections.abc import AsyncIterator, Callable
+
+import trio
+
+_READ_BYTES = 1 << 16
+_BACKLOG = 128
+# Another process may hold the port for a moment as the source port of an
+# outgoing connection.
+_BIND_RETRY_S = 0.05
+_BROKEN = (
+    OSError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.BusyResourceError,
+)
+
+Address = tuple[str, int]
+
+
+class Connection:
+    """One caller's connection."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._sending = trio.Lock()
+        self._scope = trio.CancelScope()
+        self._peer = str(stream.socket.getpeername()[0])
+
+    @property
+    def peer(self) -> str:
+        """IP address of the caller."""
+        return self._peer
+
+    def abort(self) -> None:
+        """Closes the connection without a further byte."""
+        self._scope.cancel()
+
+    async def send(self, data: bytes) -> None:
+        """Sends bytes to the caller; a broken connection is ignored."""
+        async with self._sending:
+            with contextlib.suppress(*_BROKEN):
+                await self._stream.send_all(data)
+
+    async def forward(self, server: trio.SocketStream) -> None:
+        """Moves bytes in both directions until either side closes."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._pump_requests, server)
+                with contextlib.suppress(*_BROKEN):
+                    while data := await server.receive_some(_READ_BYTES):
+                        await self.send(bytes(data))
+                nursery.cancel_scope.cancel()
+
+    async def _pump_requests(self, server: trio.SocketStream) -> None:
+        with contextlib.suppress(*_BROKEN):
+            while data := await self._stream.receive_some(_READ_BYTES):
+                await server.send_all(data)
+        self._scope.cancel()
+
+
+class Gate:
+    """Listens for callers and forwards each connection to one server."""
+
+    def __init__(
+        self, max_connections: float = math.inf, connect_s: float = 0.0
+    ) -> None:
+        self._max_connections = max_connections
+        self._connect_s = connect_s
+        self._connecting = trio.Lock()
+        self._connections: dict[Address, Connection] = {}
+        self._open = 0
+        self._opened = 0
+        self._refused = 0
+        self._opens_at = -math.inf
+        self._changed = trio.Event()
+
+    @property
+    def open(self) -> int:
+        """Number of connections that are open."""
+        return self._open
+
+    @property
+    def opened(self) -> int:
+        """Number of connections accepted since the start."""
+        return self._opened
+
+    @property
+    def refused(self) -> int:
+        """Number of connections closed because of the limit."""
+        return self._refused
+
+    def configure(self, max_connections: float, connect_s: float) -> None:
+        """Sets the limit of open connections and the cost of each."""
+        self._max_connections = max_connections
+        self._connect_s = connect_s
+
+    def connection(self, client: Address | None) -> Connection | None:
+        """Returns the caller's connection that the server sees as client.
+
+        None means that the client is connected to the server itself.
+        """
+        return None if client is None else self._connections.get(client)
+
+    def cut(self, chosen: Callable[[Connection], bool]) -> None:
+        """Closes the chosen connections; new ones are still accepted."""
+        for connection in list(self._connections.values()):
+            if chosen(connection):
+                connection.abort()
+
+    def shut(self, seconds: float = math.inf) -> None:
+        """Closes all connections and refuses new ones for some seconds."""
+        self._opens_at = trio.current_time() + seconds
+        self._notify()
+
+    def reopen(self) -> None:
+        """Accepts connections again."""
+        self._opens_at = -math.inf
+        self._notify()
+
+    async def run(
+        self,
+        address: Address,
+        server: Address,
+        *,
+        task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accepts connections until cancelled.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        listening = await _bind(address, attempts=1)
+        bound: Address = listening.getsockname()
+        task_status.started(bound)
+        while True:
+            # The bound socket reserves the port; connections are refused
+            # until it listens.
+            await self._wait_until_open()
+            listening.listen(_BACKLOG)
+            await self._accept(trio.SocketListener(listening), server)
+            listening = await _bind(bound)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _wait_until_open(self) -> None:
+        while self._opens_at > trio.current_time():
+            with trio.move_on_at(self._opens_at):
+                await self._changed.wait()
+
+    async def _accept(
+        self, listener: trio.SocketListener, server: Address
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+
+            async def admit(stream: trio.SocketStream) -> None:
+                with contextlib.suppress(*_BROKEN):
+                    await self._admit(stream, server)
+
+            nursery.start_soon(trio.serve_listeners, admit, [listener])
+            while self._opens_at <= trio.current_time():
+                await self._changed.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _admit(self, stream: trio.SocketStream, server: Address) -> None:
+        if self._open >= self._max_connections:
+            self._refused += 1
+            return
+        self._opened += 1
+        self._open += 1
+        try:
+            await self._pay_connect_cost()
+            async with self._link(stream, server) as (connection, inner):
+                await connection.forward(inner)
+        finally:
+            self._open -= 1
+
+    async def _pay_connect_cost(self) -> None:
+        if self._connect_s:
+            async with self._connecting:
+                await trio.sleep(self._connect_s)
+
+    @contextlib.asynccontextmanager
+    async def _link(
+        self, stream: trio.SocketStream, server: Address
+    ) -> AsyncIterator[tuple[Connection, trio.SocketStream]]:
+        connection = Connection(stream)
+        async with await trio.open_tcp_stream(*server) as inner:
+            name: Address = inner.socket.getsockname()
+            self._connections[name] = connection
+            try:
+                yield connection, inner
+            finally:
+                del self._connections[name]
+
+
+async def _bind(
+    address: Address, attempts: float = math.inf
+) -> trio.socket.SocketType:
+    tries = 0
+    while True:
+        bound = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            await bound.bind(address)
+        except OSError:
+            bound.close()
+            tries += 1
+            if tries >= attempts:
+                raise
+            await trio.sleep(_BIND_RETRY_S)
+        else:
+            return bound
--- a/libs/standins/src/sapphire_standins/leaf.py
+++ b/libs/standins/src/sapphire_standins/leaf.py
@@ -2,97 +2,286 @@
 
 from __future__ import annotations
 
+import functools
+import json
 from dataclasses import asdict
 from typing import Any
 
 import fire
 import trio
+from pydantic import Field
+from sapphire_core.errors import BadRequestError
 from starlette.applications import Starlette
 from starlette.requests import Request
+from starlette.responses import Response
 
 from sapphire_standins import server
-from sapphire_standins.index import shard_index
-from sapphire_standins.server import Model, Reply, route
+from sapphire_standins.faults import Action, LeafFaults, Version
+from sapphire_standins.gate import Gate
+from sapphire_standins.index import Index, shard_index
+from sapphire_standins.record import Record, now_ms
+from sapphire_standins.replies import Replies
+from sapphire_standins.server import Addresses, Call, Reply, route
+from sapphire_standins.worker import Job, StoppedError, Worker
 
+Identifier = str | int
 
-class Version(Model):
-    """One index version and this leaf's shard of it."""
 
+class LeafSettings(LeafFaults, server.ListenSettings):
+    """Settings of the leaf stand-in; a fault can be set from the start."""
+
+    service: str = "toxdesk"
+    cold: bool = Field(False, description="Whether the leaf starts cold.")
+    seed: int = Field(1, description="Of service times and faulty replies.")
+
+
+class Query(Call):
+    """One query of a search call."""
+
+    id: Identifier
+    text: str
+    k: int = Field(ge=0)
+
+
+class Search(Call):
+    """Body of POST /search."""
+
+    batch_id: Identifier
     version: str
-    shards: int = 1
-    shard: int = 0
+    shard: int
+    deadline_ms: float
+    queries: tuple[Query, ...] = Field(min_length=1)
 
 
-class LeafSettings(server.ListenSettings):
-    """Settings of the leaf stand-in."""
+class Submission(Call):
+    """Body of POST /submit."""
 
-    service: str = "toxdesk"
-    versions: tuple[Version, ...] = (Version(version="v1"),)
+    key: str
+    body: Any
+    deadline_ms: float | None = None
+
+
+class Cancellation(Call):
+    """Body of POST /cancel."""
+
+    batch_id: Identifier
 
 
 class Leaf:
-    """Answers searches over this leaf's shards."""
+    """Answers the calls of one leaf."""
 
-    def __init__(self, settings: LeafSettings) -> None:
-        self._versions = {x.version: x for x in settings.versions}
+    def __init__(self, settings: LeafSettings, gate: Gate) -> None:
+        self._service = settings.service
+        self._gate = gate
+        self._record = Record()
+        self._replies = Replies(settings.seed)
+        self._faults = LeafFaults.model_validate(
+            settings.model_dump(include=set(LeafFaults.model_fields))
+        )
+        self._worker = Worker(
+            self._faults,
+            cold=settings.cold,
+            seed=settings.seed,
+            lose=gate.shut,
+        )
+        self._apply(self._faults)
 
-    async def search(self, request: Request) -> Reply:
+    async def search(self, request: Request) -> Reply | Response:
         """Answers POST /search."""
-        fields = await server.read_json(request)
-        version = self._versions.get(fields["version"])
-        if version is None or version.shard != fields["shard"]:
+        self._note_arrival(request)
+        call = await server.read_call(Search, request)
+        if len(call.queries) > 1 and not self._faults.multi_search:
+            raise BadRequestError("this leaf takes one query per call.")
+        version = self._version(call)
+        if version is None:
+            self._record.version_gone += 1
             return Reply(410, {"error": "version_gone"})
-        index = shard_index(version.version, version.shards, version.shard)
-        results = [
-            {
-                "id": query["id"],
-                "matches": [
-                    asdict(match)
-                    for match in index.search(query["text"], query["k"])
-                ],
-            }
-            for query in fields["queries"]
-        ]
-        return Reply(
-            200,
-            {
-                "batch_id": fields["batch_id"],
-                "version": version.version,
-                "shard": version.shard,
-                "documents": index.documents,
-                "results": results,
+        index = _index(version)
+        job = Job(
+            str(call.batch_id),
+            queries=len(call.queries),
+            deadline_s=call.deadline_ms / 1000,
+            crashes=self._crashes(call),
+            on_start=functools.partial(
+                self._record.search, call.version, len(call.queries)
+            ),
+        )
+        return await self._answer(
+            job, request, lambda: _search_body(call, index)
+        )
+
+    async def submit(self, request: Request) -> Reply | Response:
+        """Answers POST /submit; an execution is noted when it starts."""
+        self._note_arrival(request)
+        call = await server.read_call(Submission, request)
+        numbers: list[int] = []
+
+        def execute() -> None:
+            numbers.append(self._record.submit(call.key, call.body))
+
+        job = Job(call.key, on_start=execute)
+        if call.deadline_ms is not None:
+            job.deadline_s = call.deadline_ms / 1000
+        return await self._answer(
+            job,
+            request,
+            lambda: {
+                "key": call.key,
+                "registered": True,
+                "execution": numbers[0],
             },
         )
 
-    async def submit(self, request: Request) -> Reply:
-        """Answers POST /submit."""
-        fields = await server.read_json(request)
-        return Reply(200, {"key": fields["key"], "registered": True})
+    async def cancel(self, request: Request) -> Reply:
+        """Answers POST /cancel."""
+        call = await server.read_call(Cancellation, request)
+        self._record.cancellations += 1
+        stopped = self._worker.cancel(str(call.batch_id))
+        return Reply(200, {"cancelled": stopped > 0})
 
     async def index(self, request: Request) -> Reply:
         """Answers GET /index."""
         versions = [
-            {
-                **x.model_dump(),
-                "documents": shard_index(
-                    x.version, x.shards, x.shard
-                ).documents,
-            }
-            for x in self._versions.values()
+            {**x.model_dump(), "documents": _index(x).documents}
+            for x in self._faults.versions
         ]
-        return Reply(200, {"versions": versions, "draining": False})
+        return Reply(
+            200, {"versions": versions, "draining": self._faults.draining}
+        )
 
     async def health(self, request: Request) -> Reply:
-        """Answers GET /health."""
-        return Reply(200, {"status": "warm"})
+        """Answers GET /health, which may lag or be untrue."""
+        return Reply(200, {"status": self._worker.health()})
 
     async def load(self, request: Request) -> Reply:
-        """Answers GET /load."""
-        return Reply(200, {"running": 0, "waiting": 0})
+        """Answers GET /load, which may lag or be untrue."""
+        load = self._worker.load()
+        share = (load.running + load.waiting) / self._faults.slots
+        if self._faults.load_says is not None:
+            share = self._faults.load_says
+        return Reply(200, {**asdict(load), "load": share})
 
-    async def cancel(self, request: Request) -> Reply:
-        """Answers POST /cancel."""
-        return Reply(200, {"cancelled": False})
+    async def show_record(self, request: Request) -> Reply:
+        """Answers GET /record."""
+        worker = self._worker
+        return Reply(
+            200,
+            {
+                "service": self._service,
+                "now_ms": now_ms(),
+                **asdict(self._record),
+                "in_progress": worker.in_progress,
+                "greatest_in_progress": worker.greatest_in_progress,
+                "greatest_running": worker.slots.greatest_running,
+                "cold": worker.cold.is_cold,
+                "greatest_cold": worker.cold.greatest,
+                "greatest_cold_unnoticed": worker.cold.greatest_unnoticed,
+                "greatest_cold_batch": worker.greatest_cold_batch,
+                "falls": worker.falls,
+                "crashes": worker.crashes,
+                "stops": worker.stops,
+                "reply_faults": self._replies.counts,
+                "connections_open": self._gate.open,
+                "connections_opened": self._gate.opened,
+                "connections_refused": self._gate.refused,
+            },
+        )
+
+    async def show_faults(self, request: Request) -> Reply:
+        """Answers GET /faults."""
+        return Reply(200, self._faults.model_dump())
+
+    async def change_faults(self, request: Request) -> Reply:
+        """Answers POST /faults; the field act names a single action."""
+        changes = await server.read_json(request)
+        action = _take_action(changes)
+        self._apply(server.changed(self._faults, changes))
+        if action is not None:
+            self._act(action)
+        return Reply(200, self._faults.model_dump())
+
+    async def settle(self) -> None:
+        """Refuses new work and waits for the running work."""
+        self._apply(self._faults.model_copy(update={"draining": True}))
+        await self._worker.wait_until_idle()
+
+    def _apply(self, faults: LeafFaults) -> None:
+        for version in faults.versions:
+            _index(version)
+        self._faults = faults
+        self._gate.configure(faults.connections, faults.connect_ms / 1000)
+        self._worker.configure(faults)
+
+    def _act(self, action: Action) -> None:
+        actions = {
+            Action.TURN_COLD: self._worker.turn_cold,
+            Action.TURN_WARM: self._worker.turn_warm,
+            Action.CRASH: self._worker.crash,
+        }
+        actions[action]()
+
+    async def _answer(
+        self, job: Job, request: Request, body: server.Body
+    ) -> Reply | Response:
+        try:
+            await self._worker.run(job)
+        except StoppedError as error:
+            status, name = error.reason.value
+            return Reply(status, {"error": name})
+        connection = self._gate.connection(server.client_of(request))
+        return await self._replies.send(
+            json.dumps(body()).encode(), self._faults, connection
+        )
+
+    def _note_arrival(self, request: Request) -> None:
+        client = server.client_of(request)
+        connection = self._gate.connection(client)
+        if connection is not None:
+            self._record.arrive(connection.peer)
+        elif client is not None:
+            self._record.arrive(client[0])
+
+    def _version(self, call: Search) -> Version | None:
+        for version in self._faults.versions:
+            if (version.version, version.shard) == (call.version, call.shard):
+                return version
+        return None
+
+    def _crashes(self, call: Search) -> bool:
+        word = self._faults.crash_word
+        return word is not None and any(
+            word in query.text.split() for query in call.queries
+        )
+
+
+def _index(version: Version) -> Index:
+    return shard_index(version.version, version.shards, version.shard)
+
+
+def _search_body(call: Search, index: Index) -> dict[str, Any]:
+    results = [
+        {
+            "id": query.id,
+            "matches": [asdict(x) for x in index.search(query.text, query.k)],
+        }
+        for query in call.queries
+    ]
+    return {
+        "batch_id": call.batch_id,
+        "version": call.version,
+        "shard": call.shard,
+        "documents": index.documents,
+        "results": results,
+    }
+
+
+def _take_action(changes: Any) -> Action | None:
+    if not isinstance(changes, dict) or "act" not in changes:
+        return None
+    try:
+        return Action(changes.pop("act"))
+    except ValueError as error:
+        raise BadRequestError(str(error)) from error
 
 
 def build_app(leaf: Leaf) -> Starlette:
@@ -105,14 +294,38 @@
             route("/index", "GET", leaf.index),
             route("/health", "GET", leaf.health),
             route("/load", "GET", leaf.load),
+            route("/record", "GET", leaf.show_record),
+            route("/faults", "GET", leaf.show_faults),
+            route("/faults", "POST", leaf.change_faults),
         ]
     )
 
 
-def run(settings: str | None = None, **flags: Any) -> None:
+async def serve(
+    settings: LeafSettings,
+    *,
+    task_status: trio.TaskStatus[Addresses] = trio.TASK_STATUS_IGNORED,
+) -> None:
     """Serves one leaf until SIGTERM."""
-    values = server.read_settings(LeafSettings, settings, flags)
-    trio.run(server.serve, build_app(Leaf(values)), values)
+    gate = Gate()
+    leaf = Leaf(settings, gate)
+    await server.serve(
+        build_app(leaf),
+        gate,
+        settings,
+        settle=leaf.settle,
+        task_status=task_status,
+    )
+
+
+def run(settings: str | None = None, **flags: Any) -> None:
+    """Serves one leaf until SIGTERM.
+
+    Args:
+        settings: Path of a JSON file with fields of LeafSettings.
+        **flags: Fields of LeafSettings; they take precedence.
+    """
+    trio.run(serve, server.read_settings(LeafSettings, settings, flags))
 
 
 def main() -> None:
--- /dev/null
+++ b/libs/standins/src/sapphire_standins/replies.py
@@ -0,0 +1,103 @@
+"""Faulty replies of a leaf, drawn from a seed."""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections import Counter
+
+import trio
+from starlette.responses import Response
+
+from sapphire_standins.faults import LeafFaults
+from sapphire_standins.gate import Connection
+
+_GARBAGE_BYTES = 200
+_JSON = "application/json"
+
+
+class ReplyFault(enum.StrEnum):
+    """Ways in which a reply can be faulty."""
+
+    CROSSED = "crossed"
+    LATE = "late"
+    DUPLICATED = "duplicated"
+    TRUNCATED = "truncated"
+    GARBAGE = "garbage"
+
+
+class Replies:
+    """Sends replies and spoils some of them."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._last_body: bytes | None = None
+        self._counts: Counter[str] = Counter()
+
+    @property
+    def counts(self) -> dict[str, int]:
+        """Number of faulty replies by fault."""
+        return {fault: self._counts[fault] for fault in ReplyFault}
+
+    def draw(self, faults: LeafFaults) -> ReplyFault | None:
+        """Returns the fault of the next reply; None for a correct reply."""
+        draw = self._random.random()
+        for fault, share in _shares(faults).items():
+            draw -= share
+            if draw < 0:
+                return fault
+        return None
+
+    async def send(
+        self, body: bytes, faults: LeafFaults, connection: Connection | None
+    ) -> Response:
+        """Returns the response to send, after doing what the fault needs.
+
+        Args:
+            body: The correct body.
+            faults: Shares of the faults.
+            connection: The caller's connection; None if it is not known,
+                which rules out the faults of a connection.
+        """
+        fault = self.draw(faults)
+        former, self._last_body = self._last_body, body
+        if fault is ReplyFault.CROSSED and former is None:
+            fault = None
+        if fault is None:
+            return Response(body, media_type=_JSON)
+        self._counts[fault] += 1
+        if fault is ReplyFault.LATE:
+            await trio.sleep(faults.late_ms / 1000)
+        elif fault is ReplyFault.CROSSED:
+            body = former or b""
+        elif fault is ReplyFault.GARBAGE:
+            body = self._random.randbytes(_GARBAGE_BYTES)
+        elif connection is not None:
+            await _send_raw(body, fault, connection)
+        return Response(body, media_type=_JSON)
+
+
+def _shares(faults: LeafFaults) -> dict[ReplyFault, float]:
+    return {
+        ReplyFault.CROSSED: faults.crossed_share,
+        ReplyFault.LATE: faults.late_share,
+        ReplyFault.DUPLICATED: faults.duplicated_share,
+        ReplyFault.TRUNCATED: faults.truncated_share,
+        ReplyFault.GARBAGE: faults.garbage_share,
+    }
+
+
+async def _send_raw(
+    body: bytes, fault: ReplyFault, connection: Connection
+) -> None:
+    """Sends a whole reply ahead of the regular one, or half of one."""
+    head = (
+        "HTTP/1.1 200 OK\r\n"
+        f"content-type: {_JSON}\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    if fault is ReplyFault.DUPLICATED:
+        await connection.send(head.encode() + body)
+        return
+    await connection.send(head.encode() + body[: len(body) // 2])
+    connection.abort()
--- a/libs/standins/src/sapphire_standins/server.py
+++ b/libs/standins/src/sapphire_standins/server.py
@@ -6,12 +6,13 @@
 import json
 import pathlib
 import signal
+import traceback
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import Any, TypeVar
 
 import trio
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
 from sapphire_core.errors import BadRequestError, SettingsError
 from sapphire_wire.web import serve_http
 from starlette.applications import Starlette
@@ -19,6 +20,13 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from sapphire_standins.gate import Address, Gate
+
+GRACEFUL_S = 10.0
+# Replies of the work that has just ended are still on their way through
+# hypercorn and the gate.
+FLUSH_S = 0.1
+
 
 class Model(BaseModel):
     """Base of settings and fault models: unknown fields are errors."""
@@ -27,12 +35,31 @@
 
 
 class ListenSettings(Model):
-    """Address of a stand-in; port 0 lets the system choose.
+    """Addresses of a stand-in; port 0 lets the system choose.
 
-    The bound address is printed as one JSON line at the start.
+    The bound addresses are printed as one JSON line at the start.
     """
 
     listen: str = "127.0.0.1:0"
+    control: str = Field(
+        "127.0.0.1:0",
+        description="Serves the same calls without limits and faults of"
+        " connections, so that it answers while the stand-in is down.",
+    )
+
+
+class Call(BaseModel):
+    """Base of the bodies of calls: unknown fields are ignored."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+@dataclass(frozen=True)
+class Addresses:
+    """Bound addresses of a stand-in, as host:port."""
+
+    listen: str
+    control: str
 
 
 @dataclass(frozen=True)
@@ -43,7 +70,8 @@
     body: Any
 
 
-Handler = Callable[[Request], Awaitable[Reply]]
+Body = Callable[[], Any]
+Handler = Callable[[Request], Awaitable[Reply | Response]]
 ModelType = TypeVar("ModelType", bound=BaseModel)
 
 
@@ -96,6 +124,25 @@
         raise BadRequestError(f"the body is not JSON: {error}.") from error
 
 
+async def read_call(model: type[ModelType], request: Request) -> ModelType:
+    """Returns the validated body of a call.
+
+    Raises:
+        BadRequestError: The body is not valid.
+    """
+    fields = await read_json(request)
+    try:
+        return model.model_validate(fields)
+    except ValidationError as error:
+        raise BadRequestError(str(error)) from error
+
+
+def client_of(request: Request) -> Address | None:
+    """Returns the address of the connection's other end."""
+    client = request.client
+    return None if client is None else (client.host, client.port)
+
+
 def route(path: str, method: str, handler: Handler) -> Route:
     """Returns a route that answers with the handler's reply as JSON."""
 
@@ -104,6 +151,13 @@
             reply = await handler(request)
         except BadRequestError as error:
             reply = Reply(400, {"error": str(error)})
+        except Exception:
+            # hypercorn's error log is off; a fault of the stand-in itself
+            # must not pass for an injected one.
+            traceback.print_exc()
+            raise
+        if isinstance(reply, Response):
+            return reply
         return Response(
             json.dumps(reply.body),
             reply.status,
@@ -113,20 +167,68 @@
     return Route(path, answer, methods=[method])
 
 
-async def serve(app: Starlette, settings: ListenSettings) -> None:
-    """Serves until SIGTERM or SIGINT."""
-    host, _, port = settings.listen.rpartition(":")
+async def serve(
+    app: Starlette,
+    gate: Gate,
+    settings: ListenSettings,
+    *,
+    background: Callable[[], Awaitable[None]] = trio.sleep_forever,
+    settle: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
+    task_status: trio.TaskStatus[Addresses] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serves until SIGTERM or SIGINT.
+
+    Args:
+        app: The ASGI application.
+        gate: Listens for callers.
+        settings: The addresses.
+        background: Runs while the app is served.
+        settle: Finishes running work before the process ends.
+        task_status: Receives the bound addresses.
+    """
     async with trio.open_nursery() as nursery:
-        start = functools.partial(
-            serve_http, app, host, int(port), trio.sleep_forever
+        control = await nursery.start(
+            functools.partial(_serve_control, app, settings.control)
         )
-        binds = await nursery.start(start)
-        address = binds[0].removeprefix("http://")
-        print(json.dumps({"listen": address}), flush=True)
+        listen = await nursery.start(
+            gate.run, split_address(settings.listen), control
+        )
+        nursery.start_soon(background)
+        addresses = Addresses(_join_address(listen), _join_address(control))
+        print(json.dumps(asdict(addresses)), flush=True)
+        task_status.started(addresses)
         await _wait_for_stop()
+        with trio.move_on_after(GRACEFUL_S):
+            await settle()
+            await trio.sleep(FLUSH_S)
         nursery.cancel_scope.cancel()
 
 
+async def _serve_control(
+    app: Starlette,
+    address: str,
+    *,
+    task_status: trio.TaskStatus[Address],
+) -> None:
+    host, port = split_address(address)
+    async with trio.open_nursery() as nursery:
+        start = functools.partial(
+            serve_http, app, host, port, trio.sleep_forever
+        )
+        binds = await nursery.start(start)
+        task_status.started(split_address(binds[0].removeprefix("http://")))
+
+
+def split_address(address: str) -> Address:
+    """Returns host and port of host:port."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _join_address(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
 async def _wait_for_stop() -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
--- /dev/null
+++ b/libs/standins/src/sapphire_standins/slots.py
@@ -0,0 +1,78 @@
+"""Slots of a leaf and the queue in front of them."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Hashable
+from typing import Generic, TypeVar
+
+Job = TypeVar("Job", bound=Hashable)
+
+
+class Place(enum.Enum):
+    """What becomes of a job that arrives."""
+
+    RUNNING = "running"
+    WAITING = "waiting"
+    SHED = "shed"
+
+
+class SlotQueue(Generic[Job]):
+    """Decides which jobs run, wait or are refused; performs no I/O."""
+
+    def __init__(self, slots: int, queue_limit: int) -> None:
+        self._slots = slots
+        self._queue_limit = queue_limit
+        self._running: set[Job] = set()
+        self._waiting: list[Job] = []
+        self._greatest_running = 0
+
+    @property
+    def running(self) -> int:
+        """Number of jobs in a slot."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Number of jobs in the queue."""
+        return len(self._waiting)
+
+    @property
+    def greatest_running(self) -> int:
+        """Greatest number of jobs that ran at once."""
+        return self._greatest_running
+
+    def enter(self, job: Job) -> Place:
+        """Places a job; a shed job is not kept."""
+        if len(self._running) < self._slots:
+            self._start(job)
+            return Place.RUNNING
+        if len(self._waiting) < self._queue_limit:
+            self._waiting.append(job)
+            return Place.WAITING
+        return Place.SHED
+
+    def leave(self, job: Job) -> list[Job]:
+        """Removes a job and returns the waiting jobs that start now."""
+        self._running.discard(job)
+        if job in self._waiting:
+            self._waiting.remove(job)
+        return self._fill()
+
+    def resize(self, slots: int, queue_limit: int) -> list[Job]:
+        """Changes the limits and returns the waiting jobs that start now."""
+        self._slots = slots
+        self._queue_limit = queue_limit
+        return self._fill()
+
+    def _fill(self) -> list[Job]:
+        started = []
+        while self._waiting and len(self._running) < self._slots:
+            job = self._waiting.pop(0)
+            self._start(job)
+            started.append(job)
+        return started
+
+    def _start(self, job: Job) -> None:
+        self._running.add(job)
+        self._greatest_running = max(self._greatest_running, len(self._running))
--- a/libs/standins/src/sapphire_standins/store.py
+++ b/libs/standins/src/sapphire_standins/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -132,9 +133,10 @@
             self._replace(key, _ABSENT)
         return removed
 
-    def next_lapse(self) -> float | None:
-        """Returns the time at which the next lease ends, or None."""
-        return min((x.ends_at for x in self._leases.values()), default=None)
+    def next_lapse(self) -> float:
+        """Returns the time at which the next lease ends."""
+        ends = (lease.ends_at for lease in self._leases.values())
+        return min(ends, default=math.inf)
 
     def _replace(self, key: str, item: Item) -> None:
         history = self._history.setdefault(key, deque(maxlen=_KEPT_VALUES))
--- a/libs/standins/src/sapphire_standins/vms.py
+++ b/libs/standins/src/sapphire_standins/vms.py
@@ -11,8 +11,9 @@
 from starlette.requests import Request
 
 from sapphire_standins import server
+from sapphire_standins.gate import Gate
 from sapphire_standins.lag import Lagged
-from sapphire_standins.server import Model, Reply, route
+from sapphire_standins.server import Addresses, Model, Reply, route
 
 
 class VmList(Model):
@@ -60,10 +61,25 @@
     )
 
 
-def run(settings: str | None = None, **flags: Any) -> None:
+async def serve(
+    settings: VmSettings,
+    *,
+    task_status: trio.TaskStatus[Addresses] = trio.TASK_STATUS_IGNORED,
+) -> None:
     """Serves the VM list until SIGTERM."""
-    values = server.read_settings(VmSettings, settings, flags)
-    trio.run(server.serve, build_app(Vms(values)), values)
+    await server.serve(
+        build_app(Vms(settings)), Gate(), settings, task_status=task_status
+    )
+
+
+def run(settings: str | None = None, **flags: Any) -> None:
+    """Serves the VM list until SIGTERM.
+
+    Args:
+        settings: Path of a JSON file with fields of VmSettings.
+        **flags: Fields of VmSettings; they take precedence.
+    """
+    trio.run(serve, server.read_settings(VmSettings, settings, flags))
 
 
 def main() -> None:
--- /dev/null
+++ b/libs/standins/src/sapphire_standins/worker.py
@@ -0,0 +1,303 @@
+"""Runs the work of one leaf in its slots."""
+
+from __future__ import annotations
+
+import enum
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from sapphire_standins.cold import ColdState
+from sapphire_standins.faults import LeafFaults
+from sapphire_standins.lag import Lagged
+from sapphire_standins.slots import Place, SlotQueue
+
+
+class Stop(enum.Enum):
+    """Why a job ended without an answer: HTTP status and error."""
+
+    SHED = (503, "shed")
+    DRAINING = (503, "draining")
+    COLD = (503, "cold")
+    LATE = (504, "deadline_passed")
+    CANCELLED = (499, "cancelled")
+    LOST = (500, "lost")
+
+
+class StoppedError(Exception):
+    """A job was refused or ended early.
+
+    Attributes:
+        reason: Why it ended.
+    """
+
+    def __init__(self, reason: Stop) -> None:
+        super().__init__(reason.value[1])
+        self.reason = reason
+
+
+@dataclass(eq=False)
+class Job:
+    """One call that needs a slot.
+
+    Attributes:
+        id: The caller's batch id or key.
+        queries: Number of queries in the call.
+        deadline_s: Seconds after which work stops.
+        crashes: Whether the leaf crashes when the job starts.
+        on_start: Called when the job gets its slot.
+    """
+
+    id: str
+    queries: int = 1
+    deadline_s: float = math.inf
+    crashes: bool = False
+    on_start: Callable[[], None] = lambda: None
+    turn: trio.Event = field(default_factory=trio.Event)
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    reason: Stop = Stop.LATE
+
+
+@dataclass(frozen=True)
+class Load:
+    """What the load endpoint shows."""
+
+    running: int
+    waiting: int
+
+
+class Worker:
+    """Admits, runs and stops jobs.
+
+    Args:
+        faults: Behaviour of the leaf.
+        cold: Whether the leaf starts cold.
+        seed: Seed of the service times.
+        lose: Cuts all connections and refuses new ones for some seconds.
+    """
+
+    def __init__(
+        self,
+        faults: LeafFaults,
+        *,
+        cold: bool,
+        seed: int,
+        lose: Callable[[float], None],
+    ) -> None:
+        self._faults = faults
+        self._random = random.Random(seed)
+        self._lose = lose
+        self._jobs: set[Job] = set()
+        self._slots = SlotQueue[Job](faults.slots, faults.queue_limit)
+        self._cold = ColdState[Job](
+            cold=cold,
+            bears=faults.cold_bears,
+            unnoticed_bears=_unnoticed_bears(faults),
+            warm_after=faults.warm_after,
+        )
+        self._greatest_in_progress = 0
+        self._greatest_cold_batch = 0
+        self._falls = 0
+        self._crashes = 0
+        self._stops = dict.fromkeys(Stop, 0)
+        self._health = Lagged(self._state())
+        self._load = Lagged(Load(0, 0))
+        self._idle = trio.Event()
+        self._idle.set()
+
+    @property
+    def cold(self) -> ColdState[Job]:
+        """The cold state and its counters."""
+        return self._cold
+
+    @property
+    def slots(self) -> SlotQueue[Job]:
+        """The slots and their counters."""
+        return self._slots
+
+    @property
+    def in_progress(self) -> int:
+        """Number of jobs that run or wait."""
+        return len(self._jobs)
+
+    @property
+    def greatest_in_progress(self) -> int:
+        """Greatest number of jobs that ran or waited at once."""
+        return self._greatest_in_progress
+
+    @property
+    def greatest_cold_batch(self) -> int:
+        """Greatest number of queries in a call to the cold leaf."""
+        return self._greatest_cold_batch
+
+    @property
+    def falls(self) -> int:
+        """Number of times that the cold leaf fell over."""
+        return self._falls
+
+    @property
+    def crashes(self) -> int:
+        """Number of crashes."""
+        return self._crashes
+
+    @property
+    def stops(self) -> dict[str, int]:
+        """Number of jobs without an answer by reason."""
+        return {stop.value[1]: n for stop, n in self._stops.items()}
+
+    def configure(self, faults: LeafFaults) -> None:
+        """Changes the behaviour; running jobs keep their service time."""
+        self._faults = faults
+        self._begin(self._slots.resize(faults.slots, faults.queue_limit))
+        self._cold.configure(
+            faults.cold_bears, _unnoticed_bears(faults), faults.warm_after
+        )
+        self._publish()
+
+    async def run(self, job: Job) -> None:
+        """Runs a job to its end.
+
+        Raises:
+            StoppedError: The job was refused or ended early.
+        """
+        try:
+            self._admit(job)
+            await self._hold_slot(job)
+        except StoppedError as error:
+            self._stops[error.reason] += 1
+            raise
+
+    def cancel(self, job_id: str) -> int:
+        """Stops the jobs with an id and returns their number."""
+        jobs = [job for job in self._jobs if job.id == job_id]
+        for job in jobs:
+            self._stop(job, Stop.CANCELLED)
+        return len(jobs)
+
+    def turn_cold(self) -> None:
+        """Makes the leaf cold without notice."""
+        self._cold.turn_cold()
+        self._publish()
+
+    def turn_warm(self) -> None:
+        """Makes the leaf warm."""
+        self._cold.turn_warm()
+        self._publish()
+
+    def crash(self) -> None:
+        """Loses all connections and jobs; the leaf comes back cold."""
+        self._crashes += 1
+        self._go_down(self._faults.restart_ms)
+
+    async def wait_until_idle(self) -> None:
+        """Waits until no job runs or waits."""
+        await self._idle.wait()
+
+    def health(self) -> str:
+        """Returns the health shown, which may lag or be untrue."""
+        faults = self._faults
+        if faults.health_says is not None:
+            return faults.health_says
+        lag_s = faults.health_lag_ms / 1000
+        return self._health.get(trio.current_time(), lag_s)
+
+    def load(self) -> Load:
+        """Returns the load shown, which may lag."""
+        lag_s = self._faults.load_lag_ms / 1000
+        return self._load.get(trio.current_time(), lag_s)
+
+    def _admit(self, job: Job) -> None:
+        if self._faults.draining:
+            raise StoppedError(Stop.DRAINING)
+        if self._faults.cold_refuses and not self._cold.has_room():
+            raise StoppedError(Stop.COLD)
+        place = self._slots.enter(job)
+        if place is Place.SHED:
+            raise StoppedError(Stop.SHED)
+        if place is Place.RUNNING:
+            job.turn.set()
+        self._add(job)
+        if not self._cold.arrive(job):
+            self._falls += 1
+            self._go_down(self._faults.fall_over_ms)
+
+    def _add(self, job: Job) -> None:
+        self._jobs.add(job)
+        self._greatest_in_progress = max(
+            self._greatest_in_progress, len(self._jobs)
+        )
+        if self._cold.is_cold:
+            self._greatest_cold_batch = max(
+                self._greatest_cold_batch, job.queries
+            )
+        if self._idle.is_set():
+            self._idle = trio.Event()
+        self._publish()
+
+    async def _hold_slot(self, job: Job) -> None:
+        finished = False
+        job.scope.deadline = trio.current_time() + job.deadline_s
+        try:
+            with job.scope:
+                await job.turn.wait()
+                await trio.lowlevel.checkpoint_if_cancelled()
+                job.on_start()
+                if job.crashes:
+                    self.crash()
+                await trio.sleep(self._service_s(job))
+                finished = True
+        finally:
+            self._remove(job, finished=finished)
+        if not finished:
+            raise StoppedError(job.reason)
+
+    def _remove(self, job: Job, *, finished: bool) -> None:
+        self._jobs.discard(job)
+        self._cold.leave(job, finished=finished)
+        self._begin(self._slots.leave(job))
+        if not self._jobs:
+            self._idle.set()
+        self._publish()
+
+    def _service_s(self, job: Job) -> float:
+        faults = self._faults
+        time_ms = faults.service_ms
+        time_ms *= 1 + faults.batch_share * (job.queries - 1)
+        time_ms *= 1 + faults.spread * self._random.uniform(-1, 1)
+        if self._random.random() < faults.slow_share:
+            time_ms *= faults.slow_factor
+        if self._cold.is_cold:
+            time_ms *= faults.cold_factor
+        return time_ms / 1000
+
+    def _go_down(self, out_ms: float) -> None:
+        self._cold.restart()
+        for job in self._jobs:
+            self._stop(job, Stop.LOST)
+        self._lose(out_ms / 1000)
+        self._publish()
+
+    def _stop(self, job: Job, reason: Stop) -> None:
+        job.reason = reason
+        job.scope.cancel()
+
+    def _begin(self, jobs: list[Job]) -> None:
+        for job in jobs:
+            job.turn.set()
+
+    def _state(self) -> str:
+        if self._faults.draining:
+            return "draining"
+        return "cold" if self._cold.is_cold else "warm"
+
+    def _publish(self) -> None:
+        now = trio.current_time()
+        self._health.set(self._state(), now)
+        self._load.set(Load(self._slots.running, self._slots.waiting), now)
+
+
+def _unnoticed_bears(faults: LeafFaults) -> int:
+    return faults.unnoticed_bears or faults.cold_bears
--- /dev/null
+++ b/libs/standins/tests/test_gate.py
@@ -0,0 +1,40 @@
+"""Tests of the gate."""
+
+import functools
+
+import pytest
+import trio
+from sapphire_standins.gate import Gate
+
+
+def test_connection_limit_and_outage_of_the_gate():
+    """Guards against connections above the limit and a lost port."""
+
+    async def main():
+        gate = Gate(max_connections=1)
+        async with trio.open_nursery() as nursery:
+            listener = await nursery.start(
+                functools.partial(trio.serve_tcp, _greet, 0, host="127.0.0.1")
+            )
+            inner = listener[0].socket.getsockname()
+            address = await nursery.start(gate.run, ("127.0.0.1", 0), inner)
+            first = await trio.open_tcp_stream(*address)
+            assert await first.receive_some() == b"hello"
+            second = await trio.open_tcp_stream(*address)
+            assert await second.receive_some() == b""
+            assert (gate.opened, gate.refused) == (1, 1)
+            gate.shut(0.3)
+            assert await first.receive_some() == b""
+            with pytest.raises(OSError, match="connect"):
+                await trio.open_tcp_stream(*address)
+            await trio.sleep(0.5)
+            again = await trio.open_tcp_stream(*address)
+            assert await again.receive_some() == b"hello"
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def _greet(stream):
+    await stream.send_all(b"hello")
+    await trio.sleep_forever()
--- /dev/null
+++ b/libs/standins/tests/test_platform.py
@@ -0,0 +1,121 @@
+"""Tests of the platform stand-in with the real client."""
+
+import contextlib
+import functools
+
+import pytest
+import trio
+from sapphire_core.errors import (
+    PlatformUnavailableError,
+    WriteConflictError,
+    WriteUnknownError,
+)
+from sapphire_standins import platform
+from sapphire_wire.platform import Item, PlatformClient
+from sapphire_wire.web import HttpClient
+
+
+@contextlib.asynccontextmanager
+async def _platform():
+    """Gives a client of a running platform and one of its control address."""
+    async with trio.open_nursery() as nursery:
+        start = functools.partial(platform.serve, platform.PlatformSettings())
+        addresses = await nursery.start(start)
+        client = PlatformClient(addresses.listen, None)
+        yield client, HttpClient(addresses.control, 1)
+        nursery.cancel_scope.cancel()
+
+
+async def _post(control, path, body):
+    reply = await control.call("POST", path, body, timeout_s=5)
+    assert reply.status == 200
+    return reply.json()
+
+
+def test_calls_of_the_client():
+    """Guards against a stand-in that the real client can't use."""
+
+    async def main():
+        async with _platform() as (client, control):
+            key = "claims/desk/a%2Fb"
+            assert await client.get(key) == Item("", 0)
+            assert await client.put(key, "x" * 1_000_000, 0) == 1
+            with pytest.raises(WriteConflictError):
+                await client.put(key, "y", 0)
+            async with trio.open_nursery() as nursery:
+
+                async def watch():
+                    assert await client.watch(key, 1) == Item("y", 2)
+
+                nursery.start_soon(watch)
+                await trio.sleep(0.1)
+                assert await client.put(key, "y", 1) == 2
+            record = await control.call("GET", "/record", timeout_s=5)
+            assert record.json()["calls"] == {"get": 1, "put": 3, "watch": 1}
+
+    trio.run(main)
+
+
+def test_lost_answer_leaves_the_write_in_place():
+    """Guards against a lost answer that undoes the write."""
+
+    async def main():
+        async with _platform() as (client, control):
+            faults = {"lose_next": 1, "drop_next": 1}
+            await _post(control, "/faults", faults)
+            with pytest.raises(WriteUnknownError):
+                await client.put("k", "dropped", 0)
+            with pytest.raises(WriteUnknownError):
+                await client.put("k", "lost", 0)
+            assert await client.get("k") == Item("lost", 1)
+            await _post(control, "/faults", {"old_share": 1})
+            assert await client.get("k") == Item("", 0)
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize(
+    "fault", [{"down": True}, {"refuse": True}, {"cut_off": ["127.0.0.1"]}]
+)
+def test_outage_ends_waiting_watches(fault):
+    """Guards against an outage that open connections do not notice."""
+
+    async def main():
+        async with _platform() as (client, control):
+            async with trio.open_nursery() as nursery:
+
+                async def watch():
+                    with pytest.raises(PlatformUnavailableError):
+                        await client.watch("k", 0)
+
+                nursery.start_soon(watch)
+                await trio.sleep(0.1)
+                await _post(control, "/faults", fault)
+            with pytest.raises(PlatformUnavailableError):
+                await client.get("k")
+            undone = {"down": False, "refuse": False, "cut_off": []}
+            await _post(control, "/faults", undone)
+            assert await client.put("k", "x", 0) == 1
+
+    trio.run(main)
+
+
+def test_rate_limit_and_lapse_of_a_lease():
+    """Guards against a service of unlimited rate and against endless leases."""
+
+    async def main():
+        async with _platform() as (client, control):
+            opened = await _post(control, "/lease", {"ttl_ms": 200})
+            body = {"value": "x", "expect": 0, "lease": opened["lease"]}
+            await control.call("PUT", "/kv/k", body, timeout_s=5)
+            assert await client.get("k") == Item("x", 1)
+            with trio.fail_after(10):
+                assert await client.watch("k", 1) == Item("", 0)
+            await _post(control, "/faults", {"read_rate": 1})
+            for _ in range(2):
+                with contextlib.suppress(PlatformUnavailableError):
+                    await client.get("k")
+            with pytest.raises(PlatformUnavailableError):
+                await client.get("k")
+
+    trio.run(main)
