Serve a search from end to end in the demonstration

Cause: the demonstration waited for /record on the VM list, which has none. Ruled out: a daemon fault; the daemons were not yet started. Change: wait for /vms there; print fleet errors without a traceback.

--- a/libs/bench/src/sapphire_bench/demo.py
+++ b/libs/bench/src/sapphire_bench/demo.py
@@ -9,6 +9,7 @@
 
 import fire
 import trio
+from sapphire_core.errors import SapphireError
 from sapphire_standins.index import single_index_answer
 
 from sapphire_bench.caller import Answer, Caller
@@ -139,7 +140,11 @@
     if fault not in FAULTS:
         print(f"fault must be one of {', '.join(FAULTS)}.", file=sys.stderr)
         sys.exit(2)
-    summary = trio.run(run_demo, fault)
+    try:
+        summary = trio.run(run_demo, fault)
+    except SapphireError as error:
+        print(error, file=sys.stderr)
+        sys.exit(1)
     print(json.dumps(asdict(summary)))
     sys.exit(0 if summary.expected else 1)
 
--- a/libs/bench/src/sapphire_bench/fleet.py
+++ b/libs/bench/src/sapphire_bench/fleet.py
@@ -292,16 +292,15 @@
         )
         for place in self._leaves:
             await self.start_leaf(place)
-        addresses = [self.platform, self.vm_list]
-        addresses += [place.address for place in self._leaves]
-        for address in addresses:
-            await self._wait_answer(address)
+        await self._wait_answer(self.vm_list, "/vms")
+        for address in [self.platform, *(x.address for x in self._leaves)]:
+            await self._wait_answer(address, "/record")
 
-    async def _wait_answer(self, address: str) -> None:
+    async def _wait_answer(self, address: str, path: str) -> None:
         with trio.move_on_after(START_TIMEOUT_S):
             while True:
                 try:
-                    await self.call(address, "GET", "/record")
+                    await self.call(address, "GET", path)
                 except (FleetError, ValueError):
                     self._check_running()
                     await trio.sleep(POLL_S)
