Use the shared quarantine and keep what an unread leaf held

Cause: the aggregator's quarantine decides the same question with the same fingerprint, and its views repeat the list of peers only on a change. Ruled out: dropping the versions of a leaf whose new holder has not read its index yet, since its documents would leave the total. Change: Suspects uses sapphire_core.quarantine; such a leaf keeps its versions and gets no queries; peers are read from changed views only.

--- a/libs/entry/src/sapphire_entry/entry.py
+++ b/libs/entry/src/sapphire_entry/entry.py
@@ -121,7 +121,7 @@
     def _apply(self, in_force: InForce) -> None:
         limits = in_force.document.limits
         self.standing.keep_s = limits.address_keep_ms / 1000
-        self.suspects.quarantine_s = limits.quarantine_s
+        self.suspects.set_expiry(limits.quarantine_s)
         self.budget.set_share(limits.hedge_share)
         self.admission.configure(limits.max_concurrent, in_force.priorities())
         self.views.table.set_filter(in_force.is_leaf_in)
--- a/libs/entry/src/sapphire_entry/search.py
+++ b/libs/entry/src/sapphire_entry/search.py
@@ -146,7 +146,7 @@
         while True:
             now = trio.current_time()
             self._suspects.check(key, now)
-            if self._suspects.is_harmless(key):
+            if self._suspects.is_harmless(key, now):
                 return False
             if not query.canary and not self._suspects.crashes(key, now):
                 return False
@@ -171,7 +171,10 @@
         if newer is None:
             return first.gather
         metrics.RERUNS.labels(query.service).inc()
-        canary = canary and not self._suspects.is_harmless(query.fingerprint)
+        now = trio.current_time()
+        canary = canary and not self._suspects.is_harmless(
+            query.fingerprint, now
+        )
         second = _Run(self, query, newer, canary, may_rerun=False)
         await second.run()
         return second.gather
@@ -308,7 +311,7 @@
             self._suspects.note_suspect(key, now)
         if gather.is_harmless and not self._noted:
             self._noted = True
-            self._suspects.note_harmless(key)
+            self._suspects.note_harmless(key, now)
 
     def _send(self, calls: Iterable[Call]) -> None:
         unsent = collections.deque(calls)
--- a/libs/entry/src/sapphire_entry/status.py
+++ b/libs/entry/src/sapphire_entry/status.py
@@ -19,7 +19,7 @@
         "phase": entry.standing.phase.value,
         "running": entry.admission.running,
         "hedge_tokens": round(entry.budget.tokens, 3),
-        "suspects": len(entry.suspects),
+        "suspects": entry.suspects.count(trio.current_time()),
         "config": _config(entry),
         "aggregators": _aggregators(entry),
         "entries": [
--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -106,12 +106,17 @@
             replica.in_service = self._is_in_service(
                 service, address, view.failure_domain
             )
+        # A holder that has not read the leaf's index reports no versions.
+        # The leaf gets no queries then, but what it held still counts, so
+        # that its documents do not drop out of the total.
+        known = versions or replica.versions
+        current = holder if versions else None
         shape = (replica.holder, replica.state, replica.versions)
-        if shape != (holder, state, versions):
+        if shape != (current, state, known):
             self._maps.pop(service, None)
-        replica.holder = holder
+        replica.holder = current
         replica.state = state
-        replica.versions = versions
+        replica.versions = known
         replica.latency_ms = view.latency_ms
         replica.queued = view.queued
         return service, address
@@ -262,7 +267,7 @@
             leaves = () if reply.leaving else reply.leaves or ()
             kept = {self.table.take(address, view) for view in leaves}
             self.table.release(address, kept)
-        source.peers = frozenset(reply.peers or ())
+            source.peers = frozenset(reply.peers or ())
         for peer in source.peers:
             self._add(peer)
         self.on_reply(source, reply)
--- a/libs/entry/src/sapphire_entry/web.py
+++ b/libs/entry/src/sapphire_entry/web.py
@@ -25,6 +25,7 @@
     TooLargeError,
     UnknownServiceError,
 )
+from sapphire_core.quarantine import fingerprint
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -37,7 +38,6 @@
 from sapphire_entry.search import Query
 from sapphire_entry.standing import Phase
 from sapphire_entry.status import status
-from sapphire_entry.suspects import fingerprint
 
 # Part of the deadline that is kept for merging and sending the answer.
 MARGIN_SHARE = 0.05
