--- /dev/null
+++ b/libs/core/tests/test_adoption.py
@@ -0,0 +1,32 @@
+"""Tests of the adoption of configuration revisions."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from sapphire_core.adoption import Adoption, Offer, Source
+
+OFFERS = st.builds(
+    Offer, st.integers(0, 9), st.just("{}"), st.sampled_from(Source)
+)
+
+
+@given(st.lists(OFFERS))
+def test_revision_never_falls(offers):
+    """Guards against an old answer of any source that reverts a daemon."""
+    adoption = Adoption()
+    for i, offer in enumerate(offers):
+        before = adoption.revision
+        assert adoption.offered(offer) == (offer.revision > before)
+        assert adoption.revision == max(o.revision for o in offers[: i + 1])
+        assert adoption.is_ready == (adoption.revision > 0)
+
+
+def test_mentioned_revision_is_fetched():
+    """Guards against a daemon that stays behind during a watch outage."""
+    adoption = Adoption()
+    assert not adoption.mentioned(0)
+    assert adoption.mentioned(3)
+    assert adoption.is_behind
+    assert not adoption.is_ready
+    assert adoption.offered(Offer(3, "{}", Source.PEER))
+    assert not adoption.mentioned(3)
+    assert not adoption.is_behind
