Run submissions at most once

Ruled out: sending a refused submission to another leaf under the same claim, since the claim machine allows one dispatch per claim; waiting watches on the client that writes claims, since eight of them would take all of its connections. Change: Submitter drives the claim machine, sends through the holder of the first reachable leaf in the key's order, and takes a new claim for another leaf after a refusal before the send. Outcomes that come after the answer are stored; the shutdown waits for open claims up to 10 s. Configuration uses the shared Adoption. An aggregator that answers NOT_HOLDER is asked for a whole view. Conclusion: to be tried with real processes.

--- a/libs/entry/src/sapphire_entry/config.py
+++ b/libs/entry/src/sapphire_entry/config.py
@@ -16,15 +16,18 @@
     StoredDocument,
     parse,
 )
+from sapphire_core.adoption import Adoption, Offer
+from sapphire_core.adoption import Source as Origin
 from sapphire_core.errors import (
     ChannelError,
     PlatformUnavailableError,
     SettingsError,
 )
 from sapphire_wire.gen.ttypes import FetchConfig, Frame
-from sapphire_wire.platform import Item, PlatformClient
+from sapphire_wire.platform import Item
 
 from sapphire_entry import metrics
+from sapphire_entry.submit import KeyValue
 from sapphire_entry.views import Source
 
 KEY = "config"
@@ -95,13 +98,13 @@
 class Config:
     """Adopts the highest revision that the platform or a peer offers."""
 
-    def __init__(self, platform: PlatformClient, rng: Random) -> None:
+    def __init__(self, platform: KeyValue, rng: Random) -> None:
         """Starts without a configuration."""
         self._platform = platform
         self._rng = rng
+        self._adoption = Adoption()
         self._in_force: InForce | None = None
         self._fetching = False
-        self._adopted = trio.Event()
         self.on_adopted: Callable[[InForce], None] = lambda in_force: None
 
     @property
@@ -112,13 +115,9 @@
     @property
     def revision(self) -> int:
         """Revision in force; 0 before the first."""
-        return self._in_force.revision if self._in_force else 0
+        return self._adoption.revision
 
-    async def wait_adopted(self) -> None:
-        """Returns when the next revision is in force."""
-        await self._adopted.wait()
-
-    def adopt(self, text: str) -> bool:
+    def adopt(self, text: str, origin: Origin) -> bool:
         """Adopts a stored document if its revision is higher.
 
         A document that this version of the daemon can't read is reported
@@ -129,14 +128,12 @@
         except SettingsError as error:
             log_message("config_rejected", error=str(error))
             return False
-        if stored.revision <= self.revision:
+        if not self._adoption.offered(Offer(stored.revision, text, origin)):
             return False
         self._in_force = InForce(stored, text)
         metrics.CONFIG_REVISION.set(stored.revision)
         log_message("config_adopted", revision=stored.revision)
         self.on_adopted(self._in_force)
-        self._adopted.set()
-        self._adopted = trio.Event()
         return True
 
     async def watch(self) -> None:
@@ -153,7 +150,7 @@
             backoff_s = FIRST_BACKOFF_S
             if item.version > after:
                 after = item.version
-                self.adopt(item.value)
+                self.adopt(item.value, Origin.WATCH)
             await trio.sleep_until(started + MIN_WATCH_S)
 
     async def _read(self, after: int) -> Item:
@@ -164,7 +161,9 @@
         return await self._platform.watch(KEY, after)
 
     async def fetch(self, source: Source) -> None:
-        """Asks an aggregator for its configuration."""
+        """Asks an aggregator that has mentioned a higher revision."""
+        if not self._adoption.mentioned(source.config_revision):
+            return
         if self._fetching:
             return
         self._fetching = True
@@ -181,4 +180,4 @@
     def _take(self, frame: Any) -> None:
         reply = frame.config_reply
         if reply is not None and reply.revision > self.revision:
-            self.adopt(reply.document)
+            self.adopt(reply.document, Origin.PEER)
--- a/libs/entry/src/sapphire_entry/daemon.py
+++ b/libs/entry/src/sapphire_entry/daemon.py
@@ -65,8 +65,9 @@
 
 async def _run(settings: EntrySettings) -> None:
     platform = PlatformClient(settings.platform, settings.vm_list)
+    watcher = PlatformClient(settings.platform, None)
     async with trio.open_nursery() as nursery:
-        entry = Entry(settings, nursery, platform)
+        entry = Entry(settings, nursery, platform, watcher)
         try:
             await entry.start()
         except OSError as error:
@@ -75,6 +76,9 @@
             ) from error
         await nursery.start(_wait_for_stop, entry)
         await serve_callers(entry)
+        # Outcomes that are not stored yet would leave their claims open.
+        with trio.move_on_after(FINISH_S):
+            await entry.submitter.wait_idle()
         nursery.cancel_scope.cancel()
 
 
--- a/libs/entry/src/sapphire_entry/entry.py
+++ b/libs/entry/src/sapphire_entry/entry.py
@@ -20,6 +20,7 @@
 from sapphire_entry.config import Config, InForce
 from sapphire_entry.search import Searcher
 from sapphire_entry.standing import Standing
+from sapphire_entry.submit import KeyValue, Submitter
 from sapphire_entry.suspects import Suspects
 from sapphire_entry.views import Source, Views
 
@@ -36,6 +37,7 @@
         settings: EntrySettings,
         nursery: trio.Nursery,
         platform: PlatformClient,
+        watcher: KeyValue,
         seed: int | None = None,
     ) -> None:
         """Connects the parts; start begins their work.
@@ -44,6 +46,7 @@
             settings: Settings of the process.
             nursery: Runs the parts.
             platform: Client of the key-value service and VM list.
+            watcher: Client for waiting watches.
             seed: Seed of the random choices; None draws one.
         """
         if seed is None:
@@ -51,7 +54,7 @@
         self.settings = settings
         self.address = settings.listen
         self.standing = Standing()
-        self.config = Config(platform, Random(seed))
+        self.config = Config(watcher, Random(seed))
         self.views = Views(
             settings.seeds, nursery, self.record, lambda: self.config.revision
         )
@@ -65,6 +68,9 @@
             self.admission,
             Random(seed + 1),
         )
+        self.submitter = Submitter(
+            self.views, platform, watcher, nursery, Random(seed + 2)
+        )
         self._platform = platform
         self._nursery = nursery
         self._rotation = Rotation(seed % 1009)
--- a/libs/entry/src/sapphire_entry/gather.py
+++ b/libs/entry/src/sapphire_entry/gather.py
@@ -137,6 +137,7 @@
         self.is_harmless = False
         self.version_gone = False
         self.has_crashed = False
+        self.stale_holders: set[str] = set()
         self._is_suspected = False
 
     @property
@@ -347,6 +348,7 @@
         """Lets the replica be tried again if its holder has changed."""
         if replica.holder == call.holder:
             replica.holder = None
+            self.stale_holders.add(call.holder)
         elif replica.holder is not None:
             self._tried[shard].discard(replica)
 
--- a/libs/entry/src/sapphire_entry/requests.py
+++ b/libs/entry/src/sapphire_entry/requests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 from typing import Annotated, Any, TypeVar
 
@@ -137,8 +136,3 @@
         )
     except ValueError:
         raise BadRequestError("field 'body': NaN and Infinity.") from None
-
-
-def body_hash(text: str) -> str:
-    """Returns the hash of a canonical JSON text."""
-    return hashlib.blake2b(text.encode(), digest_size=32).hexdigest()
--- a/libs/entry/src/sapphire_entry/search.py
+++ b/libs/entry/src/sapphire_entry/search.py
@@ -239,6 +239,7 @@
                 now = trio.current_time()
                 for call, frame in items:
                     self._send(self._take(call, frame, now))
+                self._report_stale()
                 self._note(now)
                 newer = self._newer()
                 if newer is not None or now >= answer_at:
@@ -254,6 +255,12 @@
         finally:
             self._end()
 
+    def _report_stale(self) -> None:
+        """Asks for whole views of aggregators that gave up leaves."""
+        for holder in self.gather.stale_holders:
+            self._views.recheck(holder)
+        self.gather.stale_holders.clear()
+
     def _newer(self) -> ShardMap | None:
         if not self.gather.version_gone or not self._may_rerun:
             return None
--- /dev/null
+++ b/libs/entry/src/sapphire_entry/submit.py
@@ -0,0 +1,402 @@
+"""Execution of submissions: at most once, by a claim in the platform."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+import trio
+from sapphire_core import claim
+from sapphire_core.claim import (
+    Claim,
+    Event,
+    Found,
+    Read,
+    Submission,
+    Wait,
+    Write,
+)
+from sapphire_core.errors import (
+    ChannelError,
+    NotReadyError,
+    PlatformUnavailableError,
+    WriteConflictError,
+)
+from sapphire_core.rendezvous import ranking
+from sapphire_core.shardmap import Replica
+from sapphire_wire.channel import Channel
+from sapphire_wire.gen.ttypes import Frame, Submit, SubmitReply
+from sapphire_wire.platform import Item, join
+
+from sapphire_entry import metrics
+from sapphire_entry.views import Views
+
+HOP_MS = 1.0
+# Leaves that are tried when the holder refuses before it sends anything;
+# each one costs a new claim.
+MAX_LEAVES = 3
+# Watches that wait for other requests' outcomes at the same time; further
+# requests read the claim at this interval instead.
+MAX_WATCHES = 6
+READ_INTERVAL_S = 0.25
+# Pause after a failed call to the platform.
+FIRST_PAUSE_S = 0.05
+MAX_PAUSE_S = 5.0
+# An outcome that arrives after the answer is still stored if it arrives
+# within this time of the deadline.
+LATE_OUTCOME_S = 10.0
+
+
+class KeyValue(Protocol):
+    """The calls of the platform client that are used here."""
+
+    async def get(self, key: str) -> Item:
+        """Reads a key."""
+        ...
+
+    async def put(self, key: str, value: str, expect: int) -> int:
+        """Writes a key by compare-and-swap."""
+        ...
+
+    async def watch(self, key: str, after: int) -> Item:
+        """Waits for a newer value of a key."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Task:
+    """A submission that was admitted.
+
+    Attributes:
+        service: Service that takes it.
+        key: Idempotency key.
+        body: Canonical JSON text of the body.
+        leaves: Addresses of the service's leaves that are in service.
+        answer_at: When the answer has to be made, in seconds.
+    """
+
+    service: str
+    key: str
+    body: str
+    leaves: list[str]
+    answer_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """The outcome of a submission and whether this request produced it."""
+
+    outcome: Any
+    first: bool
+
+
+class _ReplyBox:
+    """Takes the only reply to a Submit; None stands for a lost channel."""
+
+    def __init__(self) -> None:
+        self._event = trio.Event()
+        self._frame: Any = None
+
+    def send_nowait(self, value: Any, /) -> None:
+        """Takes the reply frame."""
+        self._frame = value
+        self._event.set()
+
+    def close(self) -> None:
+        """Learns that the connection was lost."""
+        self._event.set()
+
+    async def receive(self) -> Any:
+        """Returns the reply frame, or None."""
+        await self._event.wait()
+        return self._frame
+
+
+class Submitter:
+    """Runs submissions; owned by the nursery that it is given."""
+
+    def __init__(
+        self,
+        views: Views,
+        platform: KeyValue,
+        watcher: KeyValue,
+        nursery: trio.Nursery,
+        rng: Random,
+    ) -> None:
+        """Takes what all submissions share.
+
+        Args:
+            views: Say who holds which leaf.
+            platform: Client for reads and writes of claims.
+            watcher: Client for waiting watches, so that they don't take
+                the connections of writes.
+            nursery: Runs what is left after an answer.
+            rng: Spreads repeated calls over time.
+        """
+        self._views = views
+        self._platform = platform
+        self._watcher = watcher
+        self._nursery = nursery
+        self._rng = rng
+        self._watches = 0
+        self._unfinished = 0
+        self._idle = trio.Event()
+
+    @property
+    def unfinished(self) -> int:
+        """Answered submissions whose claim is not yet up to date."""
+        return self._unfinished
+
+    async def wait_idle(self) -> None:
+        """Returns when all claims of answered requests are up to date."""
+        while self._unfinished:
+            self._idle = trio.Event()
+            await self._idle.wait()
+
+    async def run(self, task: Task) -> Result:
+        """Runs a submission.
+
+        A holder that refuses before it has sent anything leads to another
+        leaf under a new claim; anything later is never repeated.
+
+        Raises:
+            SapphireError: There is no outcome; run tells what is known.
+        """
+        refused: set[str] = set()
+        while True:
+            attempt = _Attempt(self, task, refused)
+            answer = await attempt.run()
+            again = (
+                attempt.is_refused
+                and len(refused) < MAX_LEAVES
+                and answer.then is not None
+            )
+            if not again:
+                if answer.then is not None:
+                    self._finish_later(attempt, answer.then)
+                return _result(answer)
+            metrics.RETRIES.labels(task.service).inc()
+            with trio.move_on_at(task.answer_at) as scope:
+                await attempt.finish(answer.then)
+            if scope.cancelled_caught:
+                self._finish_later(attempt, answer.then)
+                return _result(answer)
+
+    def choose(
+        self, task: Task, refused: set[str]
+    ) -> tuple[Replica, Channel] | None:
+        """Returns the first leaf in the key's order that can be reached."""
+        replicas = self._views.table.replicas(task.service)
+        for leaf in ranking(task.key, task.leaves):
+            replica = replicas.get(leaf)
+            if replica is None or leaf in refused or not replica.is_usable:
+                continue
+            peer = self._views.peer(replica.holder or "")
+            channel = peer.current if peer is not None else None
+            if channel is not None:
+                return replica, channel
+        return None
+
+    async def read(self, key: str) -> Event:
+        """Reads a claim."""
+        try:
+            return _found(await self._platform.get(key))
+        except (PlatformUnavailableError, ValueError, KeyError, TypeError):
+            await self._pause(FIRST_PAUSE_S)
+            return claim.Unavailable()
+
+    async def write(self, key: str, action: Write) -> Event:
+        """Writes a claim."""
+        try:
+            version = await self._platform.put(
+                key, action.claim.to_json(), action.expect
+            )
+        except WriteConflictError as error:
+            return claim.Conflict(error.current)
+        except PlatformUnavailableError:
+            return claim.Unavailable()
+        except Exception:
+            # Whatever went wrong after the send, the write may be in force.
+            await self._pause(FIRST_PAUSE_S)
+            return claim.WriteLost()
+        return claim.Written(version)
+
+    async def wait(self, key: str, after: int) -> Event:
+        """Waits until a claim has changed, or for a while."""
+        if self._watches >= MAX_WATCHES:
+            await self._pause(READ_INTERVAL_S)
+            return await self.read(key)
+        self._watches += 1
+        try:
+            return _found(await self._watcher.watch(key, after))
+        except (PlatformUnavailableError, ValueError, KeyError, TypeError):
+            await self._pause(READ_INTERVAL_S)
+            return claim.Unavailable()
+        finally:
+            self._watches -= 1
+
+    async def _pause(self, seconds: float) -> None:
+        await trio.sleep(seconds * (1 + self._rng.random() / 2))
+
+    def _finish_later(
+        self, attempt: _Attempt, action: Write | Read | None
+    ) -> None:
+        self.start(lambda: attempt.finish(action))
+
+    def start(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Runs what is left of an answered submission."""
+        self._unfinished += 1
+        self._nursery.start_soon(self._run_unfinished, work)
+
+    async def _run_unfinished(
+        self, work: Callable[[], Awaitable[None]]
+    ) -> None:
+        try:
+            await work()
+        except Exception:
+            # The claim stays as it is, which never lets anything run twice.
+            metrics.UNEXPECTED.inc()
+        finally:
+            self._unfinished -= 1
+            if not self._unfinished:
+                self._idle.set()
+
+
+class _Attempt:
+    """One claim and at most one dispatch."""
+
+    def __init__(
+        self, submitter: Submitter, task: Task, refused: set[str]
+    ) -> None:
+        self._submitter = submitter
+        self._task = task
+        self._refused = refused
+        self._key = join(["claims", task.service, task.key])
+        digest = claim.body_hash(task.body)
+        self._machine = Submission(uuid.uuid4().hex, digest)
+        self._box: _ReplyBox | None = None
+        self.is_refused = False
+
+    async def run(self) -> claim.Answer:
+        """Runs until there is an answer for the caller."""
+        action: claim.Action | None
+        action = self._machine.start(trio.current_time())
+        while not isinstance(action, claim.Answer):
+            event: Event | None = None
+            with trio.move_on_at(self._task.answer_at):
+                event = await self._perform(action)
+            if event is None:
+                event = self._passed()
+            action = self._machine.handle(event, trio.current_time())
+        if self._machine.phase is claim.Phase.UNKNOWN and self._box:
+            self._submitter.start(self._await_late)
+        return action
+
+    async def finish(self, action: claim.Action | None) -> None:
+        """Brings the claim up to date, however long the platform is down."""
+        pause_s = FIRST_PAUSE_S
+        while action is not None:
+            event = await self._perform(action)
+            if isinstance(event, claim.Unavailable | claim.WriteLost):
+                await self._submitter._pause(pause_s)
+                pause_s = min(pause_s * 2, MAX_PAUSE_S)
+            action = self._machine.handle(event, trio.current_time())
+
+    def _passed(self) -> Event:
+        if self._box is not None:
+            return claim.OutcomeLost()
+        if self._machine.phase is claim.Phase.CLAIMED:
+            return claim.NotSent(NotReadyError("the deadline passed."))
+        return claim.DeadlinePassed()
+
+    async def _perform(self, action: claim.Action | None) -> Event:
+        submitter = self._submitter
+        if isinstance(action, Write):
+            return await submitter.write(self._key, action)
+        if isinstance(action, Read):
+            return await submitter.read(self._key)
+        if isinstance(action, Wait):
+            return await submitter.wait(self._key, action.after)
+        return await self._dispatch()
+
+    async def _dispatch(self) -> Event:
+        """Sends the submission to the holder of the chosen leaf."""
+        task = self._task
+        chosen = self._submitter.choose(task, self._refused)
+        if chosen is None:
+            error = NotReadyError(f"no leaf of {task.service!r} is reachable.")
+            return claim.NotSent(error)
+        replica, channel = chosen
+        left_ms = (task.answer_at - trio.current_time()) * 1000 - HOP_MS
+        submit = Submit(
+            service_name=task.service,
+            leaf=replica.address,
+            key=task.key,
+            body=task.body,
+            remaining_ms=max(left_ms, 0.0),
+        )
+        box = _ReplyBox()
+        # Nothing may wait between the check and the send.
+        if not self._machine.begin_dispatch(trio.current_time()):
+            return claim.NotSent(
+                PlatformUnavailableError("the claim took too long to make.")
+            )
+        try:
+            channel.post(Frame(submit=submit), box)
+        except ChannelError:
+            return self._refuse(replica.address)
+        self._box = box
+        return self._judge(await box.receive(), replica.address)
+
+    def _refuse(self, leaf: str) -> Event:
+        self._refused.add(leaf)
+        self.is_refused = True
+        return claim.NotSent(NotReadyError(f"the holder of {leaf} refused."))
+
+    def _judge(self, frame: Any, leaf: str) -> Event:
+        reply = frame.submit_reply if frame is not None else None
+        if reply is None:
+            return claim.OutcomeLost()
+        if reply.sent is False:
+            return self._refuse(leaf)
+        if not reply.known or not _is_json(reply):
+            return claim.OutcomeLost()
+        return claim.Outcome(reply.outcome)
+
+    async def _await_late(self) -> None:
+        """Stores an outcome that comes after the answer."""
+        if self._box is None:
+            return
+        frame = None
+        with trio.move_on_at(self._task.answer_at + LATE_OUTCOME_S):
+            frame = await self._box.receive()
+        event = self._judge(frame, "")
+        if isinstance(event, claim.OutcomeLost):
+            return
+        now = trio.current_time()
+        await self.finish(self._machine.handle(event, now))
+
+
+def _is_json(reply: SubmitReply) -> bool:
+    try:
+        json.loads(reply.outcome)
+    except (TypeError, ValueError):
+        return False
+    return True
+
+
+def _found(item: Item) -> Found:
+    if item.version == 0:
+        return Found(None, 0)
+    return Found(Claim.from_json(item.value), item.version)
+
+
+def _result(answer: claim.Answer) -> Result:
+    if answer.error is not None:
+        answer.error.run = answer.run
+        raise answer.error
+    return Result(json.loads(answer.outcome or "null"), answer.first)
--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -43,6 +43,7 @@
     sequence: int = NOTHING_KNOWN
     entries_sequence: int | None = None
     is_reached: bool = False
+    is_stale: bool = False
     is_leaving: bool = False
     last_reply: float = -math.inf
     config_revision: int = 0
@@ -181,6 +182,17 @@
         self._refresh.set()
         self._refresh = trio.Event()
 
+    def recheck(self, address: str) -> None:
+        """Asks for a whole view of an aggregator that gave up a leaf.
+
+        It may have the leaf again when it is asked, so that its view would
+        count as unchanged.
+        """
+        source = self._sources.get(address)
+        if source is not None:
+            source.is_stale = True
+            self.refresh()
+
     async def wait_reply(self) -> None:
         """Returns after the next reply of any aggregator."""
         await self._replied.wait()
@@ -236,8 +248,10 @@
         return all(address not in s.peers for s in self._sources.values())
 
     def _view(self, source: Source) -> Any:
+        known = NOTHING_KNOWN if source.is_stale else source.sequence
+        source.is_stale = False
         view = View(
-            known=source.sequence,
+            known=known,
             config_revision=self._revision(),
             entry=self._record(),
             known_entries=source.entries_sequence,
--- a/libs/entry/src/sapphire_entry/web.py
+++ b/libs/entry/src/sapphire_entry/web.py
@@ -34,10 +34,17 @@
 from sapphire_entry import metrics
 from sapphire_entry.entry import Entry
 from sapphire_entry.gather import REASON_DEADLINE, Gather
-from sapphire_entry.requests import SearchRequest, parse_body, read_body
+from sapphire_entry.requests import (
+    SearchRequest,
+    SubmitRequest,
+    canonical,
+    parse_body,
+    read_body,
+)
 from sapphire_entry.search import Query
 from sapphire_entry.standing import Phase
 from sapphire_entry.status import status
+from sapphire_entry.submit import Task
 
 # Part of the deadline that is kept for merging and sending the answer.
 MARGIN_SHARE = 0.05
@@ -45,6 +52,7 @@
 MAX_MARGIN_MS = 20.0
 
 NO_LABEL = "none"
+SUBMIT_CLASS = "submit"
 _CALLER_FAULTS = (
     BadRequestError,
     UnknownServiceError,
@@ -92,6 +100,10 @@
         """Answers POST /v1/search."""
         return await self._run(request, self._search)
 
+    async def submit(self, request: Request) -> Response:
+        """Answers POST /v1/submit."""
+        return await self._run(request, self._submit)
+
     async def addresses(self, request: Request) -> Response:
         """Answers GET /v1/addresses."""
         entry = self._entry
@@ -182,6 +194,45 @@
         request_id = asked.request_id or uuid.uuid4().hex
         return _answer(gather, request_id, elapsed_ms)
 
+    async def _submit(
+        self, request: Request, account: Account
+    ) -> dict[str, Any]:
+        in_force = self._admit()
+        limits = in_force.document.limits
+        data = await read_body(request, limits)
+        asked = parse_body(SubmitRequest, data)
+        service = in_force.service(asked.service)
+        if service is None:
+            raise UnknownServiceError(f"no service {asked.service!r}.")
+        account.service, account.request_class = asked.service, SUBMIT_CLASS
+        if not service.accepts_submissions:
+            raise BadRequestError(f"{asked.service!r} takes no submissions.")
+        task = Task(
+            service=asked.service,
+            key=asked.key,
+            body=canonical(asked.body),
+            leaves=in_force.leaves_in(asked.service),
+            answer_at=_answer_at(account.started, asked.deadline_ms),
+        )
+        limit = ClassLimit(
+            asked.service,
+            SUBMIT_CLASS,
+            0,
+            limits.max_concurrent,
+            asked.deadline_ms,
+        )
+        admission = self._entry.admission
+        admission.enter(limit, trio.current_time())
+        try:
+            result = await self._entry.submitter.run(task)
+        finally:
+            admission.leave(limit)
+        return {
+            "run": RunState.RUN.value,
+            "outcome": result.outcome,
+            "first": result.first,
+        }
+
     def _admit(self) -> Any:
         refusal = self._entry.standing.refusal()
         if refusal is not None:
@@ -217,6 +268,7 @@
     return Starlette(
         routes=[
             Route("/v1/search", api.search, methods=["POST"]),
+            Route("/v1/submit", api.submit, methods=["POST"]),
             Route("/v1/addresses", api.addresses, methods=["GET"]),
             Route("/v1/status", api.status, methods=["GET"]),
             Route("/metrics", api.metrics, methods=["GET"]),
