Test the window, quarantine, queue, leaf link, parts and cell

Cause: the parts of the aggregator had no tests.

Ruled out: an index reply as a sign of warmth, and any whole reply as a good one: a stand-in leaf that is cold answers ten times slower, and a window that counted such replies would have sent it full load after the first one.

Change: a cold leaf turns warm on replies within twice the warm time; the delay of the own event loop does not count against leaves; a merged quarantine record never shortens an entry (found by hypothesis). Tests with hypothesis and MockClock.

--- a/libs/aggregator/src/sapphire_aggregator/daemon.py
+++ b/libs/aggregator/src/sapphire_aggregator/daemon.py
@@ -21,6 +21,7 @@
 from sapphire_aggregator.admin import Admin
 from sapphire_aggregator.cell import Cell
 from sapphire_aggregator.config import ConfigStore
+from sapphire_aggregator.lag import LoopLag
 from sapphire_aggregator.leaves import LeafSet
 from sapphire_aggregator.link import Context, open_client
 from sapphire_aggregator.scatter import ScatterHandler
@@ -103,6 +104,7 @@
         self._nursery.start_soon(self.config.run_watch, self._platform)
         self._nursery.start_soon(self.config.run_peers, self._ask)
         self._nursery.start_soon(self.leaves.run)
+        self._nursery.start_soon(self.lag.run)
         log.change("started", member=self._settings.frames)
 
     async def stop(self) -> None:
@@ -129,11 +131,13 @@
             self.config.hint,
             lambda: self.leaves.is_idle,
         )
+        self.lag = LoopLag()
         context = Context(
             rights=self.cell,
             quarantine=self.quarantine,
             nursery=self._nursery,
             on_crash=self.cell.wake,
+            lag=self.lag,
             batch_prefix=secrets.token_hex(_BATCH_PREFIX_BYTES),
         )
         self.leaves = LeafSet(context, settings.region, open_client)
--- a/libs/aggregator/src/sapphire_aggregator/leaves.py
+++ b/libs/aggregator/src/sapphire_aggregator/leaves.py
@@ -10,6 +10,7 @@
 from sapphire_core.window import Estimate, Shape, State
 
 from sapphire_aggregator import log, metrics
+from sapphire_aggregator.backoff import run_forever
 from sapphire_aggregator.link import Client, Context, LeafLink
 
 POLL_INTERVAL_S = 1.0
@@ -105,12 +106,13 @@
 
     async def run(self) -> None:
         """Refreshes rights and polls indexes until cancelled."""
-        while True:
-            self.refresh_rights()
-            self._start_polls()
-            await self._close_unused()
-            self._count_states()
-            await trio.sleep(TICK_S)
+        await run_forever("leaves", self._tick, TICK_S)
+
+    async def _tick(self) -> None:
+        self.refresh_rights()
+        self._start_polls()
+        await self._close_unused()
+        self._count_states()
 
     def _build_service(
         self, document: Document, service: Service
--- a/libs/aggregator/src/sapphire_aggregator/link.py
+++ b/libs/aggregator/src/sapphire_aggregator/link.py
@@ -35,6 +35,7 @@
     Outcome,
     admit,
 )
+from sapphire_aggregator.lag import LoopLag
 from sapphire_aggregator.verdict import (
     RightLostError,
     evidence_of,
@@ -77,6 +78,7 @@
     nursery: trio.Nursery
     on_crash: Callable[[], None]
     flights: Flights = field(default_factory=Flights)
+    lag: LoopLag = field(default_factory=LoopLag)
     batch_ids: Any = field(default_factory=itertools.count)
     batch_prefix: str = ""
 
@@ -243,6 +245,7 @@
     def pump(self) -> None:
         """Starts a request if a slot is free and something waits."""
         now = trio.current_time()
+        self._window.slack_s = self._context.lag.recent_s
         free = self._window.free_slots(now) - self._starting - self._granted
         while free > 0 and self._submitters:
             self._submitters.popleft().set()
@@ -437,6 +440,7 @@
         finally:
             # Callers that are still waiting learn of an unexpected error.
             _finish_all(batch, Outcome(ShardStatus.FAILED))
+            self._window.slack_s = self._context.lag.recent_s
             self._window.finish(token, trio.current_time(), evidence)
             if batch.alone:
                 self._context.flights.leave(fingerprint)
--- /dev/null
+++ b/libs/aggregator/tests/fakes.py
@@ -0,0 +1,90 @@
+"""Fakes that the aggregator's tests share."""
+
+import trio
+from sapphire_aggregator.link import Context, LeafLink
+from sapphire_core.errors import SapphireError
+from sapphire_core.quarantine import Quarantine
+from sapphire_core.window import Shape
+from sapphire_wire.gen.ttypes import Match
+from sapphire_wire.leaf import IndexVersion, LeafIndex, SearchReply
+
+
+class Rights:
+    """A send right whose end a test sets."""
+
+    until = 1e9
+
+    def right_until(self, leaf, now):
+        return self.until if now < self.until else None
+
+
+class FakeClient:
+    """A leaf that records its batches and answers as a test says."""
+
+    def __init__(self, seconds=0.01) -> None:
+        self.seconds = seconds
+        self.batches = []
+        self.deadlines = []
+        self.cancelled = []
+        self.submissions = []
+        self.errors = {}
+        self.running = 0
+        self.most_running = 0
+        self.draining = False
+
+    async def search(self, batch_id, version, shard, queries, *, remaining):
+        self.deadlines.append(trio.current_time() + remaining())
+        texts = [query.text for query in queries]
+        self.batches.append(texts)
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            await trio.sleep(self.seconds)
+        finally:
+            self.running -= 1
+        for text in texts:
+            if text in self.errors:
+                raise self.errors[text]
+        matches = [
+            [Match(document=f"{shard}-{text}", score=1.0 + shard, title="")]
+            for text in texts
+        ]
+        return SearchReply(10, matches)
+
+    async def submit(self, key, body, *, remaining):
+        remaining()
+        self.submissions.append(key)
+        await trio.sleep(self.seconds)
+        if key in self.errors:
+            raise self.errors[key]
+        return {"key": key}
+
+    async def index(self, timeout_s):
+        if "index" in self.errors:
+            raise self.errors["index"]
+        return LeafIndex((IndexVersion("v1", 0, 1, 10),), self.draining)
+
+    async def cancel(self, batch_id, timeout_s):
+        self.cancelled.append(batch_id)
+
+    async def aclose(self):
+        pass
+
+
+def make_context(nursery, rights=None):
+    return Context(
+        rights=rights or Rights(),
+        quarantine=Quarantine(600.0),
+        nursery=nursery,
+        on_crash=lambda: None,
+    )
+
+
+def make_link(context, client, shape=None, address="10.0.0.1:1"):
+    link = LeafLink(context, "s", address, "a", shape or Shape(), client)
+    link.refresh_right(trio.current_time())
+    return link
+
+
+def error_of(kind: type[SapphireError]) -> SapphireError:
+    return kind("for a test")
--- /dev/null
+++ b/libs/aggregator/tests/test_cell.py
@@ -0,0 +1,257 @@
+"""Tests of membership, with several cells in one trio loop."""
+
+import collections
+
+import trio
+from sapphire_aggregator.cell import Cell
+from sapphire_config.document import Document
+from sapphire_config.settings import AggregatorSettings
+from sapphire_core.errors import ChannelError, WriteConflictError
+from sapphire_core.quarantine import Quarantine, Verdict
+from sapphire_wire.gen.ttypes import Frame
+from sapphire_wire.platform import Item, VmLists
+from trio.testing import MockClock
+
+LEAVES = [f"10.1.0.{n}:1" for n in range(30)]
+DELAY_S = 0.001
+
+
+class _Platform:
+    """A key-value service in memory."""
+
+    def __init__(self) -> None:
+        self.items = collections.defaultdict(lambda: Item("", 0))
+        self.vm_lists = VmLists(frozenset(), frozenset())
+
+    async def get(self, key):
+        await trio.sleep(DELAY_S)
+        return self.items[key]
+
+    async def put(self, key, value, expect):
+        await trio.sleep(DELAY_S)
+        version = self.items[key].version
+        if version != expect:
+            raise WriteConflictError(key, expect, version)
+        self.items[key] = Item(value, version + 1)
+        return version + 1
+
+    async def vms(self):
+        return self.vm_lists
+
+
+class _Network:
+    """Members in one loop; those that are cut off answer nobody."""
+
+    def __init__(self) -> None:
+        self.cells = {}
+        self.lost = set()
+        self.scopes = {}
+        self.platform = _Platform()
+
+    def open_peer(self, source):
+        def open_to(address):
+            return _Peer(self, source, address)
+
+        return open_to
+
+    async def start(self, nursery, number):
+        settings = AggregatorSettings(
+            vm=f"10.0.0.{number}",
+            failure_domain="ab"[number % 2],
+            region="r",
+            platform="10.9.0.1:1",
+            vm_list="10.9.0.1:2",
+            seeds=["10.0.0.0:1"],
+            frames=f"10.0.0.{number}:1",
+            admin=f"10.0.0.{number}:2",
+            cell="c",
+        )
+        cell = Cell(
+            settings,
+            self.platform,
+            Quarantine(600.0),
+            self.open_peer(settings.frames),
+            lambda revision, address: None,
+            lambda: True,
+        )
+        self.cells[cell.member] = cell
+        self.lost.discard(cell.member)
+
+        async def run():
+            with trio.CancelScope() as scope:
+                self.scopes[cell.member] = scope
+                async with trio.open_nursery() as own:
+                    await cell.run(own)
+
+        nursery.start_soon(run)
+        return cell
+
+    def lose(self, cell):
+        self.lost.add(cell.member)
+        self.scopes[cell.member].cancel()
+
+    def holders(self, leaf):
+        """Returns the members that would send to the leaf now."""
+        now = trio.current_time()
+        return [
+            member
+            for member, cell in self.cells.items()
+            if member not in self.lost and cell.right_until(leaf, now)
+        ]
+
+    async def watch(self, seconds):
+        """Lets time pass and asserts that no leaf has two holders."""
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            await trio.sleep(0.05)
+            for leaf in LEAVES:
+                assert len(self.holders(leaf)) <= 1, leaf
+
+    def all_held(self):
+        return all(len(self.holders(leaf)) == 1 for leaf in LEAVES)
+
+
+class _Peer:
+    def __init__(self, network, source, address) -> None:
+        self._network = network
+        self._source = source
+        self._address = address
+
+    async def request(self, frame):
+        await trio.sleep(DELAY_S)
+        cell = self._network.cells.get(self._address)
+        lost = self._network.lost
+        if cell is None or lost & {self._address, self._source}:
+            raise ChannelError("no connection.", sent=False)
+        pong = cell.answer(frame.ping)
+        await trio.sleep(DELAY_S)
+        return Frame(pong=pong)
+
+
+def _document(**changes: object):
+    leaf = {"address": "10.1.0.1:1", "failure_domain": "a"}
+    service = {
+        "name": "s",
+        "leaves": [leaf],
+        "classes": [{"name": "c", "priority": 0}],
+    }
+    return Document.model_validate(
+        {
+            "name": "d",
+            "regions": [{"name": "r", "failure_domains": ["a", "b"]}],
+            "services": [service],
+            **changes,
+        }
+    )
+
+
+def _run(check, members=3):
+    async def main():
+        network = _Network()
+        async with trio.open_nursery() as nursery:
+            cells = [await network.start(nursery, n) for n in range(members)]
+            await network.watch(30)
+            assert all(len(c.roster.members) == members for c in cells)
+            assert network.all_held()
+            await check(network, cells, nursery)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_lost_member_is_succeeded_and_returns():
+    """Guards against two holders, and against leaves without a holder."""
+
+    async def check(network, cells, nursery):
+        network.lose(cells[0])
+        await network.watch(5)
+        assert network.all_held()
+        await network.start(nursery, 0)
+        await network.watch(10)
+        assert network.all_held()
+        assert all(c.roster.revision == 3 for c in cells[1:])
+
+    _run(check)
+
+
+def test_member_lost_for_long_is_removed():
+    """Guards against a roster whose majority no longer exists."""
+
+    async def check(network, cells, nursery):
+        network.lose(cells[2])
+        await network.watch(45)
+        assert cells[0].roster.members == ("10.0.0.0:1", "10.0.0.1:1")
+        assert network.all_held()
+
+    _run(check)
+
+
+def test_planned_stop_hands_over_without_a_grant_lifetime():
+    """Guards against a gap of seconds at each planned stop."""
+
+    async def check(network, cells, nursery):
+        await cells[1].stop()
+        await network.watch(0.7)
+        assert network.all_held()
+        assert not any(cells[1].member in network.holders(x) for x in LEAVES)
+
+    _run(check)
+
+
+def test_out_failure_domain_releases_and_returns():
+    """Guards against send rights in a domain that operators took out."""
+
+    async def check(network, cells, nursery):
+        for cell in cells:
+            out = _document(out_failure_domains=["b"])
+            cell.adopt_document(2, out)
+        assert cells[1].right_until(LEAVES[0], trio.current_time()) is None
+        await network.watch(3)
+        assert network.all_held()
+        assert not any(cells[1].member in network.holders(x) for x in LEAVES)
+        for cell in cells:
+            cell.adopt_document(3, _document())
+        await network.watch(6)
+        assert network.all_held()
+        assert any(cells[1].member in network.holders(x) for x in LEAVES)
+
+    _run(check)
+
+
+def test_replaced_fleet_recovers():
+    """Guards against a cell that never recovers when all VMs are replaced."""
+
+    async def check(network, cells, nursery):
+        every = frozenset(f"10.0.0.{n}" for n in range(3))
+        network.platform.vm_lists = VmLists(every, frozenset())
+        await network.watch(3)
+        for cell in cells:
+            network.lose(cell)
+        # The list lags: the new members still see their predecessors in it.
+        await network.start(nursery, 7)
+        await network.start(nursery, 8)
+        await network.watch(2)
+        network.platform.vm_lists = VmLists(
+            frozenset({"10.0.0.7", "10.0.0.8"}), frozenset()
+        )
+        await network.watch(30)
+        assert network.all_held()
+
+    _run(check)
+
+
+def test_crash_records_spread_at_once():
+    """Guards against further leaves lost before the next regular ping."""
+
+    async def check(network, cells, nursery):
+        now = trio.current_time()
+        cells[0]._quarantine.crashed("f", now, alone=True)
+        cells[0]._quarantine.crashed("f", now, alone=True)
+        cells[0].wake()
+        await trio.sleep(0.1)
+        now = trio.current_time()
+        for cell in cells:
+            verdict = cell._quarantine.verdict("f", now)
+            assert verdict is Verdict.QUARANTINED
+
+    _run(check)
--- /dev/null
+++ b/libs/aggregator/tests/test_link.py
@@ -0,0 +1,299 @@
+"""Tests of one leaf's queue, limits and calls."""
+
+import pytest
+import trio
+from sapphire_aggregator.backlog import Call, Query
+from sapphire_aggregator.verdict import RightLostError
+from sapphire_core.errors import (
+    LeafCrashedError,
+    LeafDrainingError,
+    LeafReplyError,
+    LeafUnreachableError,
+)
+from sapphire_core.window import Evidence, Shape, State
+from sapphire_wire.gen.ttypes import ShardStatus
+from trio.testing import MockClock
+
+from .fakes import FakeClient, Rights, error_of, make_context, make_link
+
+
+def _run(main):
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def _add(link, ended, text, *, seconds=10.0, canary=False, priority=0):
+    now = trio.current_time()
+    query = Query("v1", text, 3, text, priority, now + seconds, canary)
+    call = Call(query, 0, "leaf", now, lambda c, o: ended.append((text, o)))
+    link.add(call)
+    return call
+
+
+def _statuses(ended):
+    return [(text, outcome.status) for text, outcome in ended]
+
+
+async def _warm_up(link):
+    for number in range(4):
+        _add(link, [], f"warm up {number}")
+        await trio.sleep(1)
+    assert link.window.state is State.WARM
+
+
+def test_waiting_queries_share_a_call():
+    """Guards against one HTTP call per query under load."""
+
+    async def main():
+        client, ended = FakeClient(), []
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery), client)
+            await _warm_up(link)
+            client.batches.clear()
+            for number in range(40):
+                _add(link, ended, f"q{number % 20}")
+            await trio.sleep(1)
+        assert len(ended) == 40
+        assert len(client.batches) <= 2
+        assert sum(map(len, client.batches)) == 20
+        assert client.most_running <= 2
+
+    _run(main)
+
+
+def test_cold_leaf_gets_small_batches_one_at_a_time():
+    """Guards against more work on a cold leaf than it can bear."""
+
+    async def main():
+        client, ended = FakeClient(seconds=0.1), []
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery), client)
+            for number in range(30):
+                _add(link, ended, f"q{number}")
+            await trio.sleep(9)
+        assert len(ended) == 30
+        assert client.most_running == 1
+        assert max(map(len, client.batches)) == Shape().cold_batch
+
+    _run(main)
+
+
+def test_deadline_at_the_leaf_ends_with_the_send_right():
+    """Guards against work of a former holder beside its successor's."""
+
+    async def main():
+        client, rights, ended = FakeClient(), Rights(), []
+        rights.until = trio.current_time() + 0.5
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery, rights), client)
+            _add(link, ended, "q")
+            await trio.sleep(0.1)
+            assert client.deadlines[0] <= rights.until
+            rights.until = trio.current_time()
+            _add(link, ended, "r")
+            await trio.sleep(0.1)
+        assert client.batches == [["q"]]
+        assert _statuses(ended) == [
+            ("q", ShardStatus.OK),
+            ("r", ShardStatus.NOT_HOLDER),
+        ]
+
+    _run(main)
+
+
+def test_crash_makes_suspects_that_run_alone_and_once_more():
+    """Guards against a third leaf lost to one request."""
+
+    async def main():
+        client, ended = FakeClient(), []
+        client.errors["bad"] = error_of(LeafCrashedError)
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery), client)
+            await _warm_up(link)
+            client.batches.clear()
+            for text in ("good", "bad"):
+                _add(link, ended, text)
+            await trio.sleep(1)
+            for text in ("good", "bad", "bad", "other"):
+                _add(link, ended, text)
+            await trio.sleep(1)
+            _add(link, ended, "bad")
+            await trio.sleep(1)
+        assert client.batches[0] == ["good", "bad"]
+        assert [b for b in client.batches[1:] if "bad" in b] == [["bad"]]
+        assert ["good"] in client.batches[1:]
+        assert _statuses(ended)[-1] == ("bad", ShardStatus.QUARANTINED)
+
+    _run(main)
+
+
+def test_canary_runs_alone_and_one_at_a_time():
+    """Guards against two leaves that run an unknown request at once."""
+
+    async def main():
+        clients, ended = [FakeClient(0.1), FakeClient(0.1)], []
+        async with trio.open_nursery() as nursery:
+            context = make_context(nursery)
+            for client in clients:
+                link = make_link(context, client)
+                _add(link, ended, "new", canary=True)
+                _add(link, ended, "other")
+            await trio.sleep(0.05)
+            started = [b for c in clients for b in c.batches if b == ["new"]]
+            assert len(started) == 1
+            await trio.sleep(1)
+        assert len(ended) == 4
+        assert all(
+            b in (["new"], ["other"]) for c in clients for b in c.batches
+        )
+
+    _run(main)
+
+
+def test_batch_without_callers_is_cancelled_at_the_leaf():
+    """Guards against a leaf that works for callers that have gone."""
+
+    async def main():
+        client, ended = FakeClient(seconds=5.0), []
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery), client)
+            calls = [_add(link, ended, "a"), _add(link, ended, "b")]
+            await trio.sleep(0.01)
+            calls[0].abandon()
+            await trio.sleep(0.01)
+            assert not client.cancelled
+            calls[1].abandon()
+            await trio.sleep(0.01)
+            assert len(client.cancelled) == 1
+            assert link.window.running == 0
+
+    _run(main)
+
+
+def test_full_queue_sheds():
+    """Guards against a queue whose queries all miss their deadline."""
+
+    async def main():
+        client, ended = FakeClient(seconds=1.0), []
+        shape = Shape(slots=1, multi_search=False)
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery), client, shape)
+            for number in range(30):
+                _add(link, ended, f"q{number}")
+            shed = [o for _, o in ended if o.status is ShardStatus.SHED]
+            assert len(shed) == 14
+            nursery.cancel_scope.cancel()
+
+    _run(main)
+
+
+@pytest.mark.parametrize(
+    ("error", "status", "state"),
+    [
+        (LeafDrainingError, ShardStatus.DRAINING, State.DRAINING),
+        (LeafUnreachableError, ShardStatus.FAILED, State.DOWN),
+        (LeafReplyError, ShardStatus.FAILED, State.WARM),
+        (RuntimeError, ShardStatus.FAILED, State.WARM),
+    ],
+)
+def test_failed_call_ends_its_queries(error, status, state):
+    """Guards against queries that hang when their leaf fails."""
+
+    async def main():
+        client, ended = FakeClient(), []
+        client.errors["q"] = error("for a test")
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery), client)
+            await _warm_up(link)
+            _add(link, ended, "q")
+            await trio.sleep(0.05)
+        assert _statuses(ended) == [("q", status)]
+        assert link.window.state is state
+
+    _run(main)
+
+
+def test_leaf_taken_out_gets_nothing_and_returns_cold():
+    """Guards against new work for a failure domain that is out."""
+
+    async def main():
+        client, ended = FakeClient(), []
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery), client)
+            await _warm_up(link)
+            client.batches.clear()
+            link.set_out(True)
+            _add(link, ended, "q")
+            await trio.sleep(0.1)
+            assert not client.batches
+            assert _statuses(ended) == [("q", ShardStatus.DRAINING)]
+            link.set_out(False)
+        assert link.window.state is State.COLD
+
+    _run(main)
+
+
+def test_index_reply_is_no_evidence_of_warmth():
+    """Guards against full load on a leaf whose health endpoints mislead."""
+
+    async def main():
+        client = FakeClient()
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery), client)
+            for _ in range(5):
+                await link.poll()
+            assert link.window.state is State.COLD
+            client.errors["index"] = error_of(LeafUnreachableError)
+            await link.poll()
+            assert link.window.state is State.DOWN
+            client.errors.clear()
+            await link.poll()
+            assert link.window.state is State.COLD
+
+    _run(main)
+
+
+def test_submission_goes_ahead_of_waiting_queries():
+    """Guards against submissions that starve behind searches."""
+
+    async def main():
+        client, ended, sent = FakeClient(seconds=0.1), [], []
+        shape = Shape(slots=1, multi_search=False)
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery), client, shape)
+            for number in range(5):
+                _add(link, ended, f"q{number}")
+            await trio.sleep(0.01)
+            deadline = trio.current_time() + 1
+            answer = await link.submit(
+                "key", "{}", deadline, lambda: sent.append(True)
+            )
+            assert answer == {"key": "key"}
+            assert len(client.batches) == 1
+            assert client.most_running == 1
+            assert sent == [True]
+
+    _run(main)
+
+
+def test_submission_without_slot_or_right_is_not_sent():
+    """Guards against a refusal "not run" of a submission that ran."""
+
+    async def main():
+        client, rights, sent = FakeClient(), Rights(), []
+        async with trio.open_nursery() as nursery:
+            link = make_link(make_context(nursery, rights), client)
+            link.window.observe(Evidence.UNREACHABLE, trio.current_time())
+            with pytest.raises(LeafUnreachableError):
+                await link.submit(
+                    "k", "{}", trio.current_time() + 1, lambda: sent.append(1)
+                )
+            link.window.reset()
+            rights.until = trio.current_time()
+            with pytest.raises(RightLostError):
+                await link.submit(
+                    "k", "{}", trio.current_time() + 1, lambda: sent.append(1)
+                )
+        assert not sent
+        assert not client.submissions
+
+    _run(main)
--- a/libs/core/src/sapphire_core/quarantine.py
+++ b/libs/core/src/sapphire_core/quarantine.py
@@ -122,6 +122,7 @@
                 entry.cleared or expires <= entry.expires + MERGE_SLACK_S
             ):
                 return
+            expires = max(expires, entry.expires)
         self._store(record.fingerprint, _Entry(record.crashes, expires), now)
 
     def _store(self, fingerprint: str, entry: _Entry, now: float) -> None:
--- a/libs/core/src/sapphire_core/window.py
+++ b/libs/core/src/sapphire_core/window.py
@@ -12,12 +12,20 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+# A reply that takes longer than this many times the expected time makes a
+# warm leaf cold.
 SLOW_FACTOR = 5.0
-# Scheduling delays of this process reach tens of milliseconds under load;
-# without a floor they would turn every fast leaf cold at once.
-MIN_OVERDUE_S = 0.05
-# Used until the first reply of the leaf or of its service is known.
-DEFAULT_EXPECTED_S = 0.05
+# A cold leaf counts as warm only when its replies are about as fast as those
+# of a warm one; a cold leaf may well answer within SLOW_FACTOR.
+GOOD_FACTOR = 2.0
+# A leaf that stays slow over this many replies is not warming up, it has
+# become slower for good, and its own time is taken as the expected one.
+PATIENCE_REPLIES = 40
+# Below these times the scheduling of this process decides, not the leaf.
+MIN_OVERDUE_S = 0.01
+MIN_GOOD_S = 0.002
+# Used until a leaf of the service is known to be warm.
+DEFAULT_EXPECTED_S = 0.01
 SHED_PAUSE_S = 0.05
 MAX_SHED_PAUSE_S = 1.0
 DOWN_PAUSE_S = 0.25
@@ -29,9 +37,6 @@
 # many overdue requests.
 MAX_LATE_IN_A_ROW = 3
 _LEARN_RATE = 0.2
-# A leaf that has become slower for good must be able to leave the cold state,
-# so slow replies move the estimate as well, but less.
-_SLOW_LEARN_RATE = 0.05
 
 
 class State(enum.IntEnum):
@@ -95,14 +100,18 @@
             return self._by_bucket[min(self._by_bucket)]
         return None
 
-    def learn(self, queries: int, elapsed_s: float, rate: float) -> None:
+    def forget(self) -> None:
+        """Discards what was learned."""
+        self._by_bucket.clear()
+
+    def learn(self, queries: int, elapsed_s: float) -> None:
         """Moves the estimate for batches of this size."""
         bucket = queries.bit_length()
         known = self._by_bucket.get(bucket)
         if known is None:
             self._by_bucket[bucket] = elapsed_s
         else:
-            self._by_bucket[bucket] = known + rate * (elapsed_s - known)
+            self._by_bucket[bucket] = known + _LEARN_RATE * (elapsed_s - known)
 
 
 @dataclass(slots=True)
@@ -115,6 +124,11 @@
     """The state and limits of one leaf.
 
     All times are seconds of one monotonic clock.
+
+    Attributes:
+        slack_s: Seconds by which this process itself may have delayed the
+            measured times. They never make a leaf cold, but they do not
+            make a slow reply of a cold leaf a good one either.
     """
 
     def __init__(self, shape: Shape, prior: Estimate | None = None) -> None:
@@ -122,11 +136,14 @@
 
         Args:
             shape: Limits of the leaf.
-            prior: Estimate over all leaves of the service; also learns.
+            prior: Estimate over the warm leaves of the service; also learns.
         """
         self._shape = shape
         self._prior = prior or Estimate()
-        self._estimate = Estimate()
+        self._warm_estimate = Estimate()
+        self._recent = Estimate()
+        self._slow_in_a_row = 0
+        self.slack_s = 0.0
         self._state = State.COLD
         self._limit = 1
         self._paused_until = -math.inf
@@ -168,12 +185,9 @@
         self._pause_s = 0.0
 
     def expected_s(self, queries: int) -> float:
-        """Returns the expected seconds for a batch of this size."""
-        own = self._estimate.expected_s(queries)
-        if own is not None:
-            return own
-        prior = self._prior.expected_s(queries)
-        return DEFAULT_EXPECTED_S if prior is None else prior
+        """Returns the expected seconds for a batch, the leaf being as it is."""
+        recent = self._recent.expected_s(queries)
+        return self._warm_s(queries) if recent is None else recent
 
     def free_slots(self, now: float) -> int:
         """Returns how many more requests may start now."""
@@ -221,20 +235,39 @@
         elapsed = now - run.started
         slow = elapsed > self._overdue_s(run.queries)
         if evidence is Evidence.GOOD:
-            rate = _SLOW_LEARN_RATE if slow else _LEARN_RATE
-            self._estimate.learn(run.queries, elapsed, rate)
+            self._recent.learn(run.queries, elapsed)
+            evidence = self._judge_time(run.queries, elapsed, slow)
+        elif evidence is Evidence.LATE:
+            self._recent.learn(run.queries, elapsed)
             if not slow:
-                self._prior.learn(run.queries, elapsed, rate)
-        if evidence is Evidence.LATE and not slow:
-            # The caller's deadline was short; the leaf is not to blame.
-            evidence = Evidence.NEUTRAL
-        if slow and evidence in (Evidence.GOOD, Evidence.NEUTRAL):
+                # The caller's deadline was short; the leaf is not to blame.
+                evidence = Evidence.NEUTRAL
+        elif evidence is Evidence.NEUTRAL and slow:
             evidence = Evidence.COLD
         self.observe(evidence, now)
 
+    def _judge_time(self, queries: int, elapsed: float, slow: bool) -> Evidence:
+        """Returns the evidence of a whole reply that took some time."""
+        is_warm = self._state in (State.WARM, State.WARMING)
+        if is_warm and not slow:
+            self._warm_estimate.learn(queries, elapsed)
+            self._prior.learn(queries, elapsed)
+            return Evidence.GOOD
+        good_s = max(MIN_GOOD_S, GOOD_FACTOR * self._warm_s(queries))
+        if elapsed <= good_s:
+            self._slow_in_a_row = 0
+            return Evidence.GOOD
+        self._slow_in_a_row += 1
+        if self._slow_in_a_row >= PATIENCE_REPLIES:
+            self._slow_in_a_row = 0
+            self._warm_estimate.forget()
+            self._warm_estimate.learn(queries, elapsed)
+            return Evidence.GOOD
+        return Evidence.COLD
+
     def observe(self, evidence: Evidence, now: float) -> None:
         """Applies evidence that does not end a counted request."""
-        if evidence in (Evidence.GOOD, Evidence.SHED, Evidence.COLD):
+        if evidence not in (Evidence.LATE, Evidence.NEUTRAL):
             self._late_in_a_row = 0
         _ACTIONS[evidence](self, now)
 
@@ -258,8 +291,17 @@
             return 0
         return self._limit
 
+    def _warm_s(self, queries: int) -> float:
+        """Returns the expected seconds for a batch on the warm leaf."""
+        own = self._warm_estimate.expected_s(queries)
+        if own is not None:
+            return own
+        prior = self._prior.expected_s(queries)
+        return DEFAULT_EXPECTED_S if prior is None else prior
+
     def _overdue_s(self, queries: int) -> float:
-        return max(MIN_OVERDUE_S, SLOW_FACTOR * self.expected_s(queries))
+        slow_s = SLOW_FACTOR * self._warm_s(queries)
+        return max(MIN_OVERDUE_S, slow_s) + self.slack_s
 
     def _check_overdue(self, now: float) -> None:
         if self._state in (State.WARM, State.WARMING) and (
--- /dev/null
+++ b/libs/core/tests/test_quarantine.py
@@ -0,0 +1,86 @@
+"""Tests of suspects and quarantine."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from sapphire_core.quarantine import (
+    Quarantine,
+    Record,
+    Verdict,
+    fingerprint,
+)
+
+LIFE_S = 600.0
+
+
+def test_second_crash_alone_quarantines_until_expiry():
+    """Guards against a third leaf lost to the same request."""
+    table = Quarantine(LIFE_S)
+    assert table.crashed("f", 0.0, alone=False) is Verdict.SUSPECT
+    assert table.crashed("f", 1.0, alone=True) is Verdict.QUARANTINED
+    assert table.verdict("f", LIFE_S) is Verdict.QUARANTINED
+    assert table.verdict("f", LIFE_S + 1.0) is Verdict.CLEAR
+
+
+def test_loss_of_many_leaves_quarantines_nothing():
+    """Guards against quarantine of harmless queries with a lost domain."""
+    table = Quarantine(LIFE_S)
+    for _ in range(50):
+        table.crashed("f", 0.0, alone=False)
+    assert table.verdict("f", 0.0) is Verdict.SUSPECT
+
+
+def test_cleared_suspect_stays_clear_when_a_copy_returns():
+    """Guards against a suspicion that members keep alive among them."""
+    ours, theirs = Quarantine(LIFE_S), Quarantine(LIFE_S)
+    ours.crashed("f", 0.0, alone=False)
+    theirs.merge(ours.records(0.0), 0.0)
+    ours.survived("f", 1.0)
+    ours.merge(theirs.records(2.0), 2.0)
+    assert ours.verdict("f", 2.0) is Verdict.CLEAR
+    theirs.crashed("f", 3.0, alone=True)
+    ours.merge(theirs.records(3.0), 3.0)
+    assert ours.verdict("f", 3.0) is Verdict.QUARANTINED
+
+
+@given(st.lists(st.floats(0.0, 1.0), min_size=1, max_size=300))
+def test_exchange_does_not_extend_an_entry(delays):
+    """Guards against entries that two members keep alive forever."""
+    pair = Quarantine(LIFE_S), Quarantine(LIFE_S)
+    pair[0].crashed("f", 0.0, alone=True)
+    pair[0].crashed("f", 0.0, alone=True)
+    now = 0.0
+    for turn, delay in enumerate(delays):
+        records = pair[turn % 2].records(now)
+        now += delay
+        pair[1 - turn % 2].merge(records, now)
+    for table in pair:
+        assert table.verdict("f", LIFE_S + 10.0) is Verdict.CLEAR
+
+
+@given(
+    st.lists(
+        st.builds(
+            Record,
+            st.sampled_from("ab"),
+            st.integers(-1, 5),
+            st.floats(-1e9, 1e9),
+        )
+    )
+)
+def test_merge_keeps_what_is_worse(records):
+    """Guards against a record of another member that lifts a quarantine."""
+    table = Quarantine(LIFE_S)
+    table.crashed("a", 0.0, alone=True)
+    table.crashed("a", 0.0, alone=True)
+    table.merge(records, 0.0)
+    assert table.verdict("a", LIFE_S - 1.0) is Verdict.QUARANTINED
+    assert all(r.expires_in_s <= LIFE_S for r in table.records(0.0))
+
+
+def test_fingerprint_ignores_case_and_spaces_only():
+    """Guards against a quarantine that a changed space circumvents."""
+    assert fingerprint("s", " Skin  Irritant", 3) == fingerprint(
+        "s", "skin irritant", 3
+    )
+    others = {fingerprint(*args) for args in (("s", "a", 1), ("t", "a", 1))}
+    assert len(others | {fingerprint("s", "a", 2)}) == 3
--- /dev/null
+++ b/libs/core/tests/test_window.py
@@ -0,0 +1,161 @@
+"""Tests of the limits of one leaf."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from sapphire_core.window import (
+    GOOD_FACTOR,
+    PATIENCE_REPLIES,
+    SLOW_FACTOR,
+    Estimate,
+    Evidence,
+    Shape,
+    State,
+    Window,
+)
+
+WARM_S = 0.01
+
+
+def _warm_window(shape=None):
+    prior = Estimate()
+    prior.learn(1, WARM_S)
+    window = Window(shape or Shape(), prior)
+    now = 0.0
+    while window.state is not State.WARM:
+        now = _run(window, now, WARM_S)
+    return window, now
+
+
+def _run(window, now, seconds, evidence=Evidence.GOOD):
+    token = window.start(now, 1)
+    window.finish(token, now + seconds, evidence)
+    return now + seconds
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["start", "finish"]),
+        st.sampled_from(list(Evidence)),
+        st.floats(0.0, 0.2),
+        st.integers(0, 64),
+    ),
+    max_size=60,
+)
+shapes = st.builds(
+    Shape,
+    slots=st.integers(1, 6),
+    cold_concurrency=st.integers(1, 3),
+    cold_batch=st.integers(1, 8),
+)
+
+
+@given(shapes, steps)
+def test_no_start_beyond_the_limit_of_the_state(shape, events):
+    """Guards against more requests on a cold leaf than it can bear."""
+    window = Window(shape)
+    now, running = 0.0, []
+    for what, evidence, passed, queries in events:
+        now += passed
+        if what == "finish" and running:
+            window.finish(running.pop(0), now, evidence)
+        free = window.free_slots(now)
+        if free:
+            assert now >= window.paused_until
+            assert window.state is not State.DOWN
+            if window.state is State.COLD:
+                assert window.running < shape.cold_concurrency
+                assert window.max_queries() <= shape.cold_batch
+            running.append(window.start(now, queries))
+        assert window.running <= shape.slots
+        assert window.running == len(running)
+
+
+def test_limit_grows_by_one_per_good_reply():
+    """Guards against full load on a leaf of a new holder."""
+    prior = Estimate()
+    prior.learn(1, WARM_S)
+    window = Window(Shape(slots=4), prior)
+    limits = [window.free_slots(0.0)]
+    now = 0.0
+    for _ in range(3):
+        now = _run(window, now, WARM_S)
+        limits.append(window.free_slots(now))
+    assert limits == [1, 2, 3, 4]
+    assert window.state is State.WARM
+
+
+def test_slow_replies_of_a_cold_leaf_do_not_make_it_warm():
+    """Guards against full load on a leaf that answers but is cold."""
+    window, now = _warm_window()
+    window.observe(Evidence.LOST, now)
+    for _ in range(PATIENCE_REPLIES - 1):
+        now = _run(window, now, WARM_S * GOOD_FACTOR * 1.5)
+        assert window.state is State.COLD
+
+
+def test_leaf_that_became_slower_for_good_leaves_the_cold_state():
+    """Guards against a leaf that stays at one request forever."""
+    window, now = _warm_window()
+    for _ in range(PATIENCE_REPLIES + 2):
+        now = _run(window, now, WARM_S * SLOW_FACTOR * 2)
+    assert window.state is State.WARM
+
+
+def test_overdue_request_makes_a_warm_leaf_cold():
+    """Guards against a second request before the first slow reply."""
+    window, now = _warm_window()
+    window.start(now, 1)
+    assert window.free_slots(now + WARM_S) == 1
+    assert window.free_slots(now + WARM_S * SLOW_FACTOR * 1.1) == 0
+    assert window.state is State.COLD
+
+
+def test_delay_of_this_process_does_not_make_a_leaf_cold():
+    """Guards against all leaves turning cold when the event loop lags."""
+    window, now = _warm_window()
+    window.slack_s = WARM_S
+    _run(window, now, WARM_S * (SLOW_FACTOR + 0.5))
+    assert window.state is State.WARM
+
+
+def test_unreachable_leaf_is_probed_with_growing_pauses():
+    """Guards against a connection attempt per request to a lost leaf."""
+    window, now = _warm_window()
+    pauses = []
+    for _ in range(4):
+        window.observe(Evidence.UNREACHABLE, now)
+        window.observe(Evidence.UNREACHABLE, now)
+        pauses.append(window.paused_until - now)
+        now = window.paused_until
+    assert pauses == sorted(set(pauses))
+    assert window.free_slots(now) == 0
+    window.reachable(now)
+    assert (window.state, window.free_slots(now)) == (State.COLD, 1)
+
+
+def test_silent_leaf_counts_as_down():
+    """Guards against endless requests to a leaf that never answers."""
+    window, now = _warm_window()
+    for _ in range(3):
+        now = _run(window, now, 1.0, Evidence.LATE)
+    assert window.state is State.DOWN
+
+
+def test_draining_leaf_gets_nothing_in_spite_of_a_good_reply():
+    """Guards against new work for a leaf that is leaving."""
+    window, now = _warm_window()
+    first = window.start(now, 1)
+    window.observe(Evidence.DRAINING, now)
+    window.finish(first, now + WARM_S, Evidence.GOOD)
+    window.reachable(now + 1)
+    assert window.state is State.DRAINING
+    assert window.free_slots(now + 5) == 0
+
+
+def test_submission_time_is_not_compared_with_searches():
+    """Guards against a cold state caused by a slow submission."""
+    window, now = _warm_window()
+    token = window.start(now, 0)
+    assert window.free_slots(now + 1) == 1
+    window.finish(token, now + 1, Evidence.GOOD)
+    assert window.state is State.WARM
