--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -43,6 +43,7 @@
     sequence: int = NOTHING_KNOWN
     entries_sequence: int | None = None
     is_reached: bool = False
+    is_stale: bool = False
     is_leaving: bool = False
     last_reply: float = -math.inf
     config_revision: int = 0
@@ -106,12 +107,17 @@
             replica.in_service = self._is_in_service(
                 service, address, view.failure_domain
             )
+        # A holder that has not read the leaf's index reports no versions.
+        # The leaf gets no queries then, but what it held still counts, so
+        # that its documents do not drop out of the total.
+        known = versions or replica.versions
+        current = holder if versions else None
         shape = (replica.holder, replica.state, replica.versions)
-        if shape != (holder, state, versions):
+        if shape != (current, state, known):
             self._maps.pop(service, None)
-        replica.holder = holder
+        replica.holder = current
         replica.state = state
-        replica.versions = versions
+        replica.versions = known
         replica.latency_ms = view.latency_ms
         replica.queued = view.queued
         return service, address
@@ -176,6 +182,17 @@
         self._refresh.set()
         self._refresh = trio.Event()
 
+    def recheck(self, address: str) -> None:
+        """Asks for a whole view of an aggregator that gave up a leaf.
+
+        It may have the leaf again when it is asked, so that its view would
+        count as unchanged.
+        """
+        source = self._sources.get(address)
+        if source is not None:
+            source.is_stale = True
+            self.refresh()
+
     async def wait_reply(self) -> None:
         """Returns after the next reply of any aggregator."""
         await self._replied.wait()
@@ -231,8 +248,10 @@
         return all(address not in s.peers for s in self._sources.values())
 
     def _view(self, source: Source) -> Any:
+        known = NOTHING_KNOWN if source.is_stale else source.sequence
+        source.is_stale = False
         view = View(
-            known=source.sequence,
+            known=known,
             config_revision=self._revision(),
             entry=self._record(),
             known_entries=source.entries_sequence,
@@ -262,7 +281,7 @@
             leaves = () if reply.leaving else reply.leaves or ()
             kept = {self.table.take(address, view) for view in leaves}
             self.table.release(address, kept)
-        source.peers = frozenset(reply.peers or ())
+            source.peers = frozenset(reply.peers or ())
         for peer in source.peers:
             self._add(peer)
         self.on_reply(source, reply)
