Report every bad setting of a document, with its remedy

Cause: parse() named only the first bad field with a general remedy, kept the last of two equal fields, accepted Infinity, octets above 255 and ports above 65535, and let two services list the same leaf. Ruled out: a check in the command line only, since daemons parse the same document; refusing cold_batch > max_batch, which is harmless because a batch obeys both. SettingsError takes an optional remedy. Conclusion: the console, the command line and the daemons share one check.

--- a/libs/config/src/sapphire_config/document.py
+++ b/libs/config/src/sapphire_config/document.py
@@ -2,66 +2,185 @@
 
 from __future__ import annotations
 
-import json
-from typing import Annotated, Self, TypeVar
+import ipaddress
+from typing import Annotated, Self
 
 from pydantic import (
+    AfterValidator,
     BaseModel,
     ConfigDict,
     Field,
-    ValidationError,
     model_validator,
 )
-from sapphire_core.errors import SettingsError
+from pydantic_core import PydanticCustomError
+
+from sapphire_config import rules
+from sapphire_config.parsing import (
+    ADDRESS_PATTERN,
+    IP_PATTERN,
+    NAME_PATTERN,
+    ModelType,
+    parse,
+    problems,
+)
+
+__all__ = [
+    "MAX_DOCUMENT_BYTES",
+    "RECENT_CHANGES",
+    "Address",
+    "Document",
+    "IpAddress",
+    "Leaf",
+    "LeafShape",
+    "Limits",
+    "Model",
+    "ModelType",
+    "Name",
+    "Region",
+    "RequestClass",
+    "Service",
+    "StoredDocument",
+    "parse",
+    "problems",
+]
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
-Address = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 MAX_DOCUMENT_BYTES = 1_000_000
+# A lost write answer can be settled as long as fewer changes than this were
+# accepted after it.
+RECENT_CHANGES = 50
+_MAX_PORT = 65_535
+
+
+def _require_ip(text: str) -> str:
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError as error:
+        raise PydanticCustomError(
+            "ip_address",
+            "not a numeric IPv4 address",
+            {"remedy": "Use four numbers up to 255, such as 10.1.2.3."},
+        ) from error
+    return text
+
+
+def _require_address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    _require_ip(host)
+    # A second spelling of a port would pass for another address.
+    if int(port) > _MAX_PORT or str(int(port)) != port:
+        raise PydanticCustomError(
+            "port",
+            "not a port number",
+            {"remedy": f"Use a port up to {_MAX_PORT} without leading zeros."},
+        )
+    return text
+
+
+Name = Annotated[
+    str,
+    Field(
+        pattern=NAME_PATTERN,
+        description="Up to 63 lower-case letters, digits and hyphens.",
+    ),
+]
+IpAddress = Annotated[
+    str,
+    Field(pattern=IP_PATTERN, description="IPv4 address."),
+    AfterValidator(_require_ip),
+]
+Address = Annotated[
+    str,
+    Field(
+        pattern=ADDRESS_PATTERN,
+        description="IPv4 address and port, as in 10.1.2.3:8080.",
+    ),
+    AfterValidator(_require_address),
+]
 
 
 class Model(BaseModel):
     """Base of all models: unknown fields are errors, values are frozen."""
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class Region(Model):
     """A region and its failure domains."""
 
     name: Name
-    failure_domains: list[Name] = Field(min_length=1)
+    failure_domains: list[Name] = Field(
+        min_length=1, description="Unique over all regions."
+    )
 
 
 class Leaf(Model):
     """One leaf: the address of one shard replica."""
 
-    address: Address
-    failure_domain: Name
+    address: Address = Field(
+        description="IPv4 address and port; each leaf has its own."
+    )
+    failure_domain: Name = Field(description="Domain of the leaf's VM.")
 
 
 class LeafShape(Model):
     """Limits that all leaves of a service share."""
 
-    slots: int = Field(2, ge=1, le=64, description="Concurrent requests.")
-    connections: int = Field(25, ge=1, le=10_000)
-    connect_ms: float = Field(6.0, ge=0, description="Cost of a connection.")
-    multi_search: bool = True
-    max_batch: int = Field(64, ge=1, le=1024, description="Queries a call.")
-    cold_concurrency: int = Field(1, ge=1, le=64)
-    cold_batch: int = Field(4, ge=1, le=64, description="Queries a call.")
+    slots: int = Field(
+        2, ge=1, le=64, description="Concurrent requests of a warm leaf."
+    )
+    connections: int = Field(
+        25,
+        ge=1,
+        le=10_000,
+        description="Connections that a leaf accepts; at least `slots`.",
+    )
+    connect_ms: float = Field(
+        6.0, ge=0, le=60_000, description="Cost of a new connection, in ms."
+    )
+    multi_search: bool = Field(
+        True, description="Whether one call may carry several queries."
+    )
+    max_batch: int = Field(
+        64, ge=1, le=1024, description="Queries in one call to a leaf."
+    )
+    cold_concurrency: int = Field(
+        1,
+        ge=1,
+        le=64,
+        description="Concurrent requests of a cold leaf; at most `slots`.",
+    )
+    cold_batch: int = Field(
+        4, ge=1, le=64, description="Queries in one call to a cold leaf."
+    )
 
 
 class RequestClass(Model):
     """A class of requests with its limits and its objective."""
 
     name: Name
-    priority: int = Field(ge=0, le=9, description="0 is the highest.")
-    deadline_ms: int = Field(170, ge=1, le=60_000)
-    max_k: int = Field(100, ge=1, le=10_000)
-    max_concurrent: int = Field(100, ge=1, description="On each entry.")
-    canary: bool = True
+    priority: int = Field(
+        ge=0,
+        le=9,
+        description="0 is the highest; low priorities are refused first.",
+    )
+    deadline_ms: int = Field(
+        170, ge=1, le=60_000, description="Time for the whole answer, in ms."
+    )
+    max_k: int = Field(
+        100, ge=1, le=10_000, description="Largest number of matches."
+    )
+    max_concurrent: int = Field(
+        100, ge=1, description="Concurrent requests on each entry."
+    )
+    canary: bool = Field(
+        True,
+        description="Whether texts not seen before run on one shard first.",
+    )
     objective: float = Field(
-        0.99, gt=0, lt=1, description="Share complete and on time."
+        0.99,
+        gt=0,
+        lt=1,
+        description="Share of the requests that are complete and on time.",
     )
 
 
@@ -69,8 +188,12 @@
     """A service, its leaves and its request classes."""
 
     name: Name
-    accepts_submissions: bool = False
-    leaf: LeafShape = LeafShape()
+    accepts_submissions: bool = Field(
+        False, description="Whether `POST /v1/submit` is allowed."
+    )
+    leaf: LeafShape = Field(
+        LeafShape(), description="Limits that all its leaves share."
+    )
     leaves: list[Leaf] = Field(min_length=1)
     classes: list[RequestClass] = Field(min_length=1)
 
@@ -78,48 +201,61 @@
 class Limits(Model):
     """Limits of each daemon."""
 
-    max_body_bytes: int = Field(65_536, ge=1_024, le=1_000_000)
-    body_timeout_ms: int = Field(2_000, ge=10, le=60_000)
-    max_concurrent: int = Field(200, ge=1, description="On each entry.")
-    hedge_share: float = Field(0.05, ge=0, le=0.5)
-    quarantine_s: float = Field(600.0, ge=1)
-    address_keep_ms: int = Field(2_000, ge=100, le=3_000)
+    max_body_bytes: int = Field(
+        65_536, ge=1_024, le=1_000_000, description="Largest request body."
+    )
+    body_timeout_ms: int = Field(
+        2_000, ge=10, le=60_000, description="Time to send a body, in ms."
+    )
+    max_concurrent: int = Field(
+        200, ge=1, description="Concurrent requests on each entry."
+    )
+    hedge_share: float = Field(
+        0.05,
+        ge=0,
+        le=0.5,
+        description="Share of the calls that may be hedges or retries.",
+    )
+    quarantine_s: float = Field(
+        600.0,
+        ge=1,
+        le=86_400,
+        description="Quarantine of a crash-causing request, in s.",
+    )
+    address_keep_ms: int = Field(
+        2_000,
+        ge=100,
+        le=3_000,
+        description="How long callers keep the address answer, in ms.",
+    )
 
 
 class Document(Model):
     """The whole deployment: places, services and limits."""
 
-    name: Name
+    name: Name = Field(description="Name of the deployment.")
     regions: list[Region] = Field(min_length=1)
     services: list[Service] = Field(min_length=1)
-    limits: Limits = Limits()
-    out_failure_domains: list[Name] = []
-    out_vms: list[str] = Field([], description="IP addresses of VMs.")
+    limits: Limits = Field(Limits(), description="Limits of each daemon.")
+    out_failure_domains: list[Name] = Field(
+        [], description="Failure domains that are out of service."
+    )
+    out_vms: list[IpAddress] = Field(
+        [], description="IPv4 addresses of VMs that are out of service."
+    )
 
     @model_validator(mode="after")
-    def _check_references(self) -> Self:
-        domains = [d for r in self.regions for d in r.failure_domains]
-        _require_unique("failure domain", domains)
-        _require_unique("service", [s.name for s in self.services])
-        known = set(domains)
-        for domain in self.out_failure_domains:
-            if domain not in known:
-                raise ValueError(f"unknown failure domain {domain!r}")
-        if known and known <= set(self.out_failure_domains):
-            raise ValueError("at least one failure domain must stay in")
-        for service in self.services:
-            _require_unique(
-                f"class of {service.name}", [c.name for c in service.classes]
+    def _check_rules(self) -> Self:
+        found = rules.problems(self)
+        if found:
+            raise PydanticCustomError(
+                "rules",
+                "{summary}",
+                {
+                    "summary": "; ".join(f"{p.field}: {p.what}" for p in found),
+                    "problems": found,
+                },
             )
-            _require_unique(
-                f"leaf of {service.name}", [x.address for x in service.leaves]
-            )
-            for leaf in service.leaves:
-                if leaf.failure_domain not in known:
-                    raise ValueError(
-                        f"leaf {leaf.address} of {service.name} is in the"
-                        f" unknown failure domain {leaf.failure_domain!r}"
-                    )
         return self
 
     def service(self, name: str) -> Service | None:
@@ -137,37 +273,10 @@
 class StoredDocument(Model):
     """The value of the platform key that holds the configuration."""
 
-    revision: int = Field(ge=1)
-    change_id: str
-    recent_changes: list[str] = []
+    revision: int = Field(ge=1, description="Rises by one per change.")
+    change_id: str = Field(description="Unique id of the last change.")
+    recent_changes: list[str] = Field(
+        [],
+        description=f"Ids of the last {RECENT_CHANGES} changes, newest last.",
+    )
     document: Document
-
-
-def _require_unique(what: str, names: list[str]) -> None:
-    seen: set[str] = set()
-    for name in names:
-        if name in seen:
-            raise ValueError(f"duplicate {what} {name!r}")
-        seen.add(name)
-
-
-ModelType = TypeVar("ModelType", bound=BaseModel)
-
-
-def parse(model: type[ModelType], text: str) -> ModelType:
-    """Returns the validated model of a JSON text.
-
-    Raises:
-        SettingsError: The text is not valid; names the first bad field.
-    """
-    try:
-        fields = json.loads(text)
-    except ValueError as error:
-        raise SettingsError("document", text[:40], str(error)) from error
-    try:
-        return model.model_validate(fields)
-    except ValidationError as error:
-        first = error.errors()[0]
-        field = ".".join(str(part) for part in first["loc"]) or "document"
-        value = first["input"] if first["loc"] else "the whole document"
-        raise SettingsError(field, value, first["msg"]) from error
--- a/libs/config/src/sapphire_config/settings.py
+++ b/libs/config/src/sapphire_config/settings.py
@@ -7,24 +7,27 @@
 from pydantic import Field
 from sapphire_core.errors import SettingsError
 
-from sapphire_config.document import Address, Model, ModelType, Name, parse
+from sapphire_config.document import Address, IpAddress, Model, Name
+from sapphire_config.parsing import ModelType, parse
 
 
 class TlsSettings(Model):
     """Certificate and key of the HTTP listener."""
 
-    certfile: str
-    keyfile: str
+    certfile: str = Field(min_length=1, description="Path of the PEM file.")
+    keyfile: str = Field(min_length=1, description="Path of the PEM file.")
 
 
 class DaemonSettings(Model):
     """What each daemon learns at its start."""
 
-    vm: str = Field(description="IP address of the VM.")
-    failure_domain: Name
-    region: Name
-    platform: Address
-    vm_list: Address | None = None
+    vm: IpAddress = Field(description="IPv4 address of the VM.")
+    failure_domain: Name = Field(description="Failure domain of the VM.")
+    region: Name = Field(description="Region of the failure domain.")
+    platform: Address = Field(description="Address of the key-value service.")
+    vm_list: Address | None = Field(
+        None, description="Address of the list of VMs."
+    )
     seeds: list[Address] = Field(
         [], description="Frame addresses of aggregators to ask first."
     )
@@ -36,7 +39,9 @@
 
     listen: Address = Field(description="HTTP address for callers.")
     frames: Address = Field(description="Frame address for other daemons.")
-    tls: TlsSettings | None = None
+    tls: TlsSettings | None = Field(
+        None, description="None: the listener speaks plain HTTP."
+    )
 
 
 class AggregatorSettings(DaemonSettings):
@@ -44,7 +49,7 @@
 
     frames: Address = Field(description="Frame address; also its name.")
     admin: Address = Field(description="HTTP address of metrics and status.")
-    cell: Name
+    cell: Name = Field(description="Cell that the aggregator joins.")
 
 
 def read_settings(model: type[ModelType], path: str) -> ModelType:
@@ -55,6 +60,11 @@
     """
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-    except OSError as error:
-        raise SettingsError("settings file", path, str(error)) from error
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            "settings file",
+            path,
+            f"the file can't be read ({error})",
+            "Name a file of UTF-8 text that this process may read.",
+        ) from error
     return parse(model, text)
--- a/libs/core/src/sapphire_core/errors.py
+++ b/libs/core/src/sapphire_core/errors.py
@@ -273,10 +273,16 @@
     kind = "settings"
     run = RunState.NOT_RUN
 
-    def __init__(self, field: str, value: object, problem: str) -> None:
+    def __init__(
+        self,
+        field: str,
+        value: object,
+        problem: str,
+        remedy: str | None = None,
+    ) -> None:
         super().__init__(
             f"{field}: {problem}, found {value!r}.",
-            f"Correct {field} and start again.",
+            remedy or f"Correct {field} and start again.",
         )
         self.field = field
         self.value = value
