Add sapphirecross-ctl, the operators' command line

Cause: operators had no way to change the document, and a change whose answer was lost or that raced another one had no defined result. Ruled out: apply without an expected revision (it would overwrite another operator's change); calling a change lost because one read does not show it (the read may be old and the write may be under way, so the same write is sent again until one version is seen to follow); commands that Fire runs while parsing (it finds surplus arguments only after the call). Change: decisions (pure), store (reads and settled writes), fleet (pure summary of daemons), daemons, operator (facade), report and cmdline; three typed errors in core.

--- a/libs/core/src/sapphire_core/errors.py
+++ b/libs/core/src/sapphire_core/errors.py
@@ -188,6 +188,49 @@
         self.current = current
 
 
+class ConfigConflictError(SapphireError):
+    """A change was not made because another revision is in force.
+
+    Attributes:
+        revision: The revision in force, None if it could not be read.
+    """
+
+    kind = "config_conflict"
+    status = 409
+    run = RunState.NOT_RUN
+
+    def __init__(self, message: str, remedy: str, revision: int | None) -> None:
+        super().__init__(message, remedy)
+        self.revision = revision
+
+
+class ChangeRefusedError(SapphireError):
+    """A change can't be made to the configuration in force."""
+
+    kind = "change_refused"
+    status = 409
+    run = RunState.NOT_RUN
+
+
+class ChangeUnknownError(SapphireError):
+    """It is not known whether a change was accepted.
+
+    Attributes:
+        change_id: The id by which the change can be found.
+    """
+
+    kind = "change_unknown"
+
+    def __init__(self, change_id: str, reason: str) -> None:
+        super().__init__(
+            f"it is not known whether change {change_id} was accepted:"
+            f" {reason}.",
+            f"Type 'sapphirecross-ctl find-change {change_id}' when the"
+            " platform answers again, before you repeat the change.",
+        )
+        self.change_id = change_id
+
+
 class ChannelError(SapphireError):
     """A connection between two daemons failed.
 
--- /dev/null
+++ b/libs/ctl/src/sapphire_ctl/decisions.py
@@ -0,0 +1,152 @@
+"""Decisions about configuration changes, without I/O."""
+
+from __future__ import annotations
+
+import enum
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from sapphire_config.document import (
+    MAX_DOCUMENT_BYTES,
+    RECENT_CHANGES,
+    Document,
+    StoredDocument,
+)
+from sapphire_config.parsing import parse
+from sapphire_core.errors import ChangeRefusedError, SettingsError
+
+
+@dataclass(frozen=True)
+class Reading:
+    """What one read of the configuration key returned.
+
+    Attributes:
+        version: Version of the platform key; 0 means absent.
+        stored: The value, None if absent.
+    """
+
+    version: int
+    stored: StoredDocument | None
+
+    @property
+    def revision(self) -> int:
+        """Revision of the document; 0 if there is none."""
+        return 0 if self.stored is None else self.stored.revision
+
+
+class Verdict(enum.Enum):
+    """What a read tells about a write whose answer was lost."""
+
+    APPLIED = enum.auto()
+    # Another write replaced the expected version, so ours never can.
+    LOST = enum.auto()
+    # The write may be under way, or the read returned an old value.
+    PENDING = enum.auto()
+    # So many changes followed that the list no longer holds the id.
+    FORGOTTEN = enum.auto()
+
+
+def successor(
+    base: Reading, document: Document, change_id: str
+) -> StoredDocument:
+    """Returns the value that replaces the base."""
+    earlier = [] if base.stored is None else base.stored.recent_changes
+    return StoredDocument(
+        revision=base.revision + 1,
+        change_id=change_id,
+        recent_changes=[*earlier, change_id][-RECENT_CHANGES:],
+        document=document,
+    )
+
+
+def encode(stored: StoredDocument) -> str:
+    """Returns the value as compact JSON.
+
+    Raises:
+        SettingsError: The value exceeds the platform's limit.
+    """
+    text = stored.model_dump_json()
+    size = len(text.encode())
+    if size > MAX_DOCUMENT_BYTES:
+        raise SettingsError(
+            "document",
+            f"{size} bytes",
+            f"larger than the platform's limit of {MAX_DOCUMENT_BYTES} bytes",
+            "Remove leaves or services that are no longer used.",
+        )
+    return text
+
+
+def holds(stored: StoredDocument, change_id: str) -> bool:
+    """Returns whether the change is in the value or was before it."""
+    return change_id == stored.change_id or change_id in stored.recent_changes
+
+
+def settle(base: Reading, ours: StoredDocument, found: Reading) -> Verdict:
+    """Judges a write of ours on base by a later read."""
+    if found.version <= base.version or found.stored is None:
+        return Verdict.PENDING
+    if holds(found.stored, ours.change_id):
+        return Verdict.APPLIED
+    if found.revision - ours.revision >= RECENT_CHANGES:
+        return Verdict.FORGOTTEN
+    return Verdict.LOST
+
+
+class Target(enum.StrEnum):
+    """What can be taken out of service; values are document fields."""
+
+    DOMAIN = "out_failure_domains"
+    VM = "out_vms"
+
+
+@dataclass(frozen=True)
+class Edit:
+    """Takes a failure domain or VM out of service or puts it back.
+
+    Attributes:
+        target: The kind of the entry.
+        entry: Name of the failure domain or IP address of the VM.
+        out: Whether the entry is to be out of service.
+    """
+
+    target: Target
+    entry: str
+    out: bool
+
+    def is_done(self, document: Document) -> bool:
+        """Returns whether the document is already as wanted."""
+        return (self.entry in getattr(document, self.target)) == self.out
+
+
+def edited(edit: Edit, document: Document) -> Document:
+    """Returns the document with the edit; other fields stay as they are.
+
+    Raises:
+        SettingsError: The entry is unknown or not an IP address.
+        ChangeRefusedError: No failure domain would stay in service.
+    """
+    if edit.target is Target.DOMAIN:
+        _check_domain(edit, document)
+    fields: dict[str, Any] = document.model_dump(mode="json")
+    entries = [e for e in fields[edit.target] if e != edit.entry]
+    fields[edit.target] = [*entries, edit.entry] if edit.out else entries
+    return parse(Document, json.dumps(fields))
+
+
+def _check_domain(edit: Edit, document: Document) -> None:
+    known = [d for r in document.regions for d in r.failure_domains]
+    if edit.entry not in known:
+        raise SettingsError(
+            "failure domain",
+            edit.entry,
+            "unknown failure domain",
+            f"Use one of {', '.join(known)}.",
+        )
+    others = set(known) - {edit.entry} - set(document.out_failure_domains)
+    if edit.out and not others:
+        raise ChangeRefusedError(
+            f"{edit.entry} is the last failure domain in service.",
+            "Put another one back first with 'sapphirecross-ctl domain-in'.",
+        )
--- /dev/null
+++ b/libs/ctl/tests/test_cmdline.py
@@ -0,0 +1,125 @@
+"""Tests of arguments, exit codes and output of the command."""
+
+import json
+
+import pytest
+from sapphire_ctl import cmdline
+from sapphire_ctl.fleet import Answer, DaemonStatus, LeafStatus
+
+
+class _Daemons:
+    async def addresses(self, entry):
+        return ["10.0.0.1:80", "10.0.0.2:80"]
+
+    async def statuses(self, addresses):
+        leaves = [LeafStatus(address="10.1.0.1:1", state="warm", service="x")]
+        known = {
+            "10.0.0.1:80": DaemonStatus(
+                role="aggregator",
+                failure_domain="pk-north-a",
+                revision=7,
+                leaves=leaves,
+            ),
+            "10.0.0.2:80": DaemonStatus(role="entry", revision=6),
+        }
+        return [
+            Answer(a, known.get(a), None if a in known else "no answer")
+            for a in addresses
+        ]
+
+
+@pytest.fixture
+def run(fake, stored, monkeypatch, tmp_path, capsys):
+    platform = fake.FakePlatform([stored.model_dump_json()])
+    monkeypatch.setattr(cmdline, "PlatformClient", lambda *_: platform)
+    monkeypatch.setattr(cmdline, "DaemonClient", _Daemons)
+    monkeypatch.setenv("SAPPHIRECROSS_PLATFORM", "10.0.0.9:1")
+    monkeypatch.delenv("SAPPHIRECROSS_DAEMONS", raising=False)
+    fields = json.loads(stored.document.model_dump_json())
+    fields["services"][0]["leaf"]["slots"] = 3
+    (tmp_path / "good.json").write_text(json.dumps(fields))
+    fields["services"][0]["leaf"]["slots"] = 0
+    (tmp_path / "bad.json").write_text(json.dumps(fields))
+    monkeypatch.chdir(tmp_path)
+
+    def call(line):
+        monkeypatch.setattr("sys.argv", ["ctl", *line.split()])
+        code = int(cmdline.run(line.split()))
+        return (line, code, *capsys.readouterr())
+
+    call.platform = platform
+    return call
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "",
+        "apply --help",
+        "check good.json",
+        "check bad.json",
+        "check bad.json --json",
+        "check missing.json",
+        "check good.json surplus",
+        "check good.json action",
+        "unknown",
+        "--json show",
+        "show",
+        "diff good.json",
+        "apply good.json",
+        "apply good.json --expected-revision=6",
+        "apply good.json --expected-revision=6 --json",
+        "domain-out nowhere",
+        "domain-out 1e3",
+        "vm-out vm-17",
+        "find-change sixth",
+        "find-change other",
+        "status",
+        "status --entry=10.0.0.1:80",
+        "status --daemons=10.0.0.1:80",
+        "status --daemons=10.0.0.1:80,10.0.0.3:80 --json",
+        "show --platform=host:1",
+        "show --patience=nan",
+        "show -- --interactive",
+    ],
+)
+def test_output_and_exit_code(run, line, snapshot):
+    """Guards against a changed exit code and unreadable messages."""
+    _, code, output, errors = run(line)
+    if line == "--json show":
+        output = list(json.loads(output))
+    assert (code, output, errors) == snapshot
+    assert run.platform.revisions == [7]
+
+
+def test_changes_are_made_once(run):
+    """Guards against a command line that calls the wrong function."""
+    assert run("apply good.json --expected-revision=7")[1] == 0
+    assert run("domain-out pk-north-a")[1] == 0
+    assert run("vm-out 10.0.0.1")[1] == 0
+    document = run.platform.document
+    assert document["services"][0]["leaf"]["slots"] == 3
+    assert document["out_failure_domains"] == ["pk-north-a"]
+    assert document["out_vms"] == ["10.0.0.1"]
+    assert run("domain-in pk-north-a")[1] == 0
+    assert run("vm-in 10.0.0.1")[1] == 0
+    assert run.platform.document["out_failure_domains"] == []
+    assert run.platform.document["out_vms"] == []
+
+
+def test_surplus_arguments_prevent_the_change(run):
+    """Guards against Fire running a command before it finds the error."""
+    assert run("domain-out pk-north-a pk-north-b")[1] == 2
+    assert run.platform.revisions == [7]
+
+
+def test_interrupted_change_is_reported_as_unknown(run, monkeypatch):
+    """Guards against calling an interrupted write refused."""
+
+    async def interrupted(key, value, expect):
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(run.platform, "put", interrupted)
+    _, code, _, errors = run("domain-out pk-north-a")
+    assert code == 4
+    assert "find-change" in errors
