--- /dev/null
+++ b/libs/bench/src/sapphire_bench/burnline.py
@@ -0,0 +1,342 @@
+"""The command `sapphirecross-burn`: report on error-budget burn."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import io
+import json as jsontext
+import pathlib
+import sys
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import asdict, dataclass
+
+import fire
+import trio
+from fire.core import FireExit
+from fire.decorators import SetParseFn
+from sapphire_config.document import Document, parse
+from sapphire_core import burn
+from sapphire_core.burn import DAY_S, HOUR_S, MINUTE_S, Burn, Group, GroupBurn
+from sapphire_core.errors import SapphireError, SettingsError
+from sapphire_wire.web import (
+    HttpClient,
+    HttpConnectError,
+    HttpLostError,
+    HttpTimeoutError,
+)
+
+from sapphire_bench.snapshot import Snapshot, decode, sample
+
+PROGRAM = "sapphirecross-burn"
+CALL_TIMEOUT_S = 2.0
+EVERY_S = 15.0
+
+HELP = f"""\
+usage: {PROGRAM} --document=FILE (--daemons=LIST | --snapshots=LIST) ...
+
+Error-budget burn by service and class over 5 min and 1 h (fast) and over
+6 h and 3 d (slow). 1.0 uses up the budget of 30 days in 30 days. Late,
+incomplete, refused and wrong answers use the budget.
+
+  --document=FILE      Objectives: the document that
+                       'sapphirecross-ctl show --document' prints.
+  --daemons=LIST       HTTP addresses, separated by commas, to read /metrics.
+  --samples=N          How often to read them (default 1).
+  --every=SECONDS      Time between two readings (default {EVERY_S:g}).
+  --record=FILE        Append the readings to FILE.
+  --snapshots=LIST     Recorded files, separated by commas.
+  --json               One JSON object on standard output.
+  --help               This text.
+
+One reading covers the time since each daemon started if that is shorter
+than two windows. Longer windows need recorded readings: run with --record
+every few minutes, and name the file in --snapshots.
+
+Exit codes: 0 no alert, 1 at least one alert, 2 wrong usage or invalid file,
+3 no daemon answered.
+"""
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes; HELP describes them."""
+
+    NO_ALERT = 0
+    ALERT = 1
+    USAGE = 2
+    UNAVAILABLE = 3
+
+
+@dataclass(frozen=True)
+class Options:
+    """What the command line asks for."""
+
+    document: str
+    daemons: list[str]
+    snapshots: list[str]
+    record: str
+    samples: int
+    every_s: float
+    json: bool
+
+
+@dataclass(frozen=True)
+class Reading:
+    """Snapshots, and the daemons that did not answer in the last round."""
+
+    snapshots: list[Snapshot]
+    silent: list[str]
+
+
+@dataclass(frozen=True)
+class Report:
+    """The burn of all groups and the daemons that are not in it."""
+
+    groups: list[GroupBurn]
+    silent: list[str]
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Runs the command and returns its exit code."""
+    if not arguments:
+        sys.stderr.write(HELP)
+        return ExitCode.USAGE
+    if {"--help", "-h"} & set(arguments):
+        sys.stdout.write(HELP)
+        return ExitCode.NO_ALERT
+    try:
+        options = _options(arguments)
+        objectives = _objectives(_read(options.document))
+        reading = _gather(options)
+        samples = [sample(s) for s in reading.snapshots]
+    except SapphireError as error:
+        print(f"{PROGRAM}: {error.message}", file=sys.stderr)
+        print(error.remedy, file=sys.stderr)
+        return ExitCode.USAGE
+    if not samples:
+        print(
+            f"{PROGRAM}: no daemon answered. Check the addresses:"
+            f" {', '.join(reading.silent)}",
+            file=sys.stderr,
+        )
+        return ExitCode.UNAVAILABLE
+    report = Report(burn.report(samples, objectives), reading.silent)
+    print(jsontext.dumps(asdict(report)) if options.json else text(report))
+    alerts = any(g.alerts for g in report.groups)
+    return ExitCode.ALERT if alerts else ExitCode.NO_ALERT
+
+
+def main() -> None:
+    """Entry point of the console script."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def text(report: Report) -> str:
+    """Returns the report as a table."""
+    windows = (
+        [w.window_s for w in report.groups[0].windows]
+        if (report.groups)
+        else []
+    )
+    rows = [
+        ["service", "class", "objective", *map(_span, windows), "alerts"],
+        *(_row(g) for g in report.groups),
+    ]
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    lines = [
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    ]
+    lines += [
+        "",
+        "Burn rate; 1.0 uses up the budget of 30 days in 30 days."
+        " (n) is the number of requests.",
+        f"* The readings cover less than {burn.MIN_COVERED:.0%} of the window."
+        " -: no requests, too few readings or no objective.",
+    ]
+    lines += [f"Did not answer: {address}" for address in report.silent]
+    return "\n".join(lines)
+
+
+def _row(group: GroupBurn) -> list[str]:
+    objective = "none" if group.objective is None else f"{group.objective:g}"
+    return [
+        group.group.service,
+        group.group.request_class,
+        objective,
+        *(_cell(w) for w in group.windows),
+        ", ".join(group.alerts) or "none",
+    ]
+
+
+def _cell(window: Burn) -> str:
+    rate = "-" if window.rate is None else f"{window.rate:.2f}"
+    partial = (
+        "*" if window.covered_s < burn.MIN_COVERED * window.window_s else ""
+    )
+    return f"{rate}{partial} ({window.requests:.0f})"
+
+
+def _span(seconds: float) -> str:
+    for unit_s, name in ((DAY_S, "d"), (HOUR_S, "h")):
+        if seconds >= unit_s:
+            return f"{seconds / unit_s:g} {name}"
+    return f"{seconds / MINUTE_S:g} min"
+
+
+def _objectives(document_text: str) -> Mapping[Group, float]:
+    document = parse(Document, document_text)
+    return {
+        Group(service.name, request_class.name): request_class.objective
+        for service in document.services
+        for request_class in service.classes
+    }
+
+
+def _gather(options: Options) -> Reading:
+    recorded = [
+        s for path in options.snapshots for s in decode(_read(path), path)
+    ]
+    if not options.daemons:
+        return Reading(recorded, [])
+    live = trio.run(_poll, options)
+    if options.record:
+        _append(options.record, live.snapshots)
+    return Reading(recorded + live.snapshots, live.silent)
+
+
+async def _poll(options: Options) -> Reading:
+    found: list[Snapshot] = []
+    silent: list[str] = []
+    for number in range(options.samples):
+        if number:
+            await trio.sleep(options.every_s)
+        answers = await _read_all(options.daemons)
+        found += [s for s in answers.values() if s is not None]
+        silent = [a for a in options.daemons if answers[a] is None]
+    return Reading(found, silent)
+
+
+async def _read_all(daemons: list[str]) -> dict[str, Snapshot | None]:
+    answers: dict[str, Snapshot | None] = {}
+
+    async def ask(address: str) -> None:
+        answers[address] = await _metrics(address)
+
+    async with trio.open_nursery() as nursery:
+        for address in daemons:
+            nursery.start_soon(ask, address)
+    return answers
+
+
+async def _metrics(address: str) -> Snapshot | None:
+    client = HttpClient(address, 1)
+    try:
+        reply = await client.call("GET", "/metrics", timeout_s=CALL_TIMEOUT_S)
+    except (HttpConnectError, HttpLostError, HttpTimeoutError):
+        return None
+    finally:
+        await client.aclose()
+    if reply.status != 200:
+        return None
+    # The trio clock has no fixed start; snapshots of other runs need one.
+    return Snapshot(address, time.time(), reply.body.decode(errors="replace"))
+
+
+def _append(path: str, snapshots: list[Snapshot]) -> None:
+    with (
+        _file_errors("--record", path),
+        pathlib.Path(path).open("a", encoding="utf-8") as file,
+    ):
+        file.writelines(s.encode() for s in snapshots)
+
+
+def _read(path: str) -> str:
+    with _file_errors("file", path):
+        return pathlib.Path(path).read_text(encoding="utf-8")
+
+
+@contextlib.contextmanager
+def _file_errors(field: str, path: str) -> Iterator[None]:
+    try:
+        yield
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            field,
+            path,
+            f"the file can't be used ({error})",
+            "Name a file of UTF-8 text that you may use.",
+        ) from error
+
+
+def _options(arguments: Sequence[str]) -> Options:
+    noted: list[Options] = []
+
+    # Fire calls this before it finds surplus arguments, so that it only
+    # notes the options. Its parameters are the names of the flags.
+    def note(
+        *,
+        document: str = "",
+        daemons: str = "",
+        snapshots: str = "",
+        record: str = "",
+        samples: str = "1",
+        every: str = str(EVERY_S),
+        json: bool = False,
+    ) -> None:
+        noted.append(
+            Options(
+                document,
+                _split(daemons),
+                _split(snapshots),
+                record,
+                _count("--samples", samples),
+                _seconds("--every", every),
+                json,
+            )
+        )
+
+    names = ("document", "daemons", "snapshots", "record", "samples", "every")
+    component = SetParseFn(str, *names)(note)
+    output = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(output):
+            fire.Fire(component, command=list(arguments), name=PROGRAM)
+    except FireExit as error:
+        problem = error.trace.elements[-1].ErrorAsStr() if error.trace else ""
+        raise _usage_error(" ".join(arguments), problem) from error
+    options = noted[0]
+    if not options.document:
+        raise _usage_error(None, "--document is missing")
+    if not options.daemons and not options.snapshots:
+        raise _usage_error(None, "neither --daemons nor --snapshots is given")
+    return options
+
+
+def _split(listed: str) -> list[str]:
+    return list(dict.fromkeys(x.strip() for x in listed.split(",") if x))
+
+
+def _count(option: str, text: str) -> int:
+    if not text.isdecimal() or int(text) == 0:
+        raise _usage_error(text, f"{option} is not a whole number above 0")
+    return int(text)
+
+
+def _seconds(option: str, text: str) -> float:
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds <= DAY_S:
+        raise _usage_error(text, f"{option} is not a time of up to a day")
+    return seconds
+
+
+def _usage_error(value: object, problem: str) -> SettingsError:
+    return SettingsError(
+        "command line", value, problem, f"Type '{PROGRAM} --help'."
+    )
--- /dev/null
+++ b/libs/bench/src/sapphire_bench/snapshot.py
@@ -0,0 +1,93 @@
+"""Recorded readings of the daemons' metrics.
+
+A file holds any number of snapshots. Each one is a header line and the
+Prometheus text that the daemon returned; the header is a comment of that
+format: `# snapshot source=10.0.0.1:9100 time_s=1764800000.000`.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from prometheus_client.parser import text_string_to_metric_families
+from prometheus_client.samples import Sample as MetricSample
+from sapphire_core.burn import Group, Sample, Series
+from sapphire_core.errors import SettingsError
+
+REQUESTS = "sapphirecross_requests_total"
+STARTED = "process_start_time_seconds"
+_HEADER = re.compile(
+    r"^# snapshot source=(\S+) time_s=(\d+(?:\.\d+)?)$", re.MULTILINE
+)
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """What one daemon returned at one time, in seconds since the epoch."""
+
+    source: str
+    time_s: float
+    text: str
+
+    def encode(self) -> str:
+        """Returns the text of the snapshot in a file."""
+        body = self.text.rstrip("\n")
+        return (
+            f"# snapshot source={self.source} time_s={self.time_s:.3f}\n"
+            f"{body}\n"
+        )
+
+
+def decode(text: str, path: str) -> list[Snapshot]:
+    """Returns the snapshots of a file.
+
+    Raises:
+        SettingsError: The file does not begin with a header.
+    """
+    parts = _HEADER.split(text)
+    if len(parts) == 1 or parts[0].strip():
+        raise SettingsError(
+            "--snapshots",
+            path,
+            "no snapshot header in the first line",
+            "Name files that 'sapphirecross-burn --record=FILE' wrote.",
+        )
+    return [
+        Snapshot(source, float(time_s), body)
+        for source, time_s, body in zip(
+            parts[1::3], parts[2::3], parts[3::3], strict=True
+        )
+    ]
+
+
+def sample(snapshot: Snapshot) -> Sample:
+    """Returns the request counters of a snapshot.
+
+    Raises:
+        SettingsError: The text is not in the Prometheus format.
+    """
+    try:
+        found = list(_metric_samples(snapshot.text))
+        counts = {_series(m): m.value for m in found if m.name == REQUESTS}
+    except (ValueError, KeyError, IndexError) as error:
+        raise SettingsError(
+            "metrics",
+            snapshot.source,
+            f"not the Prometheus text of a daemon ({error!r})",
+            "Name the HTTP address of an entry or aggregator.",
+        ) from error
+    started_s = next((m.value for m in found if m.name == STARTED), None)
+    return Sample(snapshot.source, snapshot.time_s, counts, started_s)
+
+
+def _metric_samples(text: str) -> Iterator[MetricSample]:
+    for family in text_string_to_metric_families(text):
+        yield from family.samples
+
+
+def _series(metric: MetricSample) -> Series:
+    labels = metric.labels
+    group = Group(labels["service"], labels["request_class"])
+    return Series(group, labels["result"])
