--- /dev/null
+++ b/tests/test_search.py
@@ -0,0 +1,146 @@
+"""Searches under failure: one snapshot, true coverage, own whole answer."""
+
+from __future__ import annotations
+
+import trio
+from sapphire_bench.fleet import Fleet
+from support import run_scenario, with_load
+
+FAULTY_REPLIES = {
+    "crossed_share": 0.1,
+    "late_share": 0.1,
+    "late_ms": 300,
+    "duplicated_share": 0.1,
+    "truncated_share": 0.1,
+    "garbage_share": 0.1,
+}
+
+
+def test_faulty_replies_never_reach_an_answer():
+    """Guards against a crossed, late, cut or repeated reply in an answer."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def act() -> None:
+            for place in fleet.leaves[::2]:
+                await fleet.fault(place.address, **FAULTY_REPLIES)
+            await trio.sleep(3)
+            for place in fleet.leaves[::2]:
+                await fleet.fault(
+                    place.address, **dict.fromkeys(FAULTY_REPLIES, 0)
+                )
+
+        load = await with_load(fleet, act)
+        assert len(load.answers) > 50
+        assert set(load.failures) <= {"overloaded", "quarantined"}
+
+    run_scenario(scenario)
+
+
+def test_repartition_under_load_keeps_one_snapshot():
+    """Guards against an answer that mixes index versions or partitions."""
+
+    async def scenario(fleet: Fleet) -> None:
+        places = [p for p in fleet.leaves if p.service.name == "toxdesk"]
+
+        async def act() -> None:
+            # Version v2 has two shards instead of three. Leaves get it one
+            # by one, and lose v1 one by one.
+            for number, place in enumerate(places):
+                old = {"version": "v1", "shard": place.shard, "shards": 3}
+                new = {"version": "v2", "shard": number % 2, "shards": 2}
+                await fleet.fault(place.address, versions=[old, new])
+                await trio.sleep(0.2)
+            await trio.sleep(1.5)
+            for number, place in enumerate(places):
+                new = {"version": "v2", "shard": number % 2, "shards": 2}
+                await fleet.fault(place.address, versions=[new])
+                await trio.sleep(0.2)
+            await trio.sleep(1.5)
+
+        load = await with_load(fleet, act)
+        assert not load.failures
+        assert not load.incomplete
+        assert {a.body["index_version"] for a in load.answers} == {"v1", "v2"}
+
+    run_scenario(scenario)
+
+
+def test_lost_leaves_cost_coverage_only_without_a_replica():
+    """Guards against a missing shard that the answer does not name."""
+
+    async def scenario(fleet: Fleet) -> None:
+        places = [p for p in fleet.leaves if p.service.name == "toxdesk"]
+        one_of_each = [p for p in places if p.name.endswith("-0")]
+
+        async def kill_one_of_each() -> None:
+            for place in one_of_each:
+                fleet.kill(f"leaf-{place.name}")
+            await trio.sleep(2)
+
+        load = await with_load(fleet, kill_one_of_each)
+        assert not load.failures
+        assert not load.incomplete
+
+        async def kill_last_of_shard_1() -> None:
+            fleet.kill("leaf-toxdesk-1-1")
+            await trio.sleep(2)
+
+        load = await with_load(fleet, kill_last_of_shard_1)
+        assert not load.failures
+        last = load.answers[-1].body["coverage"]
+        assert [m["shard"] for m in last["missing"]] == [1]
+        assert last["shards_answered"] == 2
+
+    run_scenario(scenario)
+
+
+def test_crash_request_is_quarantined_and_others_are_served():
+    """Guards against one request that takes the leaves down one by one."""
+
+    async def scenario(fleet: Fleet) -> None:
+        places = [p for p in fleet.leaves if p.service.name == "toxdesk"]
+        for place in places:
+            await fleet.fault(place.address, crash_word="zzcrash")
+        kinds = []
+
+        async def act() -> None:
+            for _ in range(3):
+                for entry in fleet.entries:
+                    body = {
+                        "service": "toxdesk",
+                        "text": "zzcrash dossier",
+                        "k": 5,
+                        "class": "sweep",
+                        "deadline_ms": 2000,
+                    }
+                    reply = await fleet.call(entry, "POST", "/v1/search", body)
+                    kinds.append(reply.get("error", {}).get("kind"))
+                    await trio.sleep(0.3)
+
+        load = await with_load(fleet, act)
+        crashes = 0
+        for place in places:
+            crashes += (await fleet.record(place.address))["crashes"]
+        # Section 6.5 of the design: two leaves while the canary's aggregator
+        # does not change.
+        assert 1 <= crashes <= 2
+        assert kinds[-1] == "quarantined"
+        assert not load.failures
+        assert not load.incomplete
+
+    run_scenario(scenario)
+
+
+def test_answers_are_whole_for_concurrent_callers():
+    """Guards against answers that reach another caller's request."""
+
+    async def scenario(fleet: Fleet) -> None:
+        async def act() -> None:
+            await trio.sleep(4)
+
+        load = await with_load(fleet, act, rate=100)
+        assert len(load.answers) > 300
+        assert not load.failures
+        assert not load.incomplete
+
+    run_scenario(scenario)
