--- a/libs/entry/src/sapphire_entry/daemon.py
+++ b/libs/entry/src/sapphire_entry/daemon.py
@@ -5,6 +5,7 @@
 import functools
 import math
 import signal
+import ssl
 import sys
 from typing import Any
 
@@ -24,6 +25,7 @@
 # The longest deadline of a request and some time for its answer: a server
 # that was replaced while out of service finishes all of its requests.
 REPLACED_S = 70.0
+MAX_PORT = 65_535
 BIND_ATTEMPTS = 50
 BIND_PAUSE_S = 0.02
 
@@ -34,6 +36,8 @@
     Raises:
         SettingsError: The log file or an address can't be opened.
     """
+    _check_port("listen", settings.listen)
+    _check_port("frames", settings.frames)
     _open_log(settings.log_file)
     try:
         trio.run(_run, settings)
@@ -44,14 +48,20 @@
         raise first_leaf(bad) from None
 
 
-def first_leaf(group: BaseExceptionGroup[Any]) -> BaseException:
-    """Returns the first error of a group of groups."""
-    first: BaseException = group
+def first_leaf(error: BaseException) -> BaseException:
+    """Returns the first error of a group of groups, or the error itself."""
+    first = error
     while isinstance(first, BaseExceptionGroup):
         first = first.exceptions[0]
     return first
 
 
+def _check_port(field: str, address: str) -> None:
+    """Refuses a port that the system would take modulo 65,536."""
+    if int(address.rpartition(":")[2]) > MAX_PORT:
+        raise SettingsError(field, address, f"the port is above {MAX_PORT}")
+
+
 def _open_log(path: str | None) -> None:
     if path is None:
         eliot.to_file(sys.stderr)
@@ -145,11 +155,12 @@
     for attempt in range(BIND_ATTEMPTS):
         try:
             binds = await servers.start(start)
-        except OSError as error:
+        except (OSError, BaseExceptionGroup) as error:
+            cause = first_leaf(error)
+            if not isinstance(cause, OSError):
+                raise
             if entry.standing.phase is Phase.STARTING:
-                raise SettingsError(
-                    "listen", settings.listen, str(error)
-                ) from error
+                raise _listen_error(settings, cause) from error
             if attempt + 1 == BIND_ATTEMPTS:
                 raise
             await trio.sleep(BIND_PAUSE_S)
@@ -158,6 +169,15 @@
     raise AssertionError("unreachable")
 
 
+def _listen_error(
+    settings: EntrySettings, cause: BaseException
+) -> SettingsError:
+    """Returns the error of a listener that can't be opened."""
+    if isinstance(cause, FileNotFoundError | ssl.SSLError):
+        return SettingsError("tls", settings.tls, str(cause))
+    return SettingsError("listen", settings.listen, str(cause))
+
+
 async def _wait_refusing(entry: Entry) -> None:
     """Returns when a period of refusal begins, or the shutdown is due."""
     standing = entry.standing
--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -74,6 +74,7 @@
         self.submits = []
         self.submit_replies = []
         self.entries = []
+        self.peers = []
         self.config = ""
         self.revision = 0
         self._sequence = 0
@@ -113,7 +114,7 @@
             config_revision=self.revision,
             quarantine=[],
             leaving=False,
-            peers=[self.address],
+            peers=[self.address, *self.peers],
             entries=self.entries,
             entries_sequence=self._sequence,
         )
