Reduce the CPU cost of the aggregator at rest and per query

Cause: three idle daemons over nine leaves used 3.1 % of a core each; the target for control work is 1.8 %. One match object was made per leaf match, though only k per part are sent.

Ruled out: fewer index polls; they are two to five per second here, the event-loop lag was measured fifty times a second.

Change: the lag is measured less often while nothing runs; leaf matches are tuples until they are merged; labelled counters are looked up once.

--- a/libs/aggregator/src/sapphire_aggregator/backlog.py
+++ b/libs/aggregator/src/sapphire_aggregator/backlog.py
@@ -11,10 +11,10 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 from sapphire_core.quarantine import Verdict
 from sapphire_wire.gen.ttypes import ShardStatus
+from sapphire_wire.leaf import Hit
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +48,7 @@
     documents: int = 0
     leaf_s: float = 0.0
     wait_s: float = 0.0
-    matches: list[Any] = field(default_factory=list)
+    matches: list[Hit] = field(default_factory=list)
 
 
 class Call:
--- a/libs/aggregator/src/sapphire_aggregator/daemon.py
+++ b/libs/aggregator/src/sapphire_aggregator/daemon.py
@@ -104,7 +104,7 @@
         self._nursery.start_soon(self.config.run_watch, self._platform)
         self._nursery.start_soon(self.config.run_peers, self._ask)
         self._nursery.start_soon(self.leaves.run)
-        self._nursery.start_soon(self.lag.run)
+        self._nursery.start_soon(self.lag.run, lambda: self.leaves.is_idle)
         log.change("started", member=self._settings.frames)
 
     async def stop(self) -> None:
--- a/libs/aggregator/src/sapphire_aggregator/leaves.py
+++ b/libs/aggregator/src/sapphire_aggregator/leaves.py
@@ -14,7 +14,7 @@
 from sapphire_aggregator.link import Client, Context, LeafLink
 
 POLL_INTERVAL_S = 1.0
-TICK_S = 0.1
+TICK_S = 0.2
 
 OpenClient = Callable[[str, Shape, int], Client]
 
--- a/libs/aggregator/src/sapphire_aggregator/scatter.py
+++ b/libs/aggregator/src/sapphire_aggregator/scatter.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import heapq
+import itertools
 import math
 from collections.abc import Callable
 from typing import Any
@@ -10,7 +12,14 @@
 import trio
 from sapphire_core import quarantine
 from sapphire_core.quarantine import Quarantine, Verdict
-from sapphire_wire.gen.ttypes import Frame, Part, ShardResult, ShardStatus
+from sapphire_wire.gen.ttypes import (
+    Frame,
+    Match,
+    Part,
+    ShardResult,
+    ShardStatus,
+)
+from sapphire_wire.leaf import Hit
 
 from sapphire_aggregator import log, metrics
 from sapphire_aggregator.backlog import Call, Outcome, Query
@@ -30,14 +39,13 @@
 Send = Callable[[Any], None]
 
 
-def merge(lists: list[list[Any]], k: int) -> list[Any]:
+def merge(lists: list[list[Hit]], k: int) -> list[Match]:
     """Returns the k best matches, by score and then by document id."""
-    if len(lists) == 1:
-        return lists[0][:k]
-    everything = [match for matches in lists for match in matches]
-    return heapq.nsmallest(
-        k, everything, key=lambda match: (-match.score, match.document)
-    )
+    everything = itertools.chain.from_iterable(lists)
+    return [
+        Match(document=hit.document, score=-hit.order, title=hit.title)
+        for hit in heapq.nsmallest(k, everything)
+    ]
 
 
 class Collector:
@@ -48,7 +56,7 @@
         self._send = send
         self._pending: dict[int, Call] = {}
         self._results: list[ShardResult] = []
-        self._matches: list[list[Any]] = []
+        self._matches: list[list[Hit]] = []
         self._changed = trio.Event()
 
     def add(self, call: Call) -> None:
@@ -215,13 +223,16 @@
             service = "unknown"
 
         def send_and_count(frame: Any) -> None:
-            for result in frame.part.results:
-                metrics.RESULTS.labels(
-                    service, _STATUS_NAMES[result.status]
-                ).inc()
+            statuses = [result.status for result in frame.part.results]
+            for status in set(statuses):
+                counter = _result_counter(service, status)
+                counter.inc(statuses.count(status))
             send(frame)
 
         return send_and_count
 
 
-_STATUS_NAMES = {status: status.name.lower() for status in ShardStatus}
+@functools.lru_cache(maxsize=4096)
+def _result_counter(service: str, status: ShardStatus) -> Any:
+    # Looking up a labelled counter costs more than counting.
+    return metrics.RESULTS.labels(service, status.name.lower())
--- a/libs/aggregator/tests/fakes.py
+++ b/libs/aggregator/tests/fakes.py
@@ -5,8 +5,7 @@
 from sapphire_core.errors import SapphireError
 from sapphire_core.quarantine import Quarantine
 from sapphire_core.window import Shape
-from sapphire_wire.gen.ttypes import Match
-from sapphire_wire.leaf import IndexVersion, LeafIndex, SearchReply
+from sapphire_wire.leaf import Hit, IndexVersion, LeafIndex, SearchReply
 
 
 class Rights:
@@ -45,10 +44,7 @@
         for text in texts:
             if text in self.errors:
                 raise self.errors[text]
-        matches = [
-            [Match(document=f"{shard}-{text}", score=1.0 + shard, title="")]
-            for text in texts
-        ]
+        matches = [[Hit(-1.0 - shard, f"{shard}-{text}", "")] for text in texts]
         return SearchReply(10, matches)
 
     async def submit(self, key, body, *, remaining):
--- a/libs/aggregator/tests/test_scatter.py
+++ b/libs/aggregator/tests/test_scatter.py
@@ -8,7 +8,8 @@
 from sapphire_aggregator.scatter import ScatterHandler, merge
 from sapphire_config.document import Document
 from sapphire_core.errors import LeafReplyError
-from sapphire_wire.gen.ttypes import Match, Scatter, ShardStatus, Target
+from sapphire_wire.gen.ttypes import Scatter, ShardStatus, Target
+from sapphire_wire.leaf import Hit
 from trio.testing import MockClock
 
 from .fakes import FakeClient, error_of, make_context
@@ -244,7 +245,7 @@
 def test_merge_order_does_not_depend_on_arrival():
     """Guards against answers that differ with the order of the leaves."""
     lists = [
-        [Match(document=d, score=1.0, title="") for d in names]
+        [Hit(-1.0, document, "") for document in names]
         for names in ("ac", "bd")
     ]
     merged = [m.document for m in merge(lists, 3)]
--- a/libs/wire/src/sapphire_wire/leaf.py
+++ b/libs/wire/src/sapphire_wire/leaf.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
 from sapphire_core.errors import (
     LeafColdError,
@@ -20,7 +20,6 @@
     VersionGoneError,
 )
 
-from sapphire_wire.gen.ttypes import Match
 from sapphire_wire.web import (
     HttpClient,
     HttpConnectError,
@@ -53,6 +52,21 @@
     k: int
 
 
+class Hit(NamedTuple):
+    """One match; hits sort by falling score, then by document id.
+
+    A tuple, because hundreds of them are compared for each match that is
+    sent on.
+
+    Attributes:
+        order: The negative score.
+    """
+
+    order: float
+    document: str
+    title: str
+
+
 @dataclass(frozen=True, slots=True)
 class SearchReply:
     """The checked reply to a search batch.
@@ -63,7 +77,7 @@
     """
 
     documents: int
-    matches: list[list[Match]]
+    matches: list[list[Hit]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -271,21 +285,21 @@
             )
         by_id = {item["id"]: item["matches"] for item in results}
         matches = [
-            [_match(match) for match in by_id[query.id]] for query in queries
+            [_hit(match) for match in by_id[query.id]] for query in queries
         ]
     except (KeyError, TypeError, ValueError) as error:
         raise LeafReplyError(f"malformed reply: {error!r}.") from error
     return SearchReply(documents, matches)
 
 
-def _match(fields: dict[str, Any]) -> Match:
+def _hit(fields: dict[str, Any]) -> Hit:
     document, title = fields["id"], fields.get("title", "")
+    score = fields["score"]
     if type(document) is not str or type(title) is not str:
         raise ValueError("a match needs a text id and title")
-    score = float(fields["score"])
-    if not math.isfinite(score):
-        raise ValueError("a score is not finite")
-    return Match(document=document, score=score, title=title)
+    if type(score) not in (float, int) or not math.isfinite(score):
+        raise ValueError(f"not a score: {score!r}")
+    return Hit(-score, document, title)
 
 
 def _index_version(fields: dict[str, Any]) -> IndexVersion:
