--- /dev/null
+++ b/libs/aggregator/tests/test_config.py
@@ -0,0 +1,110 @@
+"""Tests of the configuration in force."""
+
+import json
+
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+from sapphire_aggregator.config import ConfigStore
+from sapphire_core.errors import PlatformUnavailableError, SettingsError
+from sapphire_wire.gen.ttypes import Frame
+from sapphire_wire.platform import Item
+from trio.testing import MockClock
+
+
+def _text(revision):
+    leaf = {"address": "10.1.0.1:1", "failure_domain": "a"}
+    service = {
+        "name": "s",
+        "leaves": [leaf],
+        "classes": [{"name": "c", "priority": 0}],
+    }
+    document = {
+        "name": "d",
+        "regions": [{"name": "r", "failure_domains": ["a"]}],
+        "services": [service],
+    }
+    return json.dumps(
+        {"revision": revision, "change_id": "x", "document": document}
+    )
+
+
+@given(st.lists(st.integers(1, 20), min_size=1))
+def test_revision_never_falls(revisions):
+    """Guards against a configuration that reverts."""
+    seen = []
+    store = ConfigStore(lambda stored: seen.append(stored.revision))
+    for revision in revisions:
+        store.offer(_text(revision))
+    assert seen == sorted(set(seen))
+    assert store.revision == max(revisions)
+    assert json.loads(store.reply().document)["revision"] == store.revision
+
+
+def test_bad_document_is_refused_and_the_former_stays():
+    """Guards against a daemon without a configuration."""
+    store = ConfigStore(lambda stored: None)
+    store.offer(_text(3))
+    with pytest.raises(SettingsError):
+        store.offer('{"revision": 4}')
+    assert store.revision == 3
+
+
+class _Platform:
+    """Answers in turn; an exception is raised, then it hangs."""
+
+    def __init__(self, answers) -> None:
+        self.answers = answers
+        self.times = []
+
+    async def get(self, key):
+        self.times.append(trio.current_time())
+        if not self.answers:
+            await trio.sleep_forever()
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def watch(self, key, after):
+        return await self.get(key)
+
+
+def test_watch_survives_outages_and_bad_values():
+    """Guards against a watch that ends, or spins, with the platform."""
+    down = [PlatformUnavailableError("for a test") for _ in range(20)]
+    platform = _Platform(
+        [*down, Item("not json", 1), Item(_text(2), 2), Item(_text(1), 3)]
+    )
+    store = ConfigStore(lambda stored: None)
+
+    async def main():
+        with trio.move_on_after(600):
+            await store.run_watch(platform)
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert store.revision == 2
+    assert not platform.answers
+    assert platform.times[20] - platform.times[0] > 20
+
+
+def test_revision_announced_by_a_peer_is_fetched():
+    """Guards against an old configuration while the platform is down."""
+    peer = ConfigStore(lambda stored: None)
+    peer.offer(_text(5))
+    store = ConfigStore(lambda stored: None)
+
+    async def ask(address, frame):
+        assert address == "10.0.0.1:1"
+        return Frame(config_reply=peer.reply())
+
+    async def main():
+        with trio.move_on_after(5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(store.run_peers, ask)
+                await trio.sleep(1)
+                store.hint(5, "10.0.0.1:1")
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert store.revision == 5
--- /dev/null
+++ b/libs/wire/tests/test_leaf.py
@@ -0,0 +1,198 @@
+"""Tests of the leaf client."""
+
+import copy
+import json
+
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+from sapphire_core.errors import (
+    LeafColdError,
+    LeafCrashedError,
+    LeafDrainingError,
+    LeafError,
+    LeafLateError,
+    LeafReplyError,
+    LeafShedError,
+    LeafUnreachableError,
+    VersionGoneError,
+)
+from sapphire_wire.leaf import Hit, LeafClient, LeafQuery
+from sapphire_wire.web import HttpReply
+
+QUERIES = [LeafQuery("0", "a", 2), LeafQuery("1", "b", 2)]
+GOOD = {
+    "batch_id": "b1",
+    "version": "v1",
+    "shard": 1,
+    "documents": 7,
+    "results": [
+        {"id": "1", "matches": []},
+        {"id": "0", "matches": [{"id": "d", "score": 2, "title": "t"}]},
+    ],
+}
+
+
+class _Http:
+    """Answers each call with one reply and keeps the last body."""
+
+    def __init__(self, status, body) -> None:
+        self.reply = HttpReply(status, body)
+        self.body = None
+
+    async def call(self, method, path, body, *, timeout_s):
+        self.body = body.make()
+        assert len(self.body) == body.length
+        return self.reply
+
+
+def _search(status, body, remaining=lambda: 0.25):
+    client = LeafClient("127.0.0.1:1", 1)
+    client._http = _Http(status, body)
+
+    async def main():
+        return await client.search("b1", "v1", 1, QUERIES, remaining=remaining)
+
+    return trio.run(main), json.loads(client._http.body)
+
+
+def test_good_reply_is_matched_by_query_id():
+    """Guards against matches that go to the wrong query."""
+    reply, sent = _search(200, json.dumps(GOOD).encode())
+    assert reply.documents == 7
+    assert reply.matches == [[Hit(-2, "d", "t")], []]
+    assert sent["deadline_ms"] == 250
+    assert (sent["batch_id"], sent["version"], sent["shard"]) == ("b1", "v1", 1)
+
+
+paths = st.sampled_from(
+    [
+        ("batch_id",),
+        ("version",),
+        ("shard",),
+        ("documents",),
+        ("results",),
+        ("results", 0),
+        ("results", 0, "id"),
+        ("results", 0, "matches"),
+        ("results", 1, "matches", 0),
+        ("results", 1, "matches", 0, "id"),
+        ("results", 1, "matches", 0, "score"),
+        ("results", 1, "matches", 0, "title"),
+    ]
+)
+values = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.integers(-3, -1),
+    st.sampled_from(["2", "v2", "x", float("nan"), float("inf"), {}]),
+    st.lists(st.integers(), min_size=1, max_size=2),
+)
+
+
+@given(paths, values)
+def test_reply_that_differs_anywhere_is_refused(path, value):
+    """Guards against a crossed or malformed reply that counts as an answer."""
+    reply = copy.deepcopy(GOOD)
+    place = reply
+    for step in path[:-1]:
+        place = place[step]
+    is_number = path[-1] in ("score",) and type(value) is int
+    is_text = path[-1] == "title" and type(value) is str
+    is_match_id = path[1:2] == (1,) and path[-1] == "id"
+    if is_number or is_text or (is_match_id and type(value) is str):
+        return
+    place[path[-1]] = value
+    with pytest.raises(LeafReplyError):
+        _search(200, json.dumps(reply).encode())
+
+
+@given(st.binary(max_size=40))
+def test_reply_that_is_not_json_is_refused(body):
+    """Guards against an error of another type for a torn reply."""
+    with pytest.raises(LeafReplyError):
+        _search(200, body)
+
+
+def test_missing_and_additional_results_are_refused():
+    """Guards against a query that gets no answer or another one's."""
+    for results in (
+        GOOD["results"][:1],
+        [*GOOD["results"], GOOD["results"][0]],
+    ):
+        body = json.dumps({**GOOD, "results": results}).encode()
+        with pytest.raises(LeafReplyError):
+            _search(200, body)
+
+
+@pytest.mark.parametrize(
+    ("status", "name", "error"),
+    [
+        (503, "shed", LeafShedError),
+        (503, "cold", LeafColdError),
+        (503, "draining", LeafDrainingError),
+        (503, "other", LeafReplyError),
+        (410, "version_gone", VersionGoneError),
+        (504, "deadline", LeafLateError),
+        (500, "fault", LeafReplyError),
+    ],
+)
+def test_refusals_have_their_own_errors(status, name, error):
+    """Guards against a refusal that is taken for a failure of the leaf."""
+    with pytest.raises(error) as caught:
+        _search(status, json.dumps({"error": name}).encode())
+    assert type(caught.value) is error
+
+
+async def _serve(nursery, handler):
+    listeners = await nursery.start(trio.serve_tcp, handler, 0)
+    port = listeners[0].socket.getsockname()[1]
+    return LeafClient(f"127.0.0.1:{port}", 2)
+
+
+def test_lost_connection_and_refused_connection_differ():
+    """Guards against a crash that is taken for a leaf that got nothing."""
+
+    async def close(stream):
+        await stream.receive_some()
+        await stream.aclose()
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            client = await _serve(nursery, close)
+            with pytest.raises(LeafCrashedError):
+                await client.search("b", "v", 0, QUERIES, remaining=lambda: 5.0)
+            nursery.cancel_scope.cancel()
+        with pytest.raises(LeafUnreachableError):
+            await client.search("b", "v", 0, QUERIES, remaining=lambda: 5.0)
+
+    trio.run(main)
+
+
+def test_body_is_not_sent_when_the_right_ended_while_connecting():
+    """Guards against a request that leaves after the send right ended."""
+    received = []
+    asked = []
+
+    async def listen(stream):
+        async for data in stream:
+            received.append(bytes(data))
+
+    def remaining():
+        asked.append(True)
+        if len(asked) > 1:
+            raise LeafLateError("the right ended.")
+        return 5.0
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            client = await _serve(nursery, listen)
+            with pytest.raises(LeafError):
+                await client.search("b", "v", 0, QUERIES, remaining=remaining)
+            await trio.sleep(0.05)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert len(asked) == 2
+    assert b"queries" not in b"".join(received)
