Split JSON calls from the processes of the stand-ins

Cause: one module held both the bodies of calls and the start and stop of processes. Change: calls.py holds bodies, answers and routes; server.py the process. Conclusion: each module has one responsibility.

--- a/libs/standins/src/sapphire_standins/leaf.py
+++ b/libs/standins/src/sapphire_standins/leaf.py
@@ -14,13 +14,14 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from sapphire_standins import server
+from sapphire_standins import calls, server
+from sapphire_standins.calls import Call, Reply, route
 from sapphire_standins.faults import Action, LeafFaults, Version
 from sapphire_standins.gate import Gate
 from sapphire_standins.index import Index, shard_index
 from sapphire_standins.record import Record, now_ms
 from sapphire_standins.replies import Replies
-from sapphire_standins.server import Addresses, Call, Reply, route
+from sapphire_standins.server import Addresses
 from sapphire_standins.worker import Job, StoppedError, Worker
 
 Identifier = str | int
@@ -88,7 +89,7 @@
     async def search(self, request: Request) -> Reply | Response:
         """Answers POST /search."""
         self._note_arrival(request)
-        call = await server.read_call(Search, request)
+        call = await calls.read_call(Search, request)
         if len(call.queries) > 1 and not self._faults.multi_search:
             raise BadRequestError("this leaf takes one query per call.")
         version = self._version(call)
@@ -112,7 +113,7 @@
     async def submit(self, request: Request) -> Reply | Response:
         """Answers POST /submit; an execution is noted when it starts."""
         self._note_arrival(request)
-        call = await server.read_call(Submission, request)
+        call = await calls.read_call(Submission, request)
         numbers: list[int] = []
 
         def execute() -> None:
@@ -133,7 +134,7 @@
 
     async def cancel(self, request: Request) -> Reply:
         """Answers POST /cancel."""
-        call = await server.read_call(Cancellation, request)
+        call = await calls.read_call(Cancellation, request)
         self._record.cancellations += 1
         stopped = self._worker.cancel(str(call.batch_id))
         return Reply(200, {"cancelled": stopped > 0})
@@ -192,9 +193,9 @@
 
     async def change_faults(self, request: Request) -> Reply:
         """Answers POST /faults; the field act names a single action."""
-        changes = await server.read_json(request)
+        changes = await calls.read_json(request)
         action = _take_action(changes)
-        self._apply(server.changed(self._faults, changes))
+        self._apply(calls.changed(self._faults, changes))
         if action is not None:
             self._act(action)
         return Reply(200, self._faults.model_dump())
@@ -220,20 +221,20 @@
         actions[action]()
 
     async def _answer(
-        self, job: Job, request: Request, body: server.Body
+        self, job: Job, request: Request, body: calls.Body
     ) -> Reply | Response:
         try:
             await self._worker.run(job)
         except StoppedError as error:
             status, name = error.reason.value
             return Reply(status, {"error": name})
-        connection = self._gate.connection(server.client_of(request))
+        connection = self._gate.connection(calls.client_of(request))
         return await self._replies.send(
             json.dumps(body()).encode(), self._faults, connection
         )
 
     def _note_arrival(self, request: Request) -> None:
-        client = server.client_of(request)
+        client = calls.client_of(request)
         connection = self._gate.connection(client)
         if connection is not None:
             self._record.arrive(connection.peer)
--- a/libs/standins/src/sapphire_standins/platform.py
+++ b/libs/standins/src/sapphire_standins/platform.py
@@ -13,11 +13,12 @@
 from starlette.applications import Starlette
 from starlette.requests import Request
 
-from sapphire_standins import server
+from sapphire_standins import calls, server
+from sapphire_standins.calls import Call, Reply, route
 from sapphire_standins.faults import PlatformFaults
 from sapphire_standins.gate import Connection, Gate
 from sapphire_standins.rate import RateLimit
-from sapphire_standins.server import Addresses, Call, Reply, route
+from sapphire_standins.server import Addresses
 from sapphire_standins.store import (
     ConflictError,
     Item,
@@ -85,7 +86,7 @@
     async def put(self, request: Request) -> Reply:
         """Answers PUT /kv/{key}."""
         key = request.path_params["key"]
-        call = await server.read_call(Put, request)
+        call = await calls.read_call(Put, request)
         try:
             version = self._store.put(key, call.value, call.expect, call.lease)
         except ConflictError as error:
@@ -107,7 +108,7 @@
 
     async def open_lease(self, request: Request) -> Reply:
         """Answers POST /lease."""
-        call = await server.read_call(LeaseCall, request)
+        call = await calls.read_call(LeaseCall, request)
         now = trio.current_time()
         lease = self._store.open_lease(call.ttl_ms / 1000, now)
         self._wake_leases()
@@ -143,8 +144,8 @@
 
     async def change_faults(self, request: Request) -> Reply:
         """Answers POST /faults."""
-        changes = await server.read_json(request)
-        self._apply(server.changed(self._faults, changes))
+        changes = await calls.read_json(request)
+        self._apply(calls.changed(self._faults, changes))
         return Reply(200, self._faults.model_dump())
 
     async def run_leases(self) -> None:
@@ -162,7 +163,7 @@
         limit = self._reads if name in _READS else self._writes
 
         async def call(request: Request) -> Reply:
-            connection = self._gate.connection(server.client_of(request))
+            connection = self._gate.connection(calls.client_of(request))
             self._count(name, connection)
             if self._is_cut(connection):
                 return self._cut(name, connection)
--- a/libs/standins/src/sapphire_standins/server.py
+++ b/libs/standins/src/sapphire_standins/server.py
@@ -8,21 +8,18 @@
 import pathlib
 import signal
 import sys
-import traceback
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import asdict, dataclass
 from typing import Any, Protocol, TypeVar
 
 import fire
 import trio
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
-from sapphire_core.errors import BadRequestError, SettingsError
+from pydantic import Field, ValidationError
+from sapphire_core.errors import SettingsError
 from sapphire_wire.web import serve_http
 from starlette.applications import Starlette
-from starlette.requests import Request
-from starlette.responses import Response
-from starlette.routing import Route
 
+from sapphire_standins.calls import Model, ModelType
 from sapphire_standins.gate import Address, Gate
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -32,12 +29,6 @@
 FLUSH_S = 0.1
 
 
-class Model(BaseModel):
-    """Base of settings and fault models: unknown fields are errors."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
 class ListenSettings(Model):
     """Addresses of a stand-in; port 0 lets the system choose."""
 
@@ -49,12 +40,6 @@
     )
 
 
-class Call(BaseModel):
-    """Base of the bodies of calls: unknown fields are ignored."""
-
-    model_config = ConfigDict(extra="ignore", frozen=True)
-
-
 @dataclass(frozen=True)
 class Addresses:
     """Bound addresses of a stand-in, as host:port."""
@@ -63,17 +48,6 @@
     control: str
 
 
-@dataclass(frozen=True)
-class Reply:
-    """A JSON answer and its HTTP status."""
-
-    status: int
-    body: Any
-
-
-Body = Callable[[], Any]
-Handler = Callable[[Request], Awaitable[Reply | Response]]
-ModelType = TypeVar("ModelType", bound=BaseModel)
 SettingsType = TypeVar("SettingsType", bound=ListenSettings, contravariant=True)
 
 
@@ -120,76 +94,6 @@
         raise SettingsError(name, first["input"], first["msg"]) from error
 
 
-def changed(current: ModelType, changes: Any) -> ModelType:
-    """Returns a copy of a model with some fields changed.
-
-    Raises:
-        BadRequestError: A field is unknown or its value is not valid.
-    """
-    if not isinstance(changes, dict):
-        raise BadRequestError("the body is not a JSON object.")
-    try:
-        fields = {**current.model_dump(), **changes}
-        return type(current).model_validate(fields)
-    except ValidationError as error:
-        raise BadRequestError(str(error)) from error
-
-
-async def read_json(request: Request) -> Any:
-    """Returns the decoded body of a request.
-
-    Raises:
-        BadRequestError: The body is not JSON.
-    """
-    try:
-        return json.loads(await request.body())
-    except ValueError as error:
-        raise BadRequestError(f"the body is not JSON: {error}.") from error
-
-
-async def read_call(model: type[ModelType], request: Request) -> ModelType:
-    """Returns the validated body of a call.
-
-    Raises:
-        BadRequestError: The body is not valid.
-    """
-    fields = await read_json(request)
-    try:
-        return model.model_validate(fields)
-    except ValidationError as error:
-        raise BadRequestError(str(error)) from error
-
-
-def client_of(request: Request) -> Address | None:
-    """Returns the address of the connection's other end."""
-    client = request.client
-    return None if client is None else (client.host, client.port)
-
-
-def route(path: str, method: str, handler: Handler) -> Route:
-    """Returns a route that answers with the handler's reply as JSON."""
-
-    async def answer(request: Request) -> Response:
-        try:
-            reply = await handler(request)
-        except BadRequestError as error:
-            reply = Reply(400, {"error": str(error)})
-        except Exception:
-            # hypercorn's error log is off; a fault of the stand-in itself
-            # must not pass for an injected one.
-            traceback.print_exc()
-            raise
-        if isinstance(reply, Response):
-            return reply
-        return Response(
-            json.dumps(reply.body),
-            reply.status,
-            media_type="application/json",
-        )
-
-    return Route(path, answer, methods=[method])
-
-
 @contextlib.asynccontextmanager
 async def started(
     serve: Serve[SettingsType], settings: SettingsType
--- a/libs/standins/src/sapphire_standins/vms.py
+++ b/libs/standins/src/sapphire_standins/vms.py
@@ -9,10 +9,11 @@
 from starlette.applications import Starlette
 from starlette.requests import Request
 
-from sapphire_standins import server
+from sapphire_standins import calls, server
+from sapphire_standins.calls import Model, Reply, route
 from sapphire_standins.gate import Gate
 from sapphire_standins.lag import Lagged
-from sapphire_standins.server import Addresses, Model, Reply, route
+from sapphire_standins.server import Addresses
 
 
 class VmList(Model):
@@ -44,8 +45,8 @@
 
     async def change(self, request: Request) -> Reply:
         """Answers POST /vms; lists that are not named stay as they are."""
-        fields = await server.read_json(request)
-        self._newest = server.changed(self._newest, fields)
+        fields = await calls.read_json(request)
+        self._newest = calls.changed(self._newest, fields)
         self._shown.set(self._newest, trio.current_time())
         return Reply(200, self._newest.model_dump())
 
