End the processes of a failed stand-in test

Cause: runs of the process test that failed left four processes behind. Ruled out: a process group, since each process is known by its handle. Change: the test ends what it started in any case. Conclusion: a failure of this test no longer takes ports or memory.

--- a/libs/standins/tests/test_server.py
+++ b/libs/standins/tests/test_server.py
@@ -28,12 +28,16 @@
         )
         for name in ("leaf", "platform", "vmlist")
     ]
-    for process in started:
-        with process:
+    try:
+        for process in started:
             addresses = json.loads(process.stdout.readline())
             assert set(addresses) == {"listen", "control"}
             process.send_signal(signal.SIGTERM)
             assert process.wait(timeout=30) == 0
+    finally:
+        for process in started:
+            process.kill()
+            process.communicate()
 
 
 def test_flags_take_precedence_and_errors_name_the_field(tmp_path):
