--- a/libs/standins/src/sapphire_standins/platform.py
+++ b/libs/standins/src/sapphire_standins/platform.py
@@ -7,18 +7,18 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import fire
 import trio
 from pydantic import Field
 from sapphire_core.errors import BadRequestError
 from starlette.applications import Starlette
 from starlette.requests import Request
 
-from sapphire_standins import server
+from sapphire_standins import calls, server
+from sapphire_standins.calls import Call, Reply, route
 from sapphire_standins.faults import PlatformFaults
 from sapphire_standins.gate import Connection, Gate
 from sapphire_standins.rate import RateLimit
-from sapphire_standins.server import Addresses, Call, Reply, route
+from sapphire_standins.server import Addresses
 from sapphire_standins.store import (
     ConflictError,
     Item,
@@ -86,7 +86,7 @@
     async def put(self, request: Request) -> Reply:
         """Answers PUT /kv/{key}."""
         key = request.path_params["key"]
-        call = await server.read_call(Put, request)
+        call = await calls.read_call(Put, request)
         try:
             version = self._store.put(key, call.value, call.expect, call.lease)
         except ConflictError as error:
@@ -108,7 +108,7 @@
 
     async def open_lease(self, request: Request) -> Reply:
         """Answers POST /lease."""
-        call = await server.read_call(LeaseCall, request)
+        call = await calls.read_call(LeaseCall, request)
         now = trio.current_time()
         lease = self._store.open_lease(call.ttl_ms / 1000, now)
         self._wake_leases()
@@ -144,8 +144,8 @@
 
     async def change_faults(self, request: Request) -> Reply:
         """Answers POST /faults."""
-        changes = await server.read_json(request)
-        self._apply(server.changed(self._faults, changes))
+        changes = await calls.read_json(request)
+        self._apply(calls.changed(self._faults, changes))
         return Reply(200, self._faults.model_dump())
 
     async def run_leases(self) -> None:
@@ -163,7 +163,7 @@
         limit = self._reads if name in _READS else self._writes
 
         async def call(request: Request) -> Reply:
-            connection = self._gate.connection(server.client_of(request))
+            connection = self._gate.connection(calls.client_of(request))
             self._count(name, connection)
             if self._is_cut(connection):
                 return self._cut(name, connection)
@@ -283,16 +283,18 @@
 
 async def serve(
     settings: PlatformSettings,
+    stop: trio.Event,
     *,
     task_status: trio.TaskStatus[Addresses] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serves the key-value service until SIGTERM."""
+    """Serves the key-value service until stop is set."""
     gate = Gate()
     platform = Platform(settings, gate)
-    await server.serve(
+    await server.serve_app(
         build_app(platform),
         gate,
         settings,
+        stop,
         background=platform.run_leases,
         task_status=task_status,
     )
@@ -305,9 +307,10 @@
         settings: Path of a JSON file with fields of PlatformSettings.
         **flags: Fields of PlatformSettings; they take precedence.
     """
-    trio.run(serve, server.read_settings(PlatformSettings, settings, flags))
+    values = server.read_settings(PlatformSettings, settings, flags)
+    trio.run(server.serve_until_signal, serve, values)
 
 
 def main() -> None:
     """Runs the command line."""
-    fire.Fire(run)
+    server.run_command(run)
