Prefer send-right holders in the leaf's failure domain

Cause: the ranking ignored failure domains, so both replicas of a shard could have the same holder, or move to a new member at the same time. Fleet tests saw shards missing with no_leaf while a member joined or was lost. Ruled out: stale views (the shard came back only after a grant lifetime). Change: the roster carries each member's failure domain; members in the leaf's domain rank first. Replicas in distinct domains get distinct holders. Conclusion: a leaf's failure domain can't be edited in place any more.

--- a/libs/aggregator/src/sapphire_aggregator/cell.py
+++ b/libs/aggregator/src/sapphire_aggregator/cell.py
@@ -5,6 +5,7 @@
 import json
 import secrets
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 import trio
@@ -30,7 +31,13 @@
     next_roster,
     track_fenced,
 )
-from sapphire_wire.gen.ttypes import CrashRecord, Frame, Ping, Pong
+from sapphire_wire.gen.ttypes import (
+    CrashRecord,
+    Frame,
+    Ping,
+    Pong,
+    RosterMember,
+)
 from sapphire_wire.platform import Item, VmLists, join
 
 from sapphire_aggregator import log, metrics
@@ -73,6 +80,14 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class _Joiner:
+    """An aggregator outside the roster that has sent a ping."""
+
+    failure_domain: str
+    heard_at: float
+
+
 def parse_roster(text: str) -> Roster:
     """Returns the roster of a platform value.
 
@@ -80,14 +95,24 @@
         ValueError: The text is not a roster.
     """
     fields = json.loads(text)
-    members = tuple(str(member) for member in fields["members"])
-    return Roster(int(fields["revision"]), members)
+    domains = {str(m): str(d) for m, d in fields["members"].items()}
+    return Roster(
+        int(fields["revision"]), tuple(domains), tuple(domains.values())
+    )
 
 
 def format_roster(roster: Roster) -> str:
     """Returns the platform value of a roster."""
-    fields = {"revision": roster.revision, "members": list(roster.members)}
-    return json.dumps(fields)
+    members = {m: roster.domain_of(m) for m in roster.members}
+    return json.dumps({"revision": roster.revision, "members": members})
+
+
+def roster_to_wire(roster: Roster) -> list[RosterMember]:
+    """Returns the members of a roster as they are sent."""
+    return [
+        RosterMember(address=m, failure_domain=roster.domain_of(m))
+        for m in roster.members
+    ]
 
 
 def to_wire(records: Iterable[Record]) -> list[CrashRecord]:
@@ -151,7 +176,7 @@
         self._ledger = RightsLedger(self._member, _NO_ROSTER)
         self._sightings = Sightings()
         self._fenced_since: dict[str, float] = {}
-        self._joiners: dict[str, float] = {}
+        self._joiners: dict[str, _Joiner] = {}
         self._peers: dict[str, Peer] = {}
         self._pinged: dict[str, trio.CancelScope] = {}
         self._revisions: dict[str, int] = {}
@@ -197,11 +222,13 @@
         """Addresses of the members of the cell."""
         return list(self.roster.members) or [self._member]
 
-    def right_until(self, leaf: str, now: float) -> float | None:
+    def right_until(
+        self, leaf: str, now: float, failure_domain: str
+    ) -> float | None:
         """Returns the end of the send right of a leaf; None without it."""
         if self._is_suspended:
             return None
-        return self._ledger.right_until(leaf, now)
+        return self._ledger.right_until(leaf, now, failure_domain)
 
     def adopt_document(self, revision: int, document: Document) -> None:
         """Adopts what a configuration says about members."""
@@ -241,7 +268,7 @@
             now=now,
         )
         if in_service and not ping.released:
-            self._joiners[ping.member] = now
+            self._joiners[ping.member] = _Joiner(ping.failure_domain, now)
         else:
             self._joiners.pop(ping.member, None)
         fenced = self._table.fenced(now, self._absence(now).members)
@@ -249,7 +276,7 @@
         return self._pong(
             granted=granted,
             fenced=fenced,
-            roster=list(self.roster.members) if differs else None,
+            roster=roster_to_wire(self.roster) if differs else None,
         )
 
     async def run(self, nursery: trio.Nursery) -> None:
@@ -321,10 +348,15 @@
         )
 
     def _adopt_wire(
-        self, revision: int | None, members: list[str] | None, now: float
+        self, revision: int | None, members: list[Any] | None, now: float
     ) -> None:
         if revision is not None and members:
-            self._adopt(Roster(revision, tuple(members)), now)
+            roster = Roster(
+                revision,
+                tuple(m.address for m in members),
+                tuple(m.failure_domain for m in members),
+            )
+            self._adopt(roster, now)
 
     def _adopt(self, roster: Roster, now: float) -> None:
         if not self._table.adopt(roster, now):
@@ -401,7 +433,7 @@
             address=self._member,
             failure_domain=self._settings.failure_domain,
             incarnation=self._incarnation,
-            roster=list(self.roster.members) if differs else None,
+            roster=roster_to_wire(self.roster) if differs else None,
         )
 
     def _take_pong(
@@ -466,11 +498,11 @@
         self._fenced_since = track_fenced(
             self._fenced_since, ledger.fenced_members(now), now
         )
-        joiners = [
-            member
-            for member, heard_at in self._joiners.items()
-            if now - heard_at <= JOINER_SILENCE_S
-        ]
+        joiners = {
+            member: joiner.failure_domain
+            for member, joiner in self._joiners.items()
+            if now - joiner.heard_at <= JOINER_SILENCE_S
+        }
         return next_roster(
             self._member,
             current,
@@ -479,6 +511,7 @@
             absent=self._absence(now).members,
             joiners=joiners,
             now=now,
+            failure_domain=self._settings.failure_domain,
         )
 
     async def _change_roster(self) -> None:
--- a/libs/aggregator/src/sapphire_aggregator/link.py
+++ b/libs/aggregator/src/sapphire_aggregator/link.py
@@ -66,7 +66,9 @@
 class Rights(Protocol):
     """Tells until when this member holds the send right of a leaf."""
 
-    def right_until(self, leaf: str, now: float) -> float | None:
+    def right_until(
+        self, leaf: str, now: float, failure_domain: str
+    ) -> float | None:
         """Returns the time at which the right ends; None without it."""
         ...
 
@@ -372,7 +374,9 @@
             self._end_waiting(status)
 
     def _right_until(self, now: float) -> float | None:
-        until = self._context.rights.right_until(self.address, now)
+        until = self._context.rights.right_until(
+            self.address, now, self.failure_domain
+        )
         return until if until is not None and until > now else None
 
     def _remaining(self, deadline: float) -> float:
--- a/libs/aggregator/tests/fakes.py
+++ b/libs/aggregator/tests/fakes.py
@@ -13,7 +13,7 @@
 
     until = 1e9
 
-    def right_until(self, leaf, now):
+    def right_until(self, leaf, now, failure_domain):
         return self.until if now < self.until else None
 
 
--- a/libs/aggregator/tests/test_cell.py
+++ b/libs/aggregator/tests/test_cell.py
@@ -13,6 +13,13 @@
 from trio.testing import MockClock
 
 LEAVES = [f"10.1.0.{n}:1" for n in range(30)]
+
+
+def domain_of(leaf):
+    """Returns the failure domain of a leaf."""
+    return "ab"[LEAVES.index(leaf) % 2]
+
+
 DELAY_S = 0.001
 
 
@@ -96,7 +103,8 @@
         return [
             member
             for member, cell in self.cells.items()
-            if member not in self.lost and cell.right_until(leaf, now)
+            if member not in self.lost
+            and cell.right_until(leaf, now, domain_of(leaf))
         ]
 
     async def watch(self, seconds):
@@ -205,7 +213,12 @@
         for cell in cells:
             out = _document(out_failure_domains=["b"])
             cell.adopt_document(2, out)
-        assert cells[1].right_until(LEAVES[0], trio.current_time()) is None
+        assert (
+            cells[1].right_until(
+                LEAVES[0], trio.current_time(), domain_of(LEAVES[0])
+            )
+            is None
+        )
         await network.watch(3)
         assert network.all_held()
         assert not any(cells[1].member in network.holders(x) for x in LEAVES)
--- a/libs/core/src/sapphire_core/rights.py
+++ b/libs/core/src/sapphire_core/rights.py
@@ -34,10 +34,35 @@
 
 @dataclass(frozen=True)
 class Roster:
-    """The members of a cell; each revision changes at most one of them."""
+    """The members of a cell; each revision changes at most one of them.
+
+    Attributes:
+        revision: Number of the revision.
+        members: Addresses of the members.
+        domains: Failure domain of each member, in the same order; empty if
+            they are not known.
+    """
 
     revision: int
     members: tuple[str, ...]
+    domains: tuple[str, ...] = ()
+
+    def domain_of(self, member: str) -> str:
+        """Returns the failure domain of a member, empty if unknown."""
+        if not self.domains:
+            return ""
+        return self.domains[self.members.index(member)]
+
+    def ranking(self, leaf: str, failure_domain: str) -> list[str]:
+        """Returns the members in the order in which they may hold a leaf.
+
+        Members in the leaf's failure domain come first. Replicas of a shard
+        are in different domains, so they get different holders, and the loss
+        of one holder or a change of the roster leaves the others served.
+        """
+        ranked = rendezvous.ranking(leaf, self.members)
+        near = [m for m in ranked if self.domain_of(m) == failure_domain]
+        return near + [m for m in ranked if m not in near]
 
 
 @dataclass
@@ -223,6 +248,10 @@
     return ends[majority(len(ends)) - 1] if ends else -math.inf
 
 
+# Address and failure domain of a leaf.
+_LeafKey = tuple[str, str]
+
+
 class _Epoch:
     """Votes under one roster with the results derived from them."""
 
@@ -232,8 +261,8 @@
         self.absent_until = -math.inf
         self._granted_until: float | None = None
         self._fenced_until: dict[str, float] = {}
-        self._leaves: dict[str, float] = {}
-        self._ahead: dict[str, list[str]] = {}
+        self._leaves: dict[_LeafKey, float] = {}
+        self._ahead: dict[_LeafKey, list[str]] = {}
 
     def changed(self) -> None:
         """Discards the derived times after a change of the votes."""
@@ -255,7 +284,7 @@
             self._fenced_until[member] = until
         return until
 
-    def leaf_until(self, leaf: str, member: str) -> float:
+    def leaf_until(self, leaf: _LeafKey, member: str) -> float:
         """Returns the time until which the member may send to the leaf."""
         until = self._leaves.get(leaf)
         if until is None:
@@ -268,10 +297,10 @@
     def _quorum_until(self, votes: dict[str, float]) -> float:
         return self.votes.quorum_until(votes, self.absent, self.absent_until)
 
-    def _members_ahead(self, leaf: str, member: str) -> list[str]:
+    def _members_ahead(self, leaf: _LeafKey, member: str) -> list[str]:
         ahead = self._ahead.get(leaf)
         if ahead is None:
-            ranked = rendezvous.ranking(leaf, self.votes.roster.members)
+            ranked = self.votes.roster.ranking(*leaf)
             ahead = ranked[: ranked.index(member)]
             self._ahead[leaf] = ahead
         return ahead
@@ -356,25 +385,30 @@
         """Gives up all rights of this incarnation for good."""
         self._released = True
 
-    def right_until(self, leaf: str, now: float) -> float | None:
+    def right_until(
+        self, leaf: str, now: float, failure_domain: str = ""
+    ) -> float | None:
         """Returns the time until which this member may send to the leaf.
 
         Call this immediately before each send with the current time.
 
+        Args:
+            leaf: Address of the leaf.
+            now: The current time.
+            failure_domain: The leaf's failure domain. All members must use
+                the same one, so a leaf's domain can't be edited in place.
+
         Returns:
             The end of the send right, after now, or None without the right.
         """
         if self._released or self._member not in self.roster.members:
             return None
-        until = self._current.leaf_until(leaf, self._member)
+        key = (leaf, failure_domain)
+        until = self._current.leaf_until(key, self._member)
         if self._former is not None:
-            until = max(until, self._former.leaf_until(leaf, self._member))
+            until = max(until, self._former.leaf_until(key, self._member))
         return until if now < until else None
 
-    def held(self, leaves: Iterable[str], now: float) -> set[str]:
-        """Returns the leaves for which this member holds the send right."""
-        return {a for a in leaves if self.right_until(a, now) is not None}
-
     def has_majority(self, now: float) -> bool:
         """Returns whether a majority of the current roster grants it."""
         return not self._released and now < self._current.granted_until()
--- a/libs/core/src/sapphire_core/roster.py
+++ b/libs/core/src/sapphire_core/roster.py
@@ -91,8 +91,9 @@
     may_change: bool,
     fenced_since: Mapping[str, float],
     absent: Collection[str],
-    joiners: Iterable[str],
+    joiners: Mapping[str, str],
     now: float,
+    failure_domain: str = "",
 ) -> Roster | None:
     """Returns the roster to write by compare-and-swap, if any.
 
@@ -103,27 +104,30 @@
         fenced_since: Result of `track_fenced`.
         absent: Members whose VMs no longer exist.
         joiners: Aggregators outside the roster that ping this member, are in
-            service and have not released.
+            service and have not released, with their failure domains.
         now: The current time.
+        failure_domain: Failure domain of the member that decides.
 
     Returns:
         A roster that differs in at most one member, or None.
     """
     if roster is None:
-        return Roster(1, (member,))
+        return Roster(1, (member,), (failure_domain,))
     if member not in roster.members:
         # Nobody is left to add a joiner after the whole fleet was replaced.
         is_deserted = all(m in absent for m in roster.members)
-        return _with(roster, member) if is_deserted else None
+        if not is_deserted:
+            return None
+        return _with(roster, member, failure_domain)
     if not may_change:
         return None
     leaver = _leaver(member, roster, fenced_since, absent, now)
     if leaver is not None:
         rest = tuple(m for m in roster.members if m != leaver)
-        return Roster(roster.revision + 1, rest)
+        return _next(roster, {m: roster.domain_of(m) for m in rest})
     new = sorted(set(joiners) - set(roster.members))
     if new and len(roster.members) < MAX_MEMBERS:
-        return _with(roster, new[0])
+        return _with(roster, new[0], joiners[new[0]])
     return None
 
 
@@ -142,6 +146,13 @@
     return next(iter(gone + lost), None)
 
 
-def _with(roster: Roster, joiner: str) -> Roster:
-    members = tuple(sorted({*roster.members, joiner}))
-    return Roster(roster.revision + 1, members)
+def _with(roster: Roster, joiner: str, failure_domain: str) -> Roster:
+    domains = {m: roster.domain_of(m) for m in roster.members}
+    return _next(roster, domains | {joiner: failure_domain})
+
+
+def _next(roster: Roster, domains: Mapping[str, str]) -> Roster:
+    members = tuple(sorted(domains))
+    return Roster(
+        roster.revision + 1, members, tuple(domains[m] for m in members)
+    )
--- a/libs/core/tests/test_rights.py
+++ b/libs/core/tests/test_rights.py
@@ -17,6 +17,14 @@
 from sapphire_core.roster import Sightings, next_roster, track_fenced
 
 LEAVES = [f"10.1.0.{i}:9000" for i in range(12)]
+DOMAINS = ("a", "b", "c")
+
+
+def domain_of(name):
+    """Returns the failure domain of a member or leaf of the simulation."""
+    return DOMAINS[int(name.split(":")[0].split(".")[-1]) % len(DOMAINS)]
+
+
 STEP_S = 0.05
 
 
@@ -84,7 +92,9 @@
     def change_roster(self, absent, now):
         fenced = self.ledger.fenced_members(now)
         self.fenced_since = track_fenced(self.fenced_since, fenced, now)
-        recent = [m for m, at in self.joiners.items() if now - at < 1]
+        recent = {
+            m: domain_of(m) for m, at in self.joiners.items() if now - at < 1
+        }
         after = next_roster(
             self.name,
             self.ledger.roster,
@@ -94,6 +104,7 @@
             absent=absent,
             joiners=recent,
             now=now,
+            failure_domain=domain_of(self.name),
         )
         if after is None or self.ledger.is_released:
             return
@@ -155,7 +166,8 @@
         self.loss = loss
         self.platform_up = True
         names = [f"10.0.0.{i}:7000" for i in range(size + extra)]
-        self.roster = Roster(1, tuple(names[:size]))
+        members = tuple(names[:size])
+        self.roster = Roster(1, members, tuple(map(domain_of, members)))
         self.processes = {n: Process(self, n) for n in names}
         self.ended = []
         self.mail = []
@@ -191,8 +203,10 @@
     def holders(self):
         found = {leaf: [] for leaf in LEAVES}
         for process in self.processes.values():
-            for leaf in process.ledger.held(LEAVES, process.clock()):
-                found[leaf].append(process.name)
+            now = process.clock()
+            for leaf in LEAVES:
+                if process.ledger.right_until(leaf, now, domain_of(leaf)):
+                    found[leaf].append(process.name)
         return found
 
     def check(self):
@@ -391,7 +405,7 @@
         roster_revision=1,
         now=0.0,
     )
-    assert ledger.held(LEAVES, 0.1) == set()
+    assert not any(ledger.right_until(leaf, 0.1) for leaf in LEAVES)
 
 
 def test_right_ends_one_grant_after_the_ping():
@@ -420,3 +434,14 @@
         )
     assert not ledger.may_change_roster(1.0 + GUARD_S - 0.01)
     assert ledger.may_change_roster(1.0 + GUARD_S)
+
+
+def test_replicas_in_distinct_domains_get_distinct_holders():
+    """Guards against a shard whose replicas all lose their holder at once."""
+    members = tuple(f"10.0.0.{i}:7000" for i in range(6))
+    roster = Roster(1, members, tuple(map(domain_of, members)))
+    for leaf in LEAVES:
+        order = roster.ranking(leaf, domain_of(leaf))
+        assert sorted(order) == sorted(members)
+        near = [domain_of(m) == domain_of(leaf) for m in order]
+        assert near == [True, True, False, False, False, False]
--- a/libs/wire/idl/messages.thrift
+++ b/libs/wire/idl/messages.thrift
@@ -93,6 +93,11 @@
   3: double expires_in_ms,
 }
 
+struct RosterMember {
+  1: string address,
+  2: string failure_domain,
+}
+
 struct Ping {
   1: string member,
   2: string cell,
@@ -103,7 +108,7 @@
   7: string address,
   8: string failure_domain,
   9: i64 incarnation,
-  10: optional list<string> roster, // Set when the revisions differ.
+  10: optional list<RosterMember> roster, // Set when the revisions differ.
 }
 
 struct Pong {
@@ -113,7 +118,7 @@
   4: i64 roster_revision,
   5: i64 config_revision,
   6: list<CrashRecord> quarantine,
-  7: optional list<string> roster, // Set when the revisions differ.
+  7: optional list<RosterMember> roster, // Set when the revisions differ.
 }
 
 // What an entry daemon tells the others about itself.
--- a/libs/wire/src/sapphire_wire/gen/ttypes.py
+++ b/libs/wire/src/sapphire_wire/gen/ttypes.py
@@ -1015,6 +1015,86 @@
         return not (self == other)
 
 
+class RosterMember(object):
+    """
+    Attributes:
+     - address
+     - failure_domain
+
+    """
+
+    __slots__ = (
+        'address',
+        'failure_domain',
+    )
+
+
+    def __init__(self, address=None, failure_domain=None,):
+        self.address = address
+        self.failure_domain = failure_domain
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RosterMember')
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 1)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 2)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Ping(object):
     """
     Attributes:
@@ -1122,7 +1202,8 @@
                     self.roster = []
                     (_etype30, _size27) = iprot.readListBegin()
                     for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _elem32 = RosterMember()
+                        _elem32.read(iprot)
                         self.roster.append(_elem32)
                     iprot.readListEnd()
                 else:
@@ -1178,9 +1259,9 @@
             oprot.writeFieldEnd()
         if self.roster is not None:
             oprot.writeFieldBegin('roster', TType.LIST, 10)
-            oprot.writeListBegin(TType.STRING, len(self.roster))
+            oprot.writeListBegin(TType.STRUCT, len(self.roster))
             for iter34 in self.roster:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1296,7 +1377,8 @@
                     self.roster = []
                     (_etype50, _size47) = iprot.readListBegin()
                     for _i51 in range(_size47):
-                        _elem52 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _elem52 = RosterMember()
+                        _elem52.read(iprot)
                         self.roster.append(_elem52)
                     iprot.readListEnd()
                 else:
@@ -1343,9 +1425,9 @@
             oprot.writeFieldEnd()
         if self.roster is not None:
             oprot.writeFieldBegin('roster', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRING, len(self.roster))
+            oprot.writeListBegin(TType.STRUCT, len(self.roster))
             for iter55 in self.roster:
-                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2482,6 +2564,12 @@
     (2, TType.I32, 'crashes', None, None, ),  # 2
     (3, TType.DOUBLE, 'expires_in_ms', None, None, ),  # 3
 )
+all_structs.append(RosterMember)
+RosterMember.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'address', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 2
+)
 all_structs.append(Ping)
 Ping.thrift_spec = (
     None,  # 0
@@ -2494,7 +2582,7 @@
     (7, TType.STRING, 'address', 'UTF8', None, ),  # 7
     (8, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 8
     (9, TType.I64, 'incarnation', None, None, ),  # 9
-    (10, TType.LIST, 'roster', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (10, TType.LIST, 'roster', (TType.STRUCT, [RosterMember, None], False), None, ),  # 10
 )
 all_structs.append(Pong)
 Pong.thrift_spec = (
@@ -2505,7 +2593,7 @@
     (4, TType.I64, 'roster_revision', None, None, ),  # 4
     (5, TType.I64, 'config_revision', None, None, ),  # 5
     (6, TType.LIST, 'quarantine', (TType.STRUCT, [CrashRecord, None], False), None, ),  # 6
-    (7, TType.LIST, 'roster', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (7, TType.LIST, 'roster', (TType.STRUCT, [RosterMember, None], False), None, ),  # 7
 )
 all_structs.append(EntryRecord)
 EntryRecord.thrift_spec = (
