Keep other tests' log lines out of the bad settings test

Cause: eliot delivers what was logged before the first destination exists, so the test saw lines of the aggregator's tests in a whole run. Change: the test sends the log to a file; it still requires one line on standard error. Conclusion: the daemon is unchanged.

--- a/libs/entry/tests/test_cmdline.py
+++ b/libs/entry/tests/test_cmdline.py
@@ -31,7 +31,9 @@
 def test_bad_settings_end_with_one_error(tmp_path, capsys, changes, named):
     """Guards against a traceback instead of the field and its remedy."""
     path = tmp_path / "settings.json"
-    path.write_text(json.dumps({**_SETTINGS, **changes}))
+    # The log goes elsewhere: it holds what other tests logged before.
+    fields = {**_SETTINGS, "log_file": str(tmp_path / "log"), **changes}
+    path.write_text(json.dumps(fields))
     with pytest.raises(SystemExit) as caught:
         cmdline.run(str(path))
     assert caught.value.code == cmdline.EXIT_BAD_SETTINGS
