--- a/libs/standins/src/sapphire_standins/vms.py
+++ b/libs/standins/src/sapphire_standins/vms.py
@@ -4,16 +4,16 @@
 
 from typing import Any
 
-import fire
 import trio
 from pydantic import Field
 from starlette.applications import Starlette
 from starlette.requests import Request
 
-from sapphire_standins import server
+from sapphire_standins import calls, server
+from sapphire_standins.calls import Model, Reply, route
 from sapphire_standins.gate import Gate
 from sapphire_standins.lag import Lagged
-from sapphire_standins.server import Addresses, Model, Reply, route
+from sapphire_standins.server import Addresses
 
 
 class VmList(Model):
@@ -45,8 +45,8 @@
 
     async def change(self, request: Request) -> Reply:
         """Answers POST /vms; lists that are not named stay as they are."""
-        fields = await server.read_json(request)
-        self._newest = server.changed(self._newest, fields)
+        fields = await calls.read_json(request)
+        self._newest = calls.changed(self._newest, fields)
         self._shown.set(self._newest, trio.current_time())
         return Reply(200, self._newest.model_dump())
 
@@ -63,12 +63,17 @@
 
 async def serve(
     settings: VmSettings,
+    stop: trio.Event,
     *,
     task_status: trio.TaskStatus[Addresses] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serves the VM list until SIGTERM."""
-    await server.serve(
-        build_app(Vms(settings)), Gate(), settings, task_status=task_status
+    """Serves the VM list until stop is set."""
+    await server.serve_app(
+        build_app(Vms(settings)),
+        Gate(),
+        settings,
+        stop,
+        task_status=task_status,
     )
 
 
@@ -79,9 +84,10 @@
         settings: Path of a JSON file with fields of VmSettings.
         **flags: Fields of VmSettings; they take precedence.
     """
-    trio.run(serve, server.read_settings(VmSettings, settings, flags))
+    values = server.read_settings(VmSettings, settings, flags)
+    trio.run(server.serve_until_signal, serve, values)
 
 
 def main() -> None:
     """Runs the command line."""
-    fire.Fire(run)
+    server.run_command(run)
