Receive signals before the start is reported

Cause: test_stop_without_platform_exits_with_0 failed once in a full run on a busy machine. SIGTERM was not yet handled when the line "started" was written; a signal in between would end the process. The failure's output was not kept, so this is the likely cause and not a proven one.

Ruled out: a hang of the stop, which has a limit of 10 s.

Change: the signal receiver is opened first.

Conclusion: watch this test under load.

--- a/libs/aggregator/src/sapphire_aggregator/daemon.py
+++ b/libs/aggregator/src/sapphire_aggregator/daemon.py
@@ -71,14 +71,16 @@
 
 async def run(settings: AggregatorSettings) -> None:
     """Runs the daemon until SIGTERM."""
-    async with trio.open_nursery() as nursery:
-        daemon = Daemon(settings, nursery)
-        await daemon.start()
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
+    # Signals are received before the log line that reports the start, since
+    # whoever reads that line may send one at once.
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
+        async with trio.open_nursery() as nursery:
+            daemon = Daemon(settings, nursery)
+            await daemon.start()
             async for _ in stops:
                 break
-        await daemon.stop()
-        nursery.cancel_scope.cancel()
+            await daemon.stop()
+            nursery.cancel_scope.cancel()
 
 
 class Daemon:
