Send nothing under a right that is about to end

Ruled out: waiting for the renewal; another replica can answer sooner.

Change: less than 20 ms of the right, if the callers have more, counts as not holding it. Two names in the leaf client say what they do.

--- a/libs/aggregator/src/sapphire_aggregator/link.py
+++ b/libs/aggregator/src/sapphire_aggregator/link.py
@@ -52,6 +52,8 @@
 # The leaf's deadline ends this much before the send right and the callers'
 # deadlines, so that its answer can still be received and sent on.
 MARGIN_S = 0.002
+# A right that ends sooner than this leaves no time for a usual reply.
+MIN_RIGHT_S = 0.02
 # A call that ended this close to the callers' deadline was ended by it.
 LATE_MARGIN_S = 0.01
 # After a longer time without the send right, another member may have used
@@ -385,7 +387,7 @@
         """
         now = trio.current_time()
         until = self._right_until(now)
-        if until is None:
+        if until is None or until < min(deadline, now + MIN_RIGHT_S):
             raise RightLostError
         if self._is_out:
             raise LeafDrainingError("the leaf is out of service.")
--- a/libs/core/src/sapphire_core/window.py
+++ b/libs/core/src/sapphire_core/window.py
@@ -240,7 +240,7 @@
         elif evidence is Evidence.LATE:
             self._recent.learn(run.queries, elapsed)
             if not slow:
-                # The caller's deadline was short; the leaf is not to blame.
+                # The caller's deadline was short, the leaf was not slow.
                 evidence = Evidence.NEUTRAL
         elif evidence is Evidence.NEUTRAL and slow:
             evidence = Evidence.COLD
--- a/libs/wire/src/sapphire_wire/leaf.py
+++ b/libs/wire/src/sapphire_wire/leaf.py
@@ -154,7 +154,7 @@
             ],
         }
         reply = await self._call("/search", fields, remaining)
-        with self._trust():
+        with self._checking():
             _require_ok(reply)
             answer = _decode(reply)
             _require_equal("batch id", answer.get("batch_id"), batch_id)
@@ -171,7 +171,7 @@
         """
         fields = {"key": key, "body": body}
         reply = await self._call("/submit", fields, remaining)
-        with self._trust():
+        with self._checking():
             _require_ok(reply)
             return _decode(reply)
 
@@ -182,7 +182,7 @@
             LeafError: The leaf did not give a usable answer.
         """
         reply = await self._send("GET", "/index", None, timeout_s)
-        with self._trust():
+        with self._checking():
             _require_ok(reply)
             return _leaf_index(_decode(reply))
 
@@ -196,15 +196,15 @@
 
     async def aclose(self) -> None:
         """Closes all connections."""
-        await self._close_given_up()
+        await self._close_replaced()
         await self._http.aclose()
 
     @contextlib.contextmanager
-    def _trust(self) -> Iterator[None]:
-        """Gives up the connections after a reply that can't be right.
+    def _checking(self) -> Iterator[None]:
+        """Replaces the connections after a reply that failed a check.
 
-        Which of them is out of step is not known, so later calls use new
-        ones; calls that run on the former ones are finished.
+        It is not known which connection carried the reply, so later calls
+        use new ones; calls that run on the former ones are finished.
         """
         try:
             yield
@@ -245,9 +245,9 @@
             ) from error
         finally:
             self._calls[http] -= 1
-            await self._close_given_up()
+            await self._close_replaced()
 
-    async def _close_given_up(self) -> None:
+    async def _close_replaced(self) -> None:
         unused = [
             http
             for http, calls in self._calls.items()
--- a/libs/wire/tests/test_leaf.py
+++ b/libs/wire/tests/test_leaf.py
@@ -110,7 +110,7 @@
 
 @given(st.binary(max_size=40))
 def test_reply_that_is_not_json_is_refused(body):
-    """Guards against an error of another type for a torn reply."""
+    """Guards against an error of another type for a truncated reply."""
     with pytest.raises(LeafReplyError):
         _search(200, body)
 
