--- a/libs/bench/src/sapphire_bench/fleet.py
+++ b/libs/bench/src/sapphire_bench/fleet.py
@@ -16,9 +16,11 @@
 from typing import Any
 
 import trio
+from sapphire_aggregator.cell import format_roster
 from sapphire_config.document import Document, StoredDocument
 from sapphire_core.errors import SapphireError
-from sapphire_wire.platform import PlatformClient
+from sapphire_core.rights import Roster
+from sapphire_wire.platform import PlatformClient, join
 from sapphire_wire.web import (
     HttpClient,
     HttpConnectError,
@@ -125,19 +127,24 @@
         """Address of the VM list stand-in."""
         return f"{self._network}.250.1:{VM_LIST_PORT}"
 
-    async def start(self, ready_leaves: bool = True) -> None:
+    async def start(self, *, preset_roster: bool = False) -> None:
         """Starts all processes and waits until searches can be served.
 
+        Args:
+            preset_roster: Stores the whole roster first, so that the members
+                need not join one after the other.
+
         Raises:
             FleetError: A process ended or isn't ready after 30 s.
         """
         await self._start_standins()
         await self.apply(self._document, expect=0)
+        if preset_roster:
+            await self._store_roster()
         for vm in self._vms:
             await self.start_aggregator(vm)
             await self.start_entry(vm)
-        if ready_leaves:
-            await self.wait_ready()
+        await self.wait_ready()
 
     async def apply(self, document: Document, expect: int) -> int:
         """Writes a document as the next revision; returns the revision."""
@@ -151,6 +158,19 @@
             await client.aclose()
         return expect + 1
 
+    async def _store_roster(self) -> None:
+        members = tuple(vm.aggregator for vm in self._vms)
+        domains = tuple(vm.failure_domain for vm in self._vms)
+        client = PlatformClient(self.platform, None)
+        try:
+            await client.put(
+                join(["roster", self._shape.region]),
+                format_roster(Roster(1, members, domains)),
+                0,
+            )
+        finally:
+            await client.aclose()
+
     async def start_aggregator(self, vm: Vm) -> Member:
         """Starts the aggregator of a VM."""
         settings = self._daemon_settings(vm) | {
@@ -354,7 +374,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(shape: FleetShape) -> AsyncIterator[Fleet]:
+async def open_fleet(
+    shape: FleetShape, *, preset_roster: bool = False
+) -> AsyncIterator[Fleet]:
     """Starts a fleet and ends all of its processes at the end.
 
     Raises:
@@ -363,7 +385,7 @@
     with tempfile.TemporaryDirectory(prefix="sapphirecross-") as directory:
         fleet = Fleet(shape, pathlib.Path(directory))
         try:
-            await fleet.start()
+            await fleet.start(preset_roster=preset_roster)
             yield fleet
         finally:
             with trio.CancelScope(shield=True):
--- a/libs/entry/src/sapphire_entry/search.py
+++ b/libs/entry/src/sapphire_entry/search.py
@@ -357,6 +357,9 @@
             canary=call.alone,
             hedge=call.hedge,
             fingerprint=query.fingerprint,
+            crashes=self._suspects.crashes(
+                query.fingerprint, trio.current_time()
+            ),
         )
         return Frame(scatter=scatter)
 
--- a/libs/wire/idl/messages.thrift
+++ b/libs/wire/idl/messages.thrift
@@ -58,6 +58,8 @@
   8: bool canary,
   9: bool hedge,
   10: string fingerprint,
+  // Leaves that this query is known to have crashed before this call.
+  11: i32 crashes,
 }
 
 // Results of some of a Scatter's shards. The matches are merged over the
--- a/libs/wire/src/sapphire_wire/gen/ttypes.py
+++ b/libs/wire/src/sapphire_wire/gen/ttypes.py
@@ -353,6 +353,7 @@
      - canary
      - hedge
      - fingerprint
+     - crashes
 
     """
 
@@ -367,10 +368,11 @@
         'canary',
         'hedge',
         'fingerprint',
+        'crashes',
     )
 
 
-    def __init__(self, service_name=None, version=None, text=None, k=None, remaining_ms=None, priority=None, targets=None, canary=None, hedge=None, fingerprint=None,):
+    def __init__(self, service_name=None, version=None, text=None, k=None, remaining_ms=None, priority=None, targets=None, canary=None, hedge=None, fingerprint=None, crashes=None,):
         self.service_name = service_name
         self.version = version
         self.text = text
@@ -381,6 +383,7 @@
         self.canary = canary
         self.hedge = hedge
         self.fingerprint = fingerprint
+        self.crashes = crashes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -447,6 +450,11 @@
                     self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -500,6 +508,10 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 10)
             oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
             oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.I32, 11)
+            oprot.writeI32(self.crashes)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2527,6 +2539,7 @@
     (8, TType.BOOL, 'canary', None, None, ),  # 8
     (9, TType.BOOL, 'hedge', None, None, ),  # 9
     (10, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 10
+    (11, TType.I32, 'crashes', None, None, ),  # 11
 )
 all_structs.append(Part)
 Part.thrift_spec = (
