Let shards wait for the next holder of their leaves

Cause: all replicas of a shard can have one holder, since rendezvous ranks leaves one by one. When that aggregator stopped or came back, each query lost these shards at once although their send rights arrive within 3 s. Ruled out: waiting for every shard without a leaf, since a shard that is lost for long would then cost each query its whole deadline. Calls that no leaf received do not count as attempts.

--- a/libs/core/src/sapphire_core/shardmap.py
+++ b/libs/core/src/sapphire_core/shardmap.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import re
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
@@ -11,6 +12,10 @@
 # A cold leaf becomes warm only by good replies, so that one choice in 16
 # goes to an idle cold leaf although warm ones exist.
 COLD_CHOICES = 16
+# A send right moves to its next holder within this time; see section 6.2
+# of the design. A shard whose leaves have none is worth waiting for until
+# then.
+HANDOVER_S = 3.5
 
 
 class ReplicaState(enum.IntEnum):
@@ -52,6 +57,7 @@
         pending: Queries that this process has sent and that have no reply.
         in_service: False if the configuration does not use the leaf.
         versions: Index versions that the leaf holds.
+        released_at: When the leaf lost its holder, in seconds.
     """
 
     address: str
@@ -63,6 +69,7 @@
     pending: int = 0
     in_service: bool = True
     versions: tuple[HeldVersion, ...] = ()
+    released_at: float = -math.inf
 
     @property
     def is_usable(self) -> bool:
@@ -78,6 +85,20 @@
         """Whether the leaf takes its share of the load."""
         return self.is_usable and self.state in _READY
 
+    def release(self, now: float) -> None:
+        """Notes that no aggregator holds the leaf."""
+        if self.holder is not None:
+            self.holder = None
+            self.released_at = now
+
+    def is_moving(self, now: float) -> bool:
+        """Whether the leaf's send right is on its way to the next holder."""
+        return (
+            self.holder is None
+            and self.in_service
+            and now - self.released_at < HANDOVER_S
+        )
+
     def expected_wait_ms(self) -> float:
         """Returns the estimate by which replicas are compared."""
         return self.latency_ms * (1 + self.queued + self.pending)
@@ -104,6 +125,10 @@
         """Whether a leaf can answer for the shard."""
         return any(replica.is_usable for replica in self.replicas)
 
+    def is_moving(self, now: float) -> bool:
+        """Whether a leaf can be expected to answer for the shard soon."""
+        return any(replica.is_moving(now) for replica in self.replicas)
+
     def choose(
         self, rng: Random, exclude: Collection[Replica] = ()
     ) -> Replica | None:
--- a/libs/entry/src/sapphire_entry/gather.py
+++ b/libs/entry/src/sapphire_entry/gather.py
@@ -132,6 +132,8 @@
         self._crashes = crashes
         self._suspect: int | None = None
         self._held: set[int] = set()
+        self._parked: set[int] = set()
+        self._started = -math.inf
         self._hedge_at = math.inf
         self.tally = Tally()
         self.is_harmless = False
@@ -160,6 +162,11 @@
         """Whether no further result can come."""
         return self._open == 0
 
+    @property
+    def is_parked(self) -> bool:
+        """Whether resume has to be called when the views change."""
+        return bool(self._parked)
+
     @property
     def hedge_at(self) -> float:
         """When hedge has to be called, in seconds."""
@@ -167,6 +174,7 @@
 
     def begin(self, now: float) -> list[Call]:
         """Returns the first calls."""
+        self._started = now
         if self._is_canary:
             return self._next_canary(now, REASON_NO_LEAF)
         return self._begin_all(now)
@@ -193,13 +201,13 @@
                 if result.shard == self._suspect or call.alone:
                     calls += self._clear(result.shard, now)
             else:
-                self._fail(call, result, again)
+                self._fail(call, result, again, now)
         if answered:
             self._matches = merge(self._matches, part.matches, self._k)
             if not call.hedge:
                 self._quantile.add((now - call.started) * 1000, answered)
         if part.last:
-            again += self._drop(call)
+            again += self._drop(call, now)
         return calls + self._retry(again, now)
 
     def lose(self, call: Call, now: float, *, sent: bool) -> list[Call]:
@@ -210,7 +218,7 @@
             now: Time in seconds.
             sent: Whether a leaf may have received the query.
         """
-        again = self._drop(call, free=not sent)
+        again = self._drop(call, now, free=not sent)
         return self._retry(again, now)
 
     def hedge(self, now: float) -> list[Call]:
@@ -234,6 +242,20 @@
         self.tally.hedges += len(chosen)
         return self._group(chosen, now, hedge=True)
 
+    def resume(self, now: float) -> list[Call]:
+        """Returns calls for parked shards whose leaves have new holders."""
+        parked, self._parked = self._parked, set()
+        if not parked:
+            return []
+        for shard in parked:
+            tried = self._tried.get(shard)
+            if tried:
+                tried -= {r for r in tried if r.released_at > self._started}
+        if self._is_canary:
+            self._canaries = self._canary_leaves()
+            return self._next_canary(now, REASON_NO_LEAF)
+        return self._retry(sorted(parked), now)
+
     def close(self, now: float) -> list[Call]:
         """Ends the query; returns the calls that are still running."""
         running = list(self._calls)
@@ -259,13 +281,20 @@
             if replica is None:
                 if not tried:
                     self._coverage.miss(shard, REASON_NO_LEAF)
-                self._close(shard)
+                self._park(shard, now)
             else:
                 chosen.append((shard, replica))
         self._budget.earn(len(chosen))
         self._hedge_at = now + self._quantile.value_ms / 1000
         return self._group(chosen, now)
 
+    def _park(self, shard: int, now: float) -> None:
+        """Keeps a shard open while the send right of a leaf is moving."""
+        if self._map.shards[shard].is_moving(now):
+            self._parked.add(shard)
+        else:
+            self._close(shard)
+
     def _choose(self, shard: int) -> Replica | None:
         tried = self._tried.get(shard, ())
         return self._map.shards[shard].choose(self._rng, tried)
@@ -327,7 +356,9 @@
         self.tally.wait_ms += result.wait_ms or 0.0
         self.tally.waits += 1
 
-    def _fail(self, call: Call, result: Any, again: list[int]) -> None:
+    def _fail(
+        self, call: Call, result: Any, again: list[int], now: float
+    ) -> None:
         shard, status = result.shard, ShardStatus(result.status)
         if status == ShardStatus.QUARANTINED:
             raise QuarantinedError("the query has crashed leaves.")
@@ -340,14 +371,21 @@
         self._coverage.miss(shard, _REASONS[status])
         replica = call.targets[shard]
         if status == ShardStatus.NOT_HOLDER:
-            self._forget_holder(call, replica, shard)
+            self._forget_holder(call, replica, shard, now)
         if status in _FREE or self._may_repeat(shard):
             again.append(shard)
 
-    def _forget_holder(self, call: Call, replica: Replica, shard: int) -> None:
-        """Lets the replica be tried again if its holder has changed."""
+    def _forget_holder(
+        self, call: Call, replica: Replica, shard: int, now: float
+    ) -> None:
+        """Lets the replica be tried again when its holder has changed.
+
+        The call has cost the leaf nothing, so that it does not count. Views
+        come at intervals, which bounds the attempts.
+        """
+        self._attempts[shard] -= 1
         if replica.holder == call.holder:
-            replica.holder = None
+            replica.release(now)
             self.stale_holders.add(call.holder)
         elif replica.holder is not None:
             self._tried[shard].discard(replica)
@@ -370,7 +408,7 @@
         if self._crashes >= MAX_CRASHES and (self._is_canary or alone):
             raise QuarantinedError("the query has crashed two leaves.")
 
-    def _drop(self, call: Call, *, free: bool = False) -> list[int]:
+    def _drop(self, call: Call, now: float, *, free: bool = False) -> list[int]:
         """Ends a call; returns its shards that may be tried again."""
         self._calls.discard(call)
         again = []
@@ -380,7 +418,8 @@
                 continue
             self._coverage.miss(shard, REASON_LOST)
             if free:
-                self._forget_holder(call, call.targets[shard], shard)
+                replica = call.targets[shard]
+                self._forget_holder(call, replica, shard, now)
             if free or self._may_repeat(shard):
                 again.append(shard)
         return again
@@ -405,8 +444,10 @@
             if shard in self._closed or self._running[shard]:
                 continue
             replica = self._choose(shard)
-            if replica is None or self._attempts[shard] >= MAX_ATTEMPTS:
+            if self._attempts[shard] >= MAX_ATTEMPTS:
                 self._close(shard)
+            elif replica is None:
+                self._park(shard, now)
             else:
                 chosen.append((shard, replica))
         self.tally.retries += len(chosen)
@@ -468,7 +509,8 @@
     ) -> list[Call]:
         if self._canary_calls < MAX_CANARY_CALLS:
             for shard, replica in self._canaries:
-                if not replica.is_usable:
+                tried = self._tried.get(shard, ())
+                if not replica.is_usable or replica in tried:
                     continue
                 self._canary_calls += 1
                 self._budget.earn(1)
@@ -478,7 +520,11 @@
                 return self._group(chosen, now, hedge=hedge, alone=True)
         if any(self._running):
             return []
-        for shard in range(len(self._map.shards)):
+        everything = range(len(self._map.shards))
+        if any(self._map.shards[shard].is_moving(now) for shard in everything):
+            self._parked.update(everything)
+            return []
+        for shard in everything:
             self._coverage.miss(shard, reason)
             self._close(shard)
         return []
--- a/libs/entry/src/sapphire_entry/search.py
+++ b/libs/entry/src/sapphire_entry/search.py
@@ -72,8 +72,12 @@
         self._items.append((call, frame))
         self._event.set()
 
+    def wake(self) -> None:
+        """Makes take return although there is no reply."""
+        self._event.set()
+
     async def take(self, until: float) -> list[tuple[Call, Any]]:
-        """Returns the replies; none if the time comes first."""
+        """Returns the replies; none if the time comes or wake is called."""
         if not self._items:
             with trio.move_on_at(until):
                 await self._event.wait()
@@ -215,6 +219,7 @@
         self._noted = not canary
         self._is_suspect = False
         self._has_refreshed = False
+        self._is_listening = False
         now = trio.current_time()
         self.gather = Gather(
             shard_map,
@@ -234,12 +239,14 @@
         gather, answer_at = self.gather, self._query.answer_at
         try:
             self._send(gather.begin(trio.current_time()))
+            self._listen()
             while not gather.is_done:
                 items = await self._inbox.take(min(gather.hedge_at, answer_at))
                 now = trio.current_time()
                 for call, frame in items:
                     self._send(self._take(call, frame, now))
                 self._report_stale()
+                self._send(self._resume(now))
                 self._note(now)
                 newer = self._newer()
                 if newer is not None or now >= answer_at:
@@ -255,6 +262,21 @@
         finally:
             self._end()
 
+    def _listen(self) -> None:
+        """Lets new views wake the query while it waits for a holder."""
+        if self.gather.is_parked and not self._is_listening:
+            self._is_listening = True
+            self._views.add_listener(self._inbox.wake)
+            self._views.refresh()
+
+    def _resume(self, now: float) -> list[Call]:
+        self._listen()
+        if not self.gather.is_parked:
+            return []
+        # Views are asked for again until a holder is known.
+        self._views.refresh()
+        return self.gather.resume(now)
+
     def _report_stale(self) -> None:
         """Asks for whole views of aggregators that gave up leaves."""
         for holder in self.gather.stale_holders:
@@ -361,6 +383,7 @@
         return Frame(scatter=scatter)
 
     def _end(self) -> None:
+        self._views.remove_listener(self._inbox.wake)
         now = trio.current_time()
         for call in self.gather.close(now):
             posted = self._posted.pop(call, None)
--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -90,7 +90,7 @@
                 )
         self._maps.clear()
 
-    def take(self, holder: str, view: Any) -> tuple[str, str]:
+    def take(self, holder: str, view: Any, now: float) -> tuple[str, str]:
         """Takes the report on one leaf; returns its service and address."""
         service, address = view.service_name, view.leaf
         replicas = self._services.setdefault(service, {})
@@ -112,6 +112,8 @@
         # that its documents do not drop out of the total.
         known = versions or replica.versions
         current = holder if versions else None
+        if current is None:
+            replica.release(now)
         shape = (replica.holder, replica.state, replica.versions)
         if shape != (current, state, known):
             self._maps.pop(service, None)
@@ -122,13 +124,15 @@
         replica.queued = view.queued
         return service, address
 
-    def release(self, holder: str, keep: set[tuple[str, str]]) -> None:
+    def release(
+        self, holder: str, keep: set[tuple[str, str]], now: float
+    ) -> None:
         """Marks the leaves of a holder, except some, as without a holder."""
         for service, replicas in self._services.items():
             for address, replica in replicas.items():
                 lost = replica.holder == holder
                 if lost and (service, address) not in keep:
-                    replica.holder = None
+                    replica.release(now)
                     self._maps.pop(service, None)
 
 
@@ -157,6 +161,7 @@
         self._sources: dict[str, Source] = {}
         self._refresh = trio.Event()
         self._replied = trio.Event()
+        self._listeners: set[Callable[[], None]] = set()
         self.table = LeafTable()
         self.on_reply: Callable[[Source, Any], None] = lambda source, reply: (
             None
@@ -193,6 +198,14 @@
             source.is_stale = True
             self.refresh()
 
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Calls the listener after each reply, until it is removed."""
+        self._listeners.add(listener)
+
+    def remove_listener(self, listener: Callable[[], None]) -> None:
+        """Removes a listener; no effect if it is not known."""
+        self._listeners.discard(listener)
+
     async def wait_reply(self) -> None:
         """Returns after the next reply of any aggregator."""
         await self._replied.wait()
@@ -264,7 +277,7 @@
         if source.is_reached:
             source.is_reached = False
             source.peers = frozenset()
-            self.table.release(address, set())
+            self.table.release(address, set(), trio.current_time())
 
     def _take(self, address: str, source: Source, reply: Any) -> None:
         source.is_reached = True
@@ -279,12 +292,15 @@
         source.entries_sequence = reply.entries_sequence
         if reply.changed or reply.leaving:
             leaves = () if reply.leaving else reply.leaves or ()
-            kept = {self.table.take(address, view) for view in leaves}
-            self.table.release(address, kept)
+            now = source.last_reply
+            kept = {self.table.take(address, view, now) for view in leaves}
+            self.table.release(address, kept, now)
             source.peers = frozenset(reply.peers or ())
         for peer in source.peers:
             self._add(peer)
         self.on_reply(source, reply)
+        for listener in list(self._listeners):
+            listener()
         self._replied.set()
         self._replied = trio.Event()
 
--- a/libs/entry/tests/test_gather.py
+++ b/libs/entry/tests/test_gather.py
@@ -8,7 +8,13 @@
 from sapphire_core.budget import Budget
 from sapphire_core.errors import QuarantinedError
 from sapphire_core.latency import RunningQuantile
-from sapphire_core.shardmap import HeldVersion, Replica, ReplicaState, plan
+from sapphire_core.shardmap import (
+    HANDOVER_S,
+    HeldVersion,
+    Replica,
+    ReplicaState,
+    plan,
+)
 from sapphire_entry.gather import Gather, MisroutedError
 from sapphire_wire.gen.ttypes import Match, Part, ShardResult, ShardStatus
 
@@ -94,6 +100,10 @@
             now += 0.01
             if cut == 0:
                 running += gather.hedge(now)
+            if cut == 1:
+                for replica in known:
+                    replica.holder = HOLDERS[choice % 3]
+                running += gather.resume(now)
             if not running:
                 break
             call = running[choice % len(running)]
@@ -125,7 +135,11 @@
 @settings(max_examples=200, deadline=None)
 @given(st.integers(1, 8), st.data())
 def test_query_ends_when_every_call_has_ended(shards, data):
-    """Guards against a query that waits for its deadline for nothing."""
+    """Guards against a query that waits for its deadline for nothing.
+
+    A shard may wait for the next holder of its leaves, but not longer than
+    a handover takes.
+    """
     gather, _ = _gather(shards, 2, canary=data.draw(st.booleans()))
     running = list(gather.begin(0.0))
     try:
@@ -138,6 +152,8 @@
                 running += gather.take(call, _part(call, statuses), 0.1)
     except QuarantinedError:
         return
+    assert gather.is_done or gather.is_parked
+    assert gather.resume(0.1 + HANDOVER_S) == []
     assert gather.is_done
 
 
@@ -181,6 +197,27 @@
     assert len(gather.take(first, _all(first, status), 0.1)) == calls
 
 
+@pytest.mark.parametrize("canary", [False, True])
+def test_shard_waits_for_the_next_holder(canary):
+    """Guards against missing shards while send rights move."""
+    gather, known = _gather(2, 1, canary=canary)
+    waiting = gather.begin(0.0)
+    while waiting:
+        call = waiting.pop()
+        part = _all(call, ShardStatus.NOT_HOLDER)
+        waiting += gather.take(call, part, 0.1)
+    assert gather.is_parked
+    assert gather.resume(0.2) == []
+    for replica in known:
+        replica.holder = "h9"
+    waiting = gather.resume(0.3)
+    while waiting:
+        call = waiting.pop()
+        assert call.holder == "h9"
+        waiting += gather.take(call, _all(call), 0.4)
+    assert gather.coverage.is_complete
+
+
 def test_hedge_repeats_only_waiting_shards():
     """Guards against hedges for shards that have answered."""
     gather, _ = _gather(3, 2)
--- a/libs/entry/tests/test_views.py
+++ b/libs/entry/tests/test_views.py
@@ -27,21 +27,21 @@
 def test_leaf_moves_to_its_new_holder():
     """Guards against calls to a holder that has released the leaf."""
     table = LeafTable()
-    kept = {table.take("a1", _view())}
-    table.take("a2", _view())
-    table.release("a1", set())
+    kept = {table.take("a1", _view(), 1.0)}
+    table.take("a2", _view(), 1.0)
+    table.release("a1", set(), 1.0)
     assert table.replicas("tox")["l1"].holder == "a2"
-    table.release("a2", kept)
+    table.release("a2", kept, 1.0)
     assert table.replicas("tox")["l1"].holder == "a2"
-    table.release("a2", set())
+    table.release("a2", set(), 1.0)
     assert not table.shard_map("tox").is_whole
 
 
 def test_leaf_without_known_index_still_counts():
     """Guards against documents that leave the total in a handover."""
     table = LeafTable()
-    table.take("a1", _view())
-    table.take("a2", _view(versions=()))
+    table.take("a1", _view(), 1.0)
+    table.take("a2", _view(versions=()), 1.0)
     shard_map = table.shard_map("tox")
     assert shard_map.documents == [10]
     assert shard_map.served == 0
@@ -50,11 +50,11 @@
 def test_leaves_out_of_service_get_no_queries():
     """Guards against new work in a domain that is out."""
     table = LeafTable()
-    table.take("a1", _view())
+    table.take("a1", _view(), 1.0)
     assert table.shard_map("tox").served == 1
     table.set_filter(lambda service, leaf, domain: domain != "d1")
     assert table.shard_map("tox").served == 0
-    table.take("a1", _view(leaf="l2"))
+    table.take("a1", _view(leaf="l2"), 1.0)
     assert table.shard_map("tox").served == 0
 
 
