Forget leaves that the configuration no longer names

Cause: leaves that were removed from the document went on counting for shards and documents; a malformed answer of the platform or of a peer ended the watch and with it the daemon. Ruled out: forgetting leaves that are only out of service, since their documents still belong to the index. Change: a new configuration drops unnamed leaves without a holder; any malformed configuration answer counts as an outage and is logged. Before/after: the test of leaves out of service covers both cases. Conclusion: the table follows the configuration.

--- a/libs/entry/src/sapphire_entry/config.py
+++ b/libs/entry/src/sapphire_entry/config.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -77,6 +76,10 @@
         """Whether operators have taken a VM or its domain out."""
         return vm in self._out_vms or failure_domain in self._out_domains
 
+    def is_leaf_configured(self, service: str, leaf: str) -> bool:
+        """Whether the document names a leaf."""
+        return (service, leaf) in self._leaves
+
     def is_leaf_in(self, service: str, leaf: str, failure_domain: str) -> bool:
         """Whether a leaf is configured and in service."""
         domain = self._leaves.get((service, leaf))
@@ -143,14 +146,17 @@
             started = trio.current_time()
             try:
                 item = await self._read(after)
-            except PlatformUnavailableError:
+                if item.version > after:
+                    after = item.version
+                    self.adopt(item.value, Origin.WATCH)
+            except Exception as error:
+                # Malformed answers count as an outage, too.
+                if not isinstance(error, PlatformUnavailableError):
+                    log_message("bad_platform_answer", error=repr(error))
                 await trio.sleep(backoff_s * (1 + self._rng.random() / 2))
                 backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
                 continue
             backoff_s = FIRST_BACKOFF_S
-            if item.version > after:
-                after = item.version
-                self.adopt(item.value, Origin.WATCH)
             await trio.sleep_until(started + MIN_WATCH_S)
 
     async def _read(self, after: int) -> Item:
@@ -168,12 +174,16 @@
             return
         self._fetching = True
         try:
-            with contextlib.suppress(ChannelError, trio.TooSlowError):
-                with trio.fail_after(FETCH_TIMEOUT_S):
-                    reply = await source.peer.request(
-                        Frame(fetch_config=FetchConfig())
-                    )
-                self._take(reply)
+            with trio.fail_after(FETCH_TIMEOUT_S):
+                reply = await source.peer.request(
+                    Frame(fetch_config=FetchConfig())
+                )
+            self._take(reply)
+        except (ChannelError, trio.TooSlowError):
+            # The next view mentions the revision again.
+            pass
+        except Exception as error:
+            log_message("bad_config_reply", error=repr(error))
         finally:
             self._fetching = False
 
--- a/libs/entry/src/sapphire_entry/entry.py
+++ b/libs/entry/src/sapphire_entry/entry.py
@@ -130,7 +130,9 @@
         self.suspects.set_expiry(limits.quarantine_s)
         self.budget.set_share(limits.hedge_share)
         self.admission.configure(limits.max_concurrent, in_force.priorities())
-        self.views.table.set_filter(in_force.is_leaf_in)
+        self.views.table.set_filter(
+            in_force.is_leaf_in, in_force.is_leaf_configured
+        )
         self._update_standing()
 
     def _hear(self, source: Source, reply: Any) -> None:
--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -75,14 +75,26 @@
         return sorted(self._services)
 
     def set_filter(
-        self, is_in_service: Callable[[str, str, str], bool]
+        self,
+        is_in_service: Callable[[str, str, str], bool],
+        is_configured: Callable[[str, str], bool],
     ) -> None:
         """Sets which leaves the configuration uses.
 
+        Leaves that it no longer names are forgotten. A leaf that is only
+        out of service still counts for the documents of its shard.
+
         Args:
             is_in_service: Called with service, leaf and failure domain.
+            is_configured: Called with service and leaf.
         """
         self._is_in_service = is_in_service
+        for service, replicas in self._services.items():
+            for address, replica in list(replicas.items()):
+                # An aggregator may know a newer configuration than this.
+                unknown = not is_configured(service, address)
+                if unknown and replica.holder is None:
+                    del replicas[address]
         for service, replicas in self._services.items():
             for replica in replicas.values():
                 replica.in_service = is_in_service(
--- a/libs/entry/tests/test_views.py
+++ b/libs/entry/tests/test_views.py
@@ -52,10 +52,18 @@
     table = LeafTable()
     table.take("a1", _view(), 1.0)
     assert table.shard_map("tox").served == 1
-    table.set_filter(lambda service, leaf, domain: domain != "d1")
+    known = {"l1", "l2"}
+    table.set_filter(
+        lambda service, leaf, domain: domain != "d1",
+        lambda service, leaf: leaf in known,
+    )
+    assert table.shard_map("tox").documents == [10]
     assert table.shard_map("tox").served == 0
     table.take("a1", _view(leaf="l2"), 1.0)
     assert table.shard_map("tox").served == 0
+    table.release("a1", set(), 2.0)
+    table.set_filter(lambda *place: True, lambda service, leaf: leaf == "l1")
+    assert list(table.replicas("tox")) == ["l1"]
 
 
 def test_other_entries_are_listed_and_leave_at_once(on_stage):
