Carry a canary's crash to the aggregator of its retry

Cause: the two leaves that a request crashes can have different holders; each counted one crash and none quarantined it, so the next entry crashed a third leaf. The entry also sent the retry before it had noted the crash. Ruled out: a delay of the spread alone (records are sent at once). Status documents of both daemons share the fields that sapphirecross-ctl reads.

--- a/libs/aggregator/src/sapphire_aggregator/admin.py
+++ b/libs/aggregator/src/sapphire_aggregator/admin.py
@@ -37,12 +37,20 @@
     def status(self) -> dict[str, Any]:
         """Returns the content of /v1/status."""
         cell = self._cell
+        stored = self._config.stored
+        document = stored.document if stored is not None else None
         return {
+            "role": "aggregator",
+            "failure_domain": cell.failure_domain,
+            "revision": self._config.revision,
+            "out_failure_domains": (
+                document.out_failure_domains if document else []
+            ),
+            "out_vms": document.out_vms if document else [],
             "member": cell.member,
             "ready": self.is_ready,
             "leaving": self.is_leaving,
             "in_service": cell.is_in_service,
-            "config_revision": self._config.revision,
             "roster_revision": cell.roster.revision,
             "members": list(cell.roster.members),
             "granted": cell.is_granted,
@@ -77,7 +85,7 @@
     window = link.window
     return {
         "service": link.service,
-        "leaf": link.address,
+        "address": link.address,
         "failure_domain": link.failure_domain,
         "held": link.is_held,
         "out": link.is_out,
--- a/libs/aggregator/src/sapphire_aggregator/cell.py
+++ b/libs/aggregator/src/sapphire_aggregator/cell.py
@@ -223,6 +223,11 @@
         """Addresses of the members of the cell."""
         return list(self.roster.members) or [self._member]
 
+    @property
+    def failure_domain(self) -> str:
+        """Failure domain of this member."""
+        return self._settings.failure_domain
+
     def right_until(
         self, leaf: str, now: float, failure_domain: str
     ) -> float | None:
--- a/libs/entry/src/sapphire_entry/search.py
+++ b/libs/entry/src/sapphire_entry/search.py
@@ -244,10 +244,12 @@
                 items = await self._inbox.take(min(gather.hedge_at, answer_at))
                 now = trio.current_time()
                 for call, frame in items:
-                    self._send(self._take(call, frame, now))
+                    calls = self._take(call, frame, now)
+                    # The retry of a crash must carry the crash.
+                    self._note(now)
+                    self._send(calls)
                 self._report_stale()
                 self._send(self._resume(now))
-                self._note(now)
                 newer = self._newer()
                 if newer is not None or now >= answer_at:
                     return newer
--- a/libs/entry/src/sapphire_entry/status.py
+++ b/libs/entry/src/sapphire_entry/status.py
@@ -13,14 +13,15 @@
 def status(entry: Entry) -> dict[str, Any]:
     """Returns what the entry knows now, as JSON fields."""
     return {
+        "role": "entry",
+        "failure_domain": entry.settings.failure_domain,
+        **_config(entry),
         "address": entry.address,
         "vm": entry.settings.vm,
-        "failure_domain": entry.settings.failure_domain,
         "phase": entry.standing.phase.value,
         "running": entry.admission.running,
         "hedge_tokens": round(entry.budget.tokens, 3),
         "suspects": entry.suspects.count(trio.current_time()),
-        "config": _config(entry),
         "aggregators": _aggregators(entry),
         "entries": [
             {
@@ -39,7 +40,7 @@
 def _config(entry: Entry) -> dict[str, Any]:
     in_force = entry.config.in_force
     if in_force is None:
-        return {"revision": 0}
+        return {"revision": 0, "out_failure_domains": [], "out_vms": []}
     return {
         "revision": in_force.revision,
         "out_failure_domains": in_force.document.out_failure_domains,
@@ -80,7 +81,7 @@
 
 def _leaf(replica: Replica) -> dict[str, Any]:
     return {
-        "leaf": replica.address,
+        "address": replica.address,
         "holder": replica.holder,
         "failure_domain": replica.failure_domain,
         "state": replica.state.name.lower(),
--- a/libs/entry/tests/test_web.py
+++ b/libs/entry/tests/test_web.py
@@ -320,7 +320,7 @@
         reply = await stage.client.call("GET", "/v1/status", timeout_s=1)
         body = reply.json()
         assert body["services"]["tox"]["version"] == "v1"
-        assert body["config"]["revision"] == 1
+        assert body["revision"] == 1
         reply = await stage.client.call("GET", "/metrics", timeout_s=1)
         assert b"sapphirecross_requests_total{" in reply.body
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -82,7 +82,7 @@
     for vm in fleet.vms:
         status = await aggregator_status(fleet, vm)
         for leaf in status.get("leaves", ()):
-            if leaf["leaf"] == place.address and leaf["held"]:
+            if leaf["address"] == place.address and leaf["held"]:
                 return vm
     return None
 
