Add checked specifications of claims, send rights and adoption

Cause: the guarantees G1 to G10 rest on three protocols whose faults combine in more ways than tests draw. Ruled out: one specification with in-flight pings and all members as holders; its state space did not finish in a minute. Pings are answered in one step and two ranked members suffice, as rights.pml explains. Change: claim.pml, rights.pml and adoption.pml, model/check with 5 searches of whole state spaces and 24 mutants, and a test that walks the mutants' step sequences through the code. resolve_write settles a configuration write whose answer was lost.

--- a/libs/core/src/sapphire_core/adoption.py
+++ b/libs/core/src/sapphire_core/adoption.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Collection
 from dataclasses import dataclass
 
 
@@ -79,3 +80,40 @@
         """
         self._highest = max(self._highest, revision)
         return revision > self.revision
+
+
+class Resolution(enum.StrEnum):
+    """What a read shows about a change whose write was not confirmed."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    REPEAT = "repeat"
+    READ_AGAIN = "read again"
+
+
+def resolve_write(
+    change_id: str,
+    base: int,
+    *,
+    found_revision: int,
+    found_changes: Collection[str],
+    at_least: int = 0,
+) -> Resolution:
+    """Decides about a change whose write was lost or met a conflict.
+
+    A read of the base revision proves nothing: the platform may answer with
+    an old value, and the write may take effect later. Repeating the same
+    compare-and-swap settles it.
+
+    Args:
+        change_id: Unique id of the change.
+        base: The revision that the write replaces.
+        found_revision: The revision that was read.
+        found_changes: The recent change ids of the document that was read.
+        at_least: The revision that a conflict named; 0 if the write was lost.
+    """
+    if change_id in found_changes:
+        return Resolution.ACCEPTED
+    if found_revision > base:
+        return Resolution.REFUSED
+    return Resolution.READ_AGAIN if at_least > base else Resolution.REPEAT
--- /dev/null
+++ b/model/claim.pml
@@ -0,0 +1,313 @@
+/* At-most-once submissions: section 6.3 of docs/design.md.
+ *
+ * REQUESTS entries handle the same idempotency key, as a caller that repeats
+ * its request at other VMs makes them do. Each label names the method of
+ * sapphire_core.claim.Submission that carries the step. An entry may pause
+ * for any time between two steps; there is no clock, so that the properties
+ * do not depend on DISPATCH_WITHIN_S.
+ *
+ * PROPERTY selects one property; 0 selects all of them.
+ * PROPERTY 1: the submission runs at most once.
+ * PROPERTY 2: a request answered "not run" has not run and never runs.
+ * PROPERTY 3: an outcome given in an answer is the first one.
+ * PROPERTY 4: if all requests were answered "not run", the key is usable.
+ *
+ * Mutants: UNCONDITIONAL_CREATE, RETRY_AFTER_SEND, LOST_IS_NOT_RUN,
+ * REDO_DONE, READ_BACK_ONLY.
+ */
+
+#ifndef PROPERTY
+#define PROPERTY 0
+#endif
+#ifndef REQUESTS
+#define REQUESTS 2
+#endif
+
+#define CHECKS(n) (PROPERTY == 0 || PROPERTY == n)
+
+/* Writes above this version are not sent, as if the platform were down. */
+#define LAST_VERSION 4
+
+#define ABSENT 0
+#define DISPATCHING 1
+#define RELEASED 2
+#define DONE 3
+
+#define OK 0
+#define CONFLICT 1
+#define LOST 2
+#define UNAVAILABLE 3
+
+#define NONE 0
+#define RUN 1
+#define NOT_RUN 2
+#define UNKNOWN 3
+
+/* All values the key ever had, for reads that answer with an old one. The
+ * outcome of a claim is named after its owner.
+ */
+byte state[LAST_VERSION + 1];
+byte owner[LAST_VERSION + 1];
+byte newest;
+
+/* A lost write of each entry that may still take effect. */
+byte late_state[REQUESTS];
+byte late_expect[REQUESTS];
+
+byte executions;
+byte first_outcome;
+bool ran[REQUESTS];
+byte answered[REQUESTS];
+byte closed;
+
+inline put(id, value) {
+    newest++;
+    state[newest] = value;
+    owner[newest] = id
+}
+
+/* PlatformClient.put: the answer, and what becomes of the write. */
+inline write(id, expect, value) {
+    if
+    :: newest < LAST_VERSION && newest == expect ->
+        put(id, value);
+        if
+        :: version = newest; result = OK
+        :: result = LOST
+        fi
+    :: newest != expect -> result = CONFLICT; seen = newest
+    :: late_expect[id] = expect; late_state[id] = value; result = LOST
+    :: result = LOST
+    :: result = UNAVAILABLE
+    fi
+}
+
+/* PlatformClient.get: may answer with any old value. */
+inline read() {
+    if
+    :: result = UNAVAILABLE
+    :: result = OK;
+        seen = newest;
+        do
+        :: seen > 0 -> seen--
+        :: break
+        od
+    fi
+}
+
+inline answer(id, what) {
+    answered[id] = what;
+    assert(!(CHECKS(2) && answered[id] == NOT_RUN && ran[id]))
+}
+
+inline answer_outcome(id, given) {
+    answered[id] = RUN;
+    assert(!(CHECKS(3) && given != first_outcome))
+}
+
+inline execute(id) {
+    ran[id] = true;
+    if
+    :: executions == 0 -> first_outcome = id; executions = 1
+    :: executions > 0 -> executions = 2
+    fi;
+    assert(!(CHECKS(1) && executions > 1));
+    assert(!(CHECKS(2) && answered[id] == NOT_RUN))
+}
+
+proctype Entry(byte me) {
+    byte result;
+    byte seen;
+    byte version;
+    byte at_least;
+    byte expect;
+    bool may_exist;
+    bool may_be_foreign;
+
+create: /* _create */
+    atomic {
+#ifdef UNCONDITIONAL_CREATE
+        expect = newest;
+#endif
+        write(me, expect, DISPATCHING);
+        if
+        :: result == OK -> goto claimed /* _claimed */
+        :: result == CONFLICT -> /* _lost_race */
+            may_be_foreign = true;
+            at_least = seen;
+            goto look
+        :: result == LOST -> /* _read_back, or _late_write at the deadline */
+            may_exist = true;
+            if
+            :: goto look
+            :: goto refuse
+            fi
+        :: result == UNAVAILABLE -> goto refuse /* _unavailable */
+        fi
+    };
+
+look: /* _found */
+    atomic {
+        read();
+        if
+        :: result == UNAVAILABLE -> goto refuse /* _unavailable, _late */
+        :: result == OK && seen < at_least -> goto look
+        :: result == OK && seen >= at_least -> at_least = seen
+        fi;
+        if
+        :: state[seen] == ABSENT ->
+#ifdef READ_BACK_ONLY
+            may_exist = false;
+            goto refuse;
+#endif
+            expect = 0;
+            goto create
+        :: state[seen] != ABSENT && owner[seen] == me ->
+            version = seen;
+            goto claimed
+        :: state[seen] != ABSENT && owner[seen] != me
+        fi;
+        /* _found_foreign */
+        if
+        :: seen > expect -> may_exist = false
+        :: else
+        fi;
+        if
+        :: state[seen] == RELEASED -> expect = seen; goto create
+        :: state[seen] == DONE ->
+#ifdef REDO_DONE
+            expect = seen;
+            goto create;
+#endif
+            answer_outcome(me, owner[seen]);
+            goto close
+        :: state[seen] == DISPATCHING ->
+            may_be_foreign = true;
+            if
+            :: goto look /* Wait, _wait_again */
+            :: goto refuse /* _unknown at the deadline */
+            fi
+        fi
+    };
+
+claimed: /* begin_dispatch */
+    if
+    :: atomic { answer(me, NOT_RUN); goto release } /* _not_sent */
+    :: atomic { execute(me) }
+    fi;
+    atomic {
+        if
+        :: answer_outcome(me, me); goto store /* _ran */
+        :: /* _outcome_lost */
+#ifdef RETRY_AFTER_SEND
+            goto claimed;
+#endif
+#ifdef LOST_IS_NOT_RUN
+            answer(me, NOT_RUN);
+#else
+            answer(me, UNKNOWN);
+#endif
+            if
+            :: goto store /* the outcome arrives after the answer */
+            :: goto close
+            fi
+        fi
+    };
+
+store: /* _store */
+    atomic {
+        write(me, version, DONE);
+        if
+        :: result == OK || result == CONFLICT -> goto close
+        :: else -> goto store
+        fi
+    };
+
+refuse: /* _refuse */
+    atomic {
+        if
+        :: may_be_foreign -> answer(me, UNKNOWN)
+        :: else -> answer(me, NOT_RUN)
+        fi;
+        if
+        :: may_exist -> goto release_look
+        :: else -> goto close
+        fi
+    };
+
+release_look: /* _release_found */
+    atomic {
+        read();
+        if
+        :: result == UNAVAILABLE || seen < at_least -> goto release_look
+        :: else
+        fi;
+        if
+        :: state[seen] == ABSENT ||
+           (owner[seen] == me && state[seen] == DISPATCHING) ||
+           (owner[seen] != me && state[seen] == RELEASED) -> version = seen
+        :: else -> goto close
+        fi
+    };
+
+release: /* _release */
+    atomic {
+        write(me, version, RELEASED);
+        if
+        :: result == OK -> goto close
+        :: result == CONFLICT -> /* _release_conflict */
+            at_least = seen;
+            goto release_look
+        :: else -> goto release
+        fi
+    };
+
+close: /* _close */
+    atomic {
+        result = 0; seen = 0; version = 0; at_least = 0; expect = 0;
+        may_exist = false;
+        may_be_foreign = false;
+        closed++;
+    }
+}
+
+#if REQUESTS == 2
+#define NONE_RAN (answered[0] == NOT_RUN && answered[1] == NOT_RUN)
+#else
+#define NONE_RAN (answered[0] == NOT_RUN && answered[1] == NOT_RUN && \
+                  answered[2] == NOT_RUN)
+#endif
+
+/* Lets a lost write take effect at any later time. */
+active proctype Network() {
+    byte id;
+end:
+    do
+    :: atomic {
+        if
+        :: id = 0
+        :: id = 1
+        fi;
+        if
+        :: late_state[id] != ABSENT && newest == late_expect[id] &&
+           newest < LAST_VERSION -> put(id, late_state[id])
+        :: else
+        fi;
+        late_state[id] = ABSENT;
+        late_expect[id] = 0;
+        id = 0;
+        assert(!(CHECKS(4) && closed == REQUESTS && NONE_RAN &&
+                 newest < LAST_VERSION && state[newest] == DISPATCHING))
+    }
+    od
+}
+
+init {
+    byte i;
+    atomic {
+        do
+        :: i < REQUESTS -> run Entry(i); i++
+        :: else -> i = 0; break
+        od
+    }
+}
