Run async tests of the entry in the loop of their stage

Cause: each test with the fake cell repeated the same wrapper. Ruled out: dropping tests; none is dropped and each assertion stays. Change: the conftest runs coroutine tests inside a started stage, with the same limit of 20 s; fake messages are built by position.

--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -1,5 +1,6 @@
 """A fake cell and platform around the parts of one entry."""
 
+import inspect
 import json
 
 import pytest
@@ -32,9 +33,7 @@
 SHARDS = 4
 DOCUMENTS = 10
 LEAVES = [f"10.0.{replica}.{n}:80" for replica in (1, 2) for n in range(4)]
-GOOD_SUBMIT = SubmitReply(
-    sent=True, known=True, outcome='{"score": 1}', reason=""
-)
+GOOD_SUBMIT = SubmitReply(True, True, '{"score": 1}', "")
 _CLASSES = [
     {"name": "typing", "priority": 0, "deadline_ms": 500},
     {"name": "bulk", "priority": 5, "canary": False, "max_concurrent": 1},
@@ -97,7 +96,7 @@
                 await trio.sleep_forever()
             reply(Frame(submit_reply=answer))
         elif frame.fetch_config is not None:
-            answer = ConfigReply(revision=self.revision, document=self.config)
+            answer = ConfigReply(self.revision, self.config)
             reply(Frame(config_reply=answer))
 
     def _view(self, view):
@@ -106,35 +105,17 @@
                 e for e in self.entries if e.address != view.entry.address
             ] + [view.entry]
         self._sequence += 1
-        return ViewReply(
-            member=self.address,
-            sequence=self._sequence,
-            changed=True,
-            leaves=[self._leaf(leaf) for leaf in LEAVES],
-            config_revision=self.revision,
-            quarantine=[],
-            leaving=False,
-            peers=[self.address, *self.peers],
-            entries=self.entries,
-            entries_sequence=self._sequence,
-        )
+        leaves = [self._leaf(leaf) for leaf in LEAVES]
+        peers = [self.address, *self.peers]
+        reply = ViewReply(self.address, self._sequence, True, leaves)
+        reply.config_revision, reply.peers = self.revision, peers
+        reply.entries, reply.entries_sequence = self.entries, self._sequence
+        return reply
 
     def _leaf(self, leaf):
-        held = LeafVersion(
-            version=self.version,
-            shard=int(leaf[7]),
-            shards=SHARDS,
-            documents=DOCUMENTS,
-        )
-        return LeafView(
-            leaf=leaf,
-            service_name="tox",
-            failure_domain=f"d{leaf[5]}",
-            state=LeafState.WARM,
-            latency_ms=1.0,
-            queued=0,
-            versions=[held],
-        )
+        held = LeafVersion(self.version, int(leaf[7]), SHARDS, DOCUMENTS)
+        domain, state = f"d{leaf[5]}", LeafState.WARM
+        return LeafView(leaf, "tox", domain, state, 1.0, 0, [held])
 
     async def _scatter(self, scatter, reply):
         results, matches = [], []
@@ -144,20 +125,11 @@
                 status = ShardStatus.VERSION_GONE
             if status is None:
                 continue
-            results.append(
-                ShardResult(
-                    shard=target.shard,
-                    leaf=target.leaf,
-                    status=status,
-                    documents=DOCUMENTS,
-                    leaf_ms=1.0,
-                    wait_ms=0.0,
-                )
-            )
+            shard, leaf = target.shard, target.leaf
+            result = ShardResult(shard, leaf, status, DOCUMENTS, 1.0, 0.0)
+            results.append(result)
             if status == ShardStatus.OK:
-                name = f"doc-{target.shard}"
-                score = 1.0 + target.shard
-                matches.append(Match(document=name, score=score, title="t"))
+                matches.append(Match(f"doc-{shard}", 1.0 + shard, "t"))
         hang = len(results) < len(scatter.targets)
         reply(Frame(part=Part(results=results, matches=matches, last=not hang)))
         if hang:
@@ -206,13 +178,12 @@
     leaves = LEAVES
     document = staticmethod(document)
 
-    def __init__(self, nursery) -> None:
+    def __init__(self) -> None:
         self.cell = Cell()
         self.platform = FakePlatform()
-        self._nursery = nursery
 
-    async def start(self):
-        listeners = await self._nursery.start(
+    async def start(self, nursery):
+        listeners = await nursery.start(
             channel.serve, self.cell.handle, "127.0.0.1", 0
         )
         port = listeners[0].socket.getsockname()[1]
@@ -228,14 +199,13 @@
             frames="127.0.0.1:0",
         )
         self.entry = Entry(
-            settings, self._nursery, self.platform, self.platform, seed=1
+            settings, nursery, self.platform, self.platform, seed=1
         )
         await self.entry.start()
-        await self._nursery.start(serve_callers, self.entry)
+        await nursery.start(serve_callers, self.entry)
         self.client = HttpClient(self.entry.address, 20)
         while not self.entry.standing.is_listed:
             await trio.sleep(0.01)
-        return self
 
     async def post(self, path, **fields: object):
         return await self.client.call("POST", path, fields, timeout_s=5)
@@ -263,16 +233,25 @@
 
 
 @pytest.fixture
-def on_stage():
-    """Runs an async test with a started Stage."""
-
-    def run(test):
-        async def main():
-            with trio.fail_after(20):
-                async with trio.open_nursery() as nursery:
-                    await test(await Stage(nursery).start())
-                    nursery.cancel_scope.cancel()
-
-        trio.run(main)
-
-    return run
+def stage():
+    """Returns a stage that an async test finds started."""
+    return Stage()
+
+
+@pytest.hookimpl(tryfirst=True)
+def pytest_pyfunc_call(pyfuncitem):
+    """Runs an async test in the event loop of its stage."""
+    if not inspect.iscoroutinefunction(pyfuncitem.obj):
+        return None
+    names = pyfuncitem._fixtureinfo.argnames
+    arguments = {name: pyfuncitem.funcargs[name] for name in names}
+
+    async def main():
+        with trio.fail_after(20):
+            async with trio.open_nursery() as nursery:
+                await arguments["stage"].start(nursery)
+                await pyfuncitem.obj(**arguments)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    return True
--- a/libs/entry/tests/test_gather.py
+++ b/libs/entry/tests/test_gather.py
@@ -22,14 +22,9 @@
 
 
 def _replica(shard, number, shards):
-    replica = Replica(
-        f"10.0.{shard}.{number}:80",
-        HOLDERS[(shard + number) % 3],
-        "d",
-        ReplicaState.WARM,
-        1.0,
-        0,
-    )
+    leaf = f"10.0.{shard}.{number}:80"
+    holder = HOLDERS[(shard + number) % 3]
+    replica = Replica(leaf, holder, "d", ReplicaState.WARM, 1.0, 0)
     replica.versions = (HeldVersion("v1", shard, shards, 10 + shard),)
     return replica
 
@@ -54,21 +49,15 @@
 
 
 def _result(call, shard, status=ShardStatus.OK):
-    return ShardResult(
-        shard=shard,
-        leaf=call.targets[shard].address,
-        status=status,
-        documents=10 + shard,
-        leaf_ms=1.0,
-        wait_ms=0.5,
-    )
+    leaf = call.targets[shard].address
+    return ShardResult(shard, leaf, status, 10 + shard, 1.0, 0.5)
 
 
 def _part(call, statuses, *, last=True):
     results = [_result(call, s, status) for s, status in statuses.items()]
     good = [s for s, status in statuses.items() if status == ShardStatus.OK]
-    matches = [Match(document=f"doc-{s}", score=1.0, title="") for s in good]
-    return Part(results=results, matches=matches, last=last)
+    matches = [Match(f"doc-{s}", 1.0, "") for s in good]
+    return Part(results, matches, last)
 
 
 def _all(call, status=ShardStatus.OK):
--- a/libs/entry/tests/test_views.py
+++ b/libs/entry/tests/test_views.py
@@ -1,27 +1,14 @@
 """Tests of what an entry learns from the aggregators."""
 
-from types import SimpleNamespace
-
 import trio
 from sapphire_core.shardmap import ReplicaState
 from sapphire_entry.views import LeafTable
-from sapphire_wire.gen.ttypes import EntryRecord
+from sapphire_wire.gen.ttypes import EntryRecord, LeafVersion, LeafView
 
 
 def _view(leaf="l1", versions=(("v1", 0, 1, 10),), state=ReplicaState.WARM):
-    held = [
-        SimpleNamespace(version=v, shard=s, shards=n, documents=d)
-        for v, s, n, d in versions
-    ]
-    return SimpleNamespace(
-        leaf=leaf,
-        service_name="tox",
-        failure_domain="d1",
-        state=state,
-        latency_ms=1.0,
-        queued=0,
-        versions=held,
-    )
+    held = [LeafVersion(*fields) for fields in versions]
+    return LeafView(leaf, "tox", "d1", state, 1.0, 0, held)
 
 
 def test_leaf_moves_to_its_new_holder():
@@ -66,45 +53,33 @@
     assert list(table.replicas("tox")) == ["l1"]
 
 
-def test_other_entries_are_listed_and_leave_at_once(on_stage):
+async def test_other_entries_are_listed_and_leave_at_once(stage):
     """Guards against addresses of entries that announced their leaving."""
 
-    async def check(stage):
-        def record(ready, stamp):
-            return EntryRecord(
-                address="127.0.0.9:80",
-                vm="127.0.0.9",
-                failure_domain="d2",
-                ready=ready,
-                stamp=stamp,
-            )
+    def record(ready, stamp):
+        place = ("127.0.0.9:80", "127.0.0.9", "d2")
+        return EntryRecord(*place, ready, stamp)
 
-        async def listed(count):
-            stage.entry.views.refresh()
-            with trio.fail_after(5):
-                while len(stage.entry.addresses("d2")) != count:
-                    await trio.sleep(0.01)
-
-        stage.cell.entries.append(record(ready=True, stamp=5))
-        await listed(2)
-        assert stage.entry.addresses("d2")[0].address == "127.0.0.9:80"
-        stage.cell.entries[:] = [record(ready=False, stamp=6)]
-        await listed(1)
+    async def listed(count):
+        stage.entry.views.refresh()
+        with trio.fail_after(5):
+            while len(stage.entry.addresses("d2")) != count:
+                await trio.sleep(0.01)
 
-    on_stage(check)
+    stage.cell.entries.append(record(ready=True, stamp=5))
+    await listed(2)
+    assert stage.entry.addresses("d2")[0].address == "127.0.0.9:80"
+    stage.cell.entries[:] = [record(ready=False, stamp=6)]
+    await listed(1)
 
 
-def test_malformed_view_does_not_end_the_daemon(on_stage):
+async def test_malformed_view_does_not_end_the_daemon(stage):
     """Guards against one bad aggregator that stops an entry."""
-
-    async def check(stage):
-        stage.cell.peers = ["nowhere", "127.0.0.1:1"]
-        stage.cell.revision = None
-        stage.entry.views.refresh()
-        await trio.sleep(0.2)
-        stage.cell.revision = 0
-        stage.entry.views.refresh()
-        await trio.sleep(0.2)
-        assert (await stage.search()).status == 200
-
-    on_stage(check)
+    stage.cell.peers = ["nowhere", "127.0.0.1:1"]
+    stage.cell.revision = None
+    stage.entry.views.refresh()
+    await trio.sleep(0.2)
+    stage.cell.revision = 0
+    stage.entry.views.refresh()
+    await trio.sleep(0.2)
+    assert (await stage.search()).status == 200
--- a/libs/entry/tests/test_web.py
+++ b/libs/entry/tests/test_web.py
@@ -10,13 +10,8 @@
 from sapphire_wire.gen.ttypes import ShardStatus
 from sapphire_wire.platform import Item
 
-_GOOD = {
-    "service": "tox",
-    "text": "a",
-    "k": 1,
-    "class": "typing",
-    "deadline_ms": 500,
-}
+_GOOD = {"service": "tox", "text": "a", "k": 1, "class": "typing"}
+_GOOD["deadline_ms"] = 500
 
 
 def _body(**changes: object):
@@ -45,26 +40,22 @@
     return metrics.REQUESTS.labels(*labels)._value.get()
 
 
-def test_search_answers_from_all_shards(on_stage):
+async def test_search_answers_from_all_shards(stage):
     """Guards against an answer that misses or repeats a shard."""
-
-    async def check(stage):
-        reply = await stage.search()
-        assert reply.status == 200
-        body = reply.json()
-        found = [match["id"] for match in body["matches"]]
-        assert found == ["doc-3", "doc-2", "doc-1"]
-        assert body["index_version"] == "v1"
-        assert body["coverage"] == {
-            "shards_total": 4,
-            "shards_answered": 4,
-            "missing": [],
-            "documents_total": 40,
-            "documents_answered": 40,
-            "complete": True,
-        }
-
-    on_stage(check)
+    reply = await stage.search()
+    assert reply.status == 200
+    body = reply.json()
+    found = [match["id"] for match in body["matches"]]
+    assert found == ["doc-3", "doc-2", "doc-1"]
+    assert body["index_version"] == "v1"
+    assert body["coverage"] == {
+        "shards_total": 4,
+        "shards_answered": 4,
+        "missing": [],
+        "documents_total": 40,
+        "documents_answered": 40,
+        "complete": True,
+    }
 
 
 @pytest.mark.parametrize(
@@ -90,238 +81,177 @@
         (_body(text="x" * 70_000), 413, "too_large"),
     ],
 )
-def test_bad_requests_get_typed_errors(on_stage, data, status, kind):
+async def test_bad_requests_get_typed_errors(stage, data, status, kind):
     """Guards against a bad request that ends or confuses the daemon."""
-
-    async def check(stage):
-        got, body = await _send(stage, data)
-        assert (got, body["error"]["kind"]) == (status, kind)
-        assert body["error"]["run"] == "not run"
-        assert stage.cell.scatters == []
-        assert (await stage.search()).status == 200
-
-    on_stage(check)
+    got, body = await _send(stage, data)
+    assert (got, body["error"]["kind"]) == (status, kind)
+    assert body["error"]["run"] == "not run"
+    assert stage.cell.scatters == []
+    assert (await stage.search()).status == 200
 
 
-def test_slow_body_is_refused(on_stage):
+async def test_slow_body_is_refused(stage):
     """Guards against callers that hold requests open without a body."""
+    status, body = await _send(stage, b"{", length=100)
+    assert (status, body["error"]["kind"]) == (408, "slow_body")
 
-    async def check(stage):
-        status, body = await _send(stage, b"{", length=100)
-        assert (status, body["error"]["kind"]) == (408, "slow_body")
 
-    on_stage(check)
-
-
-def test_silent_leaf_is_missing_at_the_deadline(on_stage):
+async def test_silent_leaf_is_missing_at_the_deadline(stage):
     """Guards against a caller who waits for a straggler."""
-
-    async def check(stage):
-        before = _count("incomplete")
-        for leaf in stage.leaves:
-            if leaf[7] == "2":
-                stage.cell.answers[leaf] = None
-        reply = await stage.search(text="slow", deadline_ms=300)
-        body = reply.json()
-        assert body["coverage"]["missing"] == [
-            {"shard": 2, "reason": "deadline"}
-        ]
-        assert not body["coverage"]["complete"]
-        assert body["elapsed_ms"] <= 300
-        assert _count("incomplete") == before + 1
-
-    on_stage(check)
+    before = _count("incomplete")
+    for leaf in stage.leaves:
+        if leaf[7] == "2":
+            stage.cell.answers[leaf] = None
+    reply = await stage.search(text="slow", deadline_ms=300)
+    body = reply.json()
+    assert body["coverage"]["missing"] == [{"shard": 2, "reason": "deadline"}]
+    assert not body["coverage"]["complete"]
+    assert body["elapsed_ms"] <= 300
+    assert _count("incomplete") == before + 1
 
 
 @pytest.mark.parametrize(
-    "status",
-    [
-        ShardStatus.FAILED,
-        ShardStatus.SHED,
-        ShardStatus.DRAINING,
-        ShardStatus.NOT_HOLDER,
-        ShardStatus.VERSION_GONE,
-    ],
+    "name", ["FAILED", "SHED", "DRAINING", "NOT_HOLDER", "VERSION_GONE"]
 )
-def test_failing_leaf_is_replaced(on_stage, status):
+async def test_failing_leaf_is_replaced(stage, name):
     """Guards against a missing shard while a replica could answer."""
-
-    async def check(stage):
-        stage.cell.answers[stage.leaves[0]] = status
-        for number in range(10):
-            body = (await stage.search(text=f"q{number}")).json()
-            assert body["coverage"]["complete"]
-
-    on_stage(check)
+    stage.cell.answers[stage.leaves[0]] = ShardStatus[name]
+    for number in range(10):
+        body = (await stage.search(text=f"q{number}")).json()
+        assert body["coverage"]["complete"]
 
 
-def test_lost_aggregator_leaves_true_coverage(on_stage):
+async def test_lost_aggregator_leaves_true_coverage(stage):
     """Guards against an error or a false claim when a channel is lost."""
+    for leaf in stage.leaves:
+        stage.cell.answers[leaf] = None
+    channel = stage.entry.views.peer(stage.cell.address).current
+    async with trio.open_nursery() as nursery:
 
-    async def check(stage):
-        for leaf in stage.leaves:
-            stage.cell.answers[leaf] = None
-        channel = stage.entry.views.peer(stage.cell.address).current
-        async with trio.open_nursery() as nursery:
-
-            async def cut():
-                while not stage.cell.scatters:
-                    await trio.sleep(0.01)
-                channel.abort()
-
-            nursery.start_soon(cut)
-            body = (await stage.search(**{"class": "bulk"})).json()
-        assert body["matches"] == []
-        assert body["coverage"]["shards_answered"] == 0
-        assert len(body["coverage"]["missing"]) == 4
+        async def cut():
+            while not stage.cell.scatters:
+                await trio.sleep(0.01)
+            channel.abort()
 
-    on_stage(check)
+        nursery.start_soon(cut)
+        body = (await stage.search(**{"class": "bulk"})).json()
+    assert body["matches"] == []
+    assert body["coverage"]["shards_answered"] == 0
+    assert len(body["coverage"]["missing"]) == 4
 
 
-def test_crashing_query_is_quarantined(on_stage):
+async def test_crashing_query_is_quarantined(stage):
     """Guards against a repeated query that crashes leaf after leaf."""
-
-    async def check(stage):
-        for leaf in stage.leaves:
-            stage.cell.answers[leaf] = ShardStatus.CRASHED
-        for _ in range(3):
-            error = (await stage.search(text="bad")).json()["error"]
-            assert (error["kind"], error["run"]) == ("quarantined", "unknown")
-        reached = [t.leaf for s in stage.cell.scatters for t in s.targets]
-        assert len(reached) == len(set(reached)) == 2
-        assert all(s.canary for s in stage.cell.scatters)
-        stage.cell.answers.clear()
-        assert (await stage.search(text="good")).status == 200
-
-    on_stage(check)
-
-
-def test_equal_unknown_queries_share_a_canary(on_stage):
+    for leaf in stage.leaves:
+        stage.cell.answers[leaf] = ShardStatus.CRASHED
+    for _ in range(3):
+        error = (await stage.search(text="bad")).json()["error"]
+        assert (error["kind"], error["run"]) == ("quarantined", "unknown")
+    reached = [t.leaf for s in stage.cell.scatters for t in s.targets]
+    assert len(reached) == len(set(reached)) == 2
+    assert all(s.canary for s in stage.cell.scatters)
+    stage.cell.answers.clear()
+    assert (await stage.search(text="good")).status == 200
+
+
+async def test_equal_unknown_queries_share_a_canary(stage):
     """Guards against many copies of one query that each try a leaf."""
+    async with trio.open_nursery() as nursery:
+        for _ in range(10):
+            nursery.start_soon(stage.search)
+    # A canary that takes long is hedged once, like any other call.
+    first = [s for s in stage.cell.scatters if s.canary and not s.hedge]
+    assert len(first) == 1
 
-    async def check(stage):
-        async with trio.open_nursery() as nursery:
-            for _ in range(10):
-                nursery.start_soon(stage.search)
-        # A canary that takes long is hedged once, like any other call.
-        first = [s for s in stage.cell.scatters if s.canary and not s.hedge]
-        assert len(first) == 1
-
-    on_stage(check)
 
-
-def test_class_limit_refuses_without_running(on_stage):
+async def test_class_limit_refuses_without_running(stage):
     """Guards against a refusal that is not true, and against no limit."""
+    for leaf in stage.leaves:
+        stage.cell.answers[leaf] = None
+    replies = []
 
-    async def check(stage):
-        for leaf in stage.leaves:
-            stage.cell.answers[leaf] = None
-        replies = []
-
-        async def ask():
-            replies.append(await stage.search(**{"class": "bulk"}))
+    async def ask():
+        replies.append(await stage.search(**{"class": "bulk"}))
 
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            nursery.start_soon(ask)
-        refused, partial = sorted(replies, key=lambda r: -r.status)
-        assert (refused.status, partial.status) == (429, 200)
-        assert refused.json()["error"]["run"] == "not run"
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        nursery.start_soon(ask)
+    refused, partial = sorted(replies, key=lambda r: -r.status)
+    assert (refused.status, partial.status) == (429, 200)
+    assert refused.json()["error"]["run"] == "not run"
 
-    on_stage(check)
 
-
-def test_newer_version_replaces_one_that_is_gone(on_stage):
+async def test_newer_version_replaces_one_that_is_gone(stage):
     """Guards against answers that miss shards after a repartition."""
+    assert (await stage.search()).json()["index_version"] == "v1"
+    stage.cell.version = "v2"
+    body = (await stage.search()).json()
+    assert body["index_version"] == "v2"
+    assert body["coverage"]["complete"]
 
-    async def check(stage):
-        assert (await stage.search()).json()["index_version"] == "v1"
-        stage.cell.version = "v2"
-        body = (await stage.search()).json()
-        assert body["index_version"] == "v2"
-        assert body["coverage"]["complete"]
-
-    on_stage(check)
 
-
-def test_domain_out_is_unlisted_then_refused(on_stage):
+async def test_domain_out_is_unlisted_then_refused(stage):
     """Guards against new work in a domain that operators took out."""
-
-    async def check(stage):
-        entry = stage.entry
-        assert len(entry.addresses(None)) == 1
-        stored = stage.document(2, out_failure_domains=["d1"])
-        stage.platform.items["config"] = Item(stored, 2)
-        while entry.config.revision < 2:
-            await trio.sleep(0.01)
-        assert entry.addresses(None) == []
-        assert (await stage.search()).status == 200
-        used = {t.leaf for s in stage.cell.scatters for t in s.targets}
-        assert used <= set(stage.leaves[4:])
-        await trio.sleep_until(entry.standing.refuse_at + 0.1)
-        error = (await stage.search()).json()["error"]
-        assert (error["kind"], error["run"]) == ("domain_out", "not run")
-        assert error["addresses"] == []
-        stage.platform.items["config"] = Item(stage.document(3), 3)
-        while entry.config.revision < 3:
-            await trio.sleep(0.01)
-        assert (await stage.search()).status == 200
-
-    on_stage(check)
-
-
-def test_shutdown_finishes_running_requests(on_stage):
+    entry = stage.entry
+    assert len(entry.addresses(None)) == 1
+    stored = stage.document(2, out_failure_domains=["d1"])
+    stage.platform.items["config"] = Item(stored, 2)
+    while entry.config.revision < 2:
+        await trio.sleep(0.01)
+    assert entry.addresses(None) == []
+    assert (await stage.search()).status == 200
+    used = {t.leaf for s in stage.cell.scatters for t in s.targets}
+    assert used <= set(stage.leaves[4:])
+    await trio.sleep_until(entry.standing.refuse_at + 0.1)
+    error = (await stage.search()).json()["error"]
+    assert (error["kind"], error["run"]) == ("domain_out", "not run")
+    assert error["addresses"] == []
+    stage.platform.items["config"] = Item(stage.document(3), 3)
+    while entry.config.revision < 3:
+        await trio.sleep(0.01)
+    assert (await stage.search()).status == 200
+
+
+async def test_shutdown_finishes_running_requests(stage):
     """Guards against a planned stop that cuts a request."""
-
-    async def check(stage):
-        for leaf in stage.leaves:
-            stage.cell.answers[leaf] = None
-        replies = []
-
-        async def ask():
-            replies.append(await stage.search(deadline_ms=2500))
-
-        entry = stage.entry
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(ask)
-            entry.standing.set_leaving()
-            ready = await stage.client.call("GET", "/readyz", timeout_s=1)
-            assert ready.status == 503
-            await trio.sleep_until(entry.standing.refuse_at + 0.2)
-            with pytest.raises(OSError, match="attempts"):
-                await _send(stage, _body())
-        assert replies[0].status == 200
-
-    on_stage(check)
-
-
-def test_platform_outage_and_configuration_of_a_peer(on_stage):
+    for leaf in stage.leaves:
+        stage.cell.answers[leaf] = None
+    replies = []
+
+    async def ask():
+        replies.append(await stage.search(deadline_ms=2500))
+
+    entry = stage.entry
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask)
+        entry.standing.set_leaving()
+        ready = await stage.client.call("GET", "/readyz", timeout_s=1)
+        assert ready.status == 503
+        await trio.sleep_until(entry.standing.refuse_at + 0.2)
+        with pytest.raises(OSError, match="attempts"):
+            await _send(stage, _body())
+    assert replies[0].status == 200
+
+
+async def test_platform_outage_and_configuration_of_a_peer(stage):
     """Guards against an entry that needs the platform to go on."""
-
-    async def check(stage):
-        stage.platform.down = True
-        stage.cell.config, stage.cell.revision = stage.document(7), 7
-        while stage.entry.config.revision < 7:
-            await trio.sleep(0.01)
-        stage.cell.config, stage.cell.revision = stage.document(5), 5
-        stage.entry.config.adopt(stage.document(5), Source.PEER)
-        assert stage.entry.config.revision == 7
-        assert stage.entry.standing.phase is Phase.READY
-        assert (await stage.search()).status == 200
-
-    on_stage(check)
-
-
-def test_status_and_metrics(on_stage):
+    stage.platform.down = True
+    stage.cell.config, stage.cell.revision = stage.document(7), 7
+    while stage.entry.config.revision < 7:
+        await trio.sleep(0.01)
+    stage.cell.config, stage.cell.revision = stage.document(5), 5
+    stage.entry.config.adopt(stage.document(5), Source.PEER)
+    assert stage.entry.config.revision == 7
+    assert stage.entry.standing.phase is Phase.READY
+    assert (await stage.search()).status == 200
+
+
+async def test_status_and_metrics(stage):
     """Guards against an operator's page that fails with leaves known."""
-
-    async def check(stage):
-        await stage.search()
-        reply = await stage.client.call("GET", "/v1/status", timeout_s=1)
-        body = reply.json()
-        assert body["services"]["tox"]["version"] == "v1"
-        assert body["config"]["revision"] == 1
-        reply = await stage.client.call("GET", "/metrics", timeout_s=1)
-        assert b"sapphirecross_requests_total{" in reply.body
-
-    on_stage(check)
+    await stage.search()
+    reply = await stage.client.call("GET", "/v1/status", timeout_s=1)
+    body = reply.json()
+    assert body["services"]["tox"]["version"] == "v1"
+    assert body["config"]["revision"] == 1
+    reply = await stage.client.call("GET", "/metrics", timeout_s=1)
+    assert b"sapphirecross_requests_total{" in reply.body
