Test that a leaving VM is not listed

Cause: the VM list path had no test. Change: the fake platform has a VM list; the entry leaves the address list while it goes on serving. Before/after: passes; the code is unchanged.

--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -27,7 +27,7 @@
     SubmitReply,
     ViewReply,
 )
-from sapphire_wire.platform import Item
+from sapphire_wire.platform import Item, VmLists
 from sapphire_wire.web import HttpClient
 
 SHARDS = 4
@@ -142,6 +142,7 @@
     def __init__(self) -> None:
         self.items = {}
         self.down = False
+        self.leaving = frozenset()
         # Answers of this many writes are lost; the last of these writes
         # does not take effect.
         self.lost_writes = 0
@@ -154,6 +155,10 @@
         self._check()
         return self.items.get(key, Item("", 0))
 
+    async def vms(self):
+        self._check()
+        return VmLists(frozenset(), self.leaving)
+
     async def put(self, key, value, expect):
         self._check()
         current = self.items.get(key, Item("", 0)).version
@@ -194,6 +199,7 @@
             failure_domain="d1",
             region="r",
             platform="127.0.0.1:1",
+            vm_list="127.0.0.1:1",
             seeds=[self.cell.address],
             listen="127.0.0.1:0",
             frames="127.0.0.1:0",
--- a/libs/entry/tests/test_views.py
+++ b/libs/entry/tests/test_views.py
@@ -83,3 +83,11 @@
     stage.entry.views.refresh()
     await trio.sleep(0.2)
     assert (await stage.search()).status == 200
+
+
+async def test_leaving_vm_is_not_listed(stage):
+    """Guards against callers that are sent to a VM that is about to go."""
+    stage.platform.leaving = frozenset({"127.0.0.1"})
+    while stage.entry.addresses(None):
+        await trio.sleep(0.05)
+    assert (await stage.search()).status == 200
