--- a/libs/bench/src/sapphire_bench/fleet.py
+++ b/libs/bench/src/sapphire_bench/fleet.py
@@ -29,6 +29,7 @@
 )
 
 from sapphire_bench.shape import (
+    CONTROL_PORT,
     ENTRY_FRAMES_PORT,
     PLATFORM_PORT,
     VM_LIST_PORT,
@@ -97,6 +98,11 @@
         """The deployment document at the start."""
         return self._document
 
+    @property
+    def directory(self) -> pathlib.Path:
+        """Directory of settings and logs."""
+        return self._directory
+
     @property
     def vms(self) -> list[Vm]:
         """VMs of the query tier."""
@@ -195,6 +201,7 @@
         service = place.service
         settings = {
             "listen": place.address,
+            "control": control_address(place.address),
             "service": service.name,
             "slots": service.slots,
             "connections": service.connections,
@@ -248,11 +255,13 @@
 
     async def fault(self, address: str, **faults: Any) -> None:
         """Sets faults of a stand-in."""
-        await self.call(address, "POST", "/faults", faults)
+        control = control_address(address)
+        await self.call(control, "POST", "/faults", faults)
 
     async def record(self, address: str) -> dict[str, Any]:
         """Returns the counters of a stand-in."""
-        counters: dict[str, Any] = await self.call(address, "GET", "/record")
+        control = control_address(address)
+        counters: dict[str, Any] = await self.call(control, "GET", "/record")
         return counters
 
     async def wait_ready(self) -> None:
@@ -300,7 +309,10 @@
         await self._start_daemon(
             "platform",
             "standin-platform",
-            {"listen": self.platform},
+            {
+                "listen": self.platform,
+                "control": control_address(self.platform),
+            },
         )
         await self._start_daemon(
             "vmlist",
@@ -314,7 +326,7 @@
             await self.start_leaf(place)
         await self._wait_answer(self.vm_list, "/vms")
         for address in [self.platform, *(x.address for x in self._leaves)]:
-            await self._wait_answer(address, "/record")
+            await self._wait_answer(control_address(address), "/record")
 
     async def _wait_answer(self, address: str, path: str) -> None:
         with trio.move_on_after(START_TIMEOUT_S):
@@ -364,6 +376,12 @@
         return member
 
 
+def control_address(address: str) -> str:
+    """Returns where a stand-in answers while faults cut its own address."""
+    ip, _, _ = address.rpartition(":")
+    return f"{ip}:{CONTROL_PORT}"
+
+
 def free_network() -> str:
     """Returns the first two bytes of a loopback network of this process.
 
