--- a/libs/core/src/sapphire_core/rights.py
+++ b/libs/core/src/sapphire_core/rights.py
@@ -372,7 +372,11 @@
         return until if now < until else None
 
     def held(self, leaves: Iterable[str], now: float) -> set[str]:
-        """Returns the leaves for which this member holds the send right."""
+        """Returns the leaves for which this member holds the send right.
+
+        Call it once in a round of pings rather than after each vote, since a
+        vote discards the times derived for the leaves.
+        """
         return {a for a in leaves if self.right_until(a, now) is not None}
 
     def has_majority(self, now: float) -> bool:
