Ask the ledger for one leaf in the walks of the specification

Cause: the ledger's bulk question was removed with the failure domains. Change: the walks ask right_until for their only leaf.

--- a/libs/core/tests/test_model.py
+++ b/libs/core/tests/test_model.py
@@ -95,7 +95,7 @@
 
     def holders(self):
         ledgers = [*self.ledgers.items(), *(("old", a) for a in self.old)]
-        return [n for n, a in ledgers if a.held([LEAF], self.now)]
+        return [n for n, a in ledgers if a.right_until(LEAF, self.now)]
 
 
 ABC = [(0, "abc")]
