Add the load tool with a baseline of direct fan-out

Cause: the tier's policy has no measured comparison with direct fan-out. Change: sapphirecross-bench runs open-loop load through Caller at a fleet of stand-ins, under the tier and under sapphirecross-baseline, and writes JSON, a Markdown report and plots.

--- /dev/null
+++ b/libs/bench/src/sapphire_bench/cmdline.py
@@ -0,0 +1,75 @@
+"""The command `sapphirecross-bench`."""
+
+from __future__ import annotations
+
+import pathlib
+import shlex
+import sys
+from typing import Any
+
+import fire
+import trio
+from sapphire_config.settings import read_settings
+from sapphire_core.errors import SapphireError, SettingsError
+
+from sapphire_bench import plan, plot, report
+from sapphire_bench.plan import BenchSettings, CaseName
+from sapphire_bench.run import run as run_cases
+
+DEFAULT_SETTINGS = "examples/bench.json"
+DEFAULT_OUTPUT = "build/bench"
+
+
+def _cases(listed: Any) -> list[CaseName]:
+    names = listed.split(",") if isinstance(listed, str) else list(listed)
+    try:
+        return [CaseName(name) for name in names]
+    except ValueError as error:
+        raise SettingsError(
+            "--cases",
+            listed,
+            str(error),
+            f"Name some of {', '.join(CaseName)}, separated by commas.",
+        ) from error
+
+
+def run(
+    settings: str = DEFAULT_SETTINGS,
+    output: str = DEFAULT_OUTPUT,
+    cases: Any = None,
+    quick: bool = False,
+) -> None:
+    """Compares the tier with the baseline and writes a report.
+
+    Args:
+        settings: Path of the JSON settings.
+        output: Directory for result.json, report.md and the plots.
+        cases: Names of cases, separated by commas; all by default.
+        quick: Short cases on the first deployment, for a smoke test.
+    """
+    chosen = read_settings(BenchSettings, settings)
+    if quick:
+        chosen = plan.quick(chosen)
+    if cases is not None:
+        chosen = plan.only(chosen, _cases(cases))
+    command = "sapphirecross-bench " + shlex.join(sys.argv[1:])
+    result = trio.run(run_cases, chosen, command)
+    directory = pathlib.Path(output)
+    directory.mkdir(parents=True, exist_ok=True)
+    (directory / "result.json").write_text(result.to_json(), "utf-8")
+    plots = plot.draw(result.phases, directory)
+    text = report.markdown(result, plots)
+    (directory / "report.md").write_text(text, "utf-8")
+    for target in report.targets(result.phases):
+        verdict = "met" if target.met else "MISSED"
+        print(f"{verdict}: {target.deployment}: {target.what}: {target.figure}")
+    print(directory / "report.md")
+
+
+def main() -> None:
+    """Entry point of the console script."""
+    try:
+        fire.Fire({"run": run}, name="sapphirecross-bench")
+    except SapphireError as error:
+        print(f"sapphirecross-bench: {error}", file=sys.stderr)
+        sys.exit(2)
--- a/libs/bench/src/sapphire_bench/fleet.py
+++ b/libs/bench/src/sapphire_bench/fleet.py
@@ -23,6 +23,7 @@
     HttpClient,
     HttpConnectError,
     HttpLostError,
+    HttpReply,
     HttpTimeoutError,
 )
 
@@ -170,7 +171,38 @@
         }
         return await self._start_daemon(f"entry-{vm.name}", "entry", settings)
 
-    async def start_leaf(self, place: LeafPlace) -> Member:
+    async def start_baseline(self, vm: Vm, timeout_ms: float) -> Member:
+        """Starts the baseline's process of a VM."""
+        peers = [
+            {"address": x.baseline, "failure_domain": x.failure_domain}
+            for x in self._vms
+        ]
+        settings = {
+            "listen": vm.baseline,
+            "failure_domain": vm.failure_domain,
+            "platform": self.platform,
+            "peers": peers,
+            "timeout_ms": timeout_ms,
+        }
+        return await self._start_daemon(
+            f"baseline-{vm.name}", "baseline", settings
+        )
+
+    async def restart_leaf(self, place: LeafPlace, *, cold: bool) -> Member:
+        """Ends the stand-in of a leaf at once and starts it again."""
+        name = f"leaf-{place.name}"
+        self.kill(name)
+        await self._members[name].process.wait()
+        client = self._clients.pop(place.address, None)
+        if client is not None:
+            await client.aclose()
+        member = await self.start_leaf(place, cold=cold)
+        await self._wait_answer(place.address, "/record")
+        return member
+
+    async def start_leaf(
+        self, place: LeafPlace, *, cold: bool = False
+    ) -> Member:
         """Starts the stand-in of one leaf."""
         service = place.service
         settings = {
@@ -180,6 +212,7 @@
             "connections": service.connections,
             "connect_ms": service.connect_ms,
             "service_ms": service.service_ms,
+            "cold": cold,
             "versions": [
                 {
                     "version": FIRST_VERSION,
@@ -216,16 +249,29 @@
         Raises:
             FleetError: The endpoint can't be reached.
         """
+        return (await self._call(address, method, path, body)).json()
+
+    async def _call(
+        self, address: str, method: str, path: str, body: Any
+    ) -> HttpReply:
         if address not in self._clients:
             self._clients[address] = HttpClient(address, 4)
         try:
-            reply = await self._clients[address].call(
+            return await self._clients[address].call(
                 method, path, body, timeout_s=CALL_TIMEOUT_S
             )
-            return reply.json()
         except (HttpConnectError, HttpLostError, HttpTimeoutError) as error:
             raise FleetError(f"{address} did not answer {path}") from error
 
+    async def metrics(self, address: str) -> str:
+        """Returns the metrics of a daemon as text.
+
+        Raises:
+            FleetError: The daemon can't be reached.
+        """
+        reply = await self._call(address, "GET", "/metrics", None)
+        return reply.body.decode()
+
     async def fault(self, address: str, **faults: Any) -> None:
         """Sets faults of a stand-in."""
         await self.call(address, "POST", "/faults", faults)
@@ -238,16 +284,49 @@
     async def wait_ready(self) -> None:
         """Waits until each entry serves a whole index of each service.
 
+        Raises:
+            FleetError: That takes more than 30 s.
+        """
+        for vm in self._vms:
+            await self.wait_entry(vm.entry)
+
+    async def wait_entry(self, address: str) -> None:
+        """Waits until one entry serves a whole index of each service.
+
+        Raises:
+            FleetError: That takes more than 30 s.
+        """
+        with trio.move_on_after(START_TIMEOUT_S):
+            while not await self._entry_is_whole(address):
+                self._check_running()
+                await trio.sleep(POLL_S)
+            return
+        raise FleetError(f"{address} is not ready after {START_TIMEOUT_S} s")
+
+    async def wait_settled(self) -> None:
+        """Waits until each entry knows a holder of each leaf that is up.
+
         Raises:
             FleetError: That takes more than 30 s.
         """
         with trio.move_on_after(START_TIMEOUT_S):
             for vm in self._vms:
-                while not await self._entry_is_whole(vm.entry):
+                while not await self._is_settled(vm.entry):
                     self._check_running()
                     await trio.sleep(POLL_S)
             return
-        raise FleetError(f"entries are not ready after {START_TIMEOUT_S} s")
+        raise FleetError(f"leaves are not settled after {START_TIMEOUT_S} s")
+
+    async def _is_settled(self, address: str) -> bool:
+        status = await self.call(address, "GET", "/v1/status")
+        services = status["services"]
+        if set(services) != {s.name for s in self._shape.services}:
+            return False
+        leaves = [x for s in services.values() for x in s["leaves"]]
+        return len(leaves) == len(self._leaves) and all(
+            x["holder"] and x["in_service"] and x["state"] != "down"
+            for x in leaves
+        )
 
     async def aclose(self) -> None:
         """Ends every process that the fleet started, by its id."""
--- /dev/null
+++ b/libs/bench/src/sapphire_bench/plot.py
@@ -0,0 +1,61 @@
+"""Plots of a result."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Sequence
+
+import matplotlib as mpl
+
+mpl.use("Agg")
+
+from matplotlib import pyplot
+
+from sapphire_bench.figures import Phase
+from sapphire_bench.report import Pair, pairs
+
+_DPI = 80
+_COLOURS = {"tier": "tab:blue", "baseline": "tab:orange"}
+
+
+def draw(phases: Sequence[Phase], directory: pathlib.Path) -> list[str]:
+    """Writes one plot per deployment and returns the names of the files."""
+    names = []
+    for pair in pairs(phases):
+        name = f"{pair.deployment}.png"
+        _draw_pair(pair, directory / name)
+        names.append(name)
+    return names
+
+
+def _draw_pair(pair: Pair, path: pathlib.Path) -> None:
+    cases = list(dict.fromkeys([*pair.tier, *pair.baseline]))
+    figure, axes = pyplot.subplots(
+        len(cases),
+        2,
+        figsize=(11, 2.2 * len(cases)),
+        squeeze=False,
+        layout="constrained",
+    )
+    for row, case in zip(axes, cases, strict=True):
+        for side in (pair.baseline, pair.tier):
+            if case in side:
+                _draw_phase(row, side[case])
+        row[0].set_title(f"{case}: latency by due time", fontsize=9)
+        row[0].set_yscale("log")
+        row[0].set_ylabel("ms", fontsize=8)
+        row[1].set_title(f"{case}: share good by second", fontsize=9)
+        row[1].set_ylim(-0.05, 1.05)
+    axes[0][0].legend(fontsize=8)
+    figure.savefig(path, dpi=_DPI)
+    pyplot.close(figure)
+
+
+def _draw_phase(row: Sequence[pyplot.Axes], phase: Phase) -> None:
+    colour = _COLOURS[phase.policy]
+    times = [point[0] for point in phase.points]
+    values = [point[1] for point in phase.points]
+    row[0].plot(
+        times, values, ".", markersize=3, color=colour, label=phase.policy
+    )
+    row[1].plot(phase.seconds, "-o", markersize=3, color=colour)
--- /dev/null
+++ b/libs/bench/src/sapphire_bench/run.py
@@ -0,0 +1,280 @@
+"""Runs the cases of all deployments under each policy."""
+
+from __future__ import annotations
+
+import datetime
+import os
+import random
+import subprocess
+import sys
+from collections.abc import Sequence
+
+import trio
+from sapphire_config.document import RequestClass
+
+from sapphire_bench import figures, usage
+from sapphire_bench.caller import Caller
+from sapphire_bench.cases import CASES, Act, Stage
+from sapphire_bench.figures import Phase
+from sapphire_bench.fleet import Fleet, open_fleet
+from sapphire_bench.load import Client, Kind, Sample, Texts, schedule, send
+from sapphire_bench.plan import (
+    BenchSettings,
+    CaseName,
+    CasePlan,
+    DeploymentPlan,
+    Policy,
+    ServicePlan,
+)
+from sapphire_bench.report import Result
+from sapphire_bench.shape import FleetShape, ServiceShape
+
+# The baseline has no daemons whose restart could be compared.
+TIER_ONLY = frozenset({CaseName.RESTART})
+# At most this many samples of a phase become points of a plot.
+MAX_POINTS = 400
+# An act, such as a rolling restart, may outlast its case by this factor.
+LONGEST_FACTOR = 4.0
+# Answers to the last requests may come this long after the load.
+LONGEST_S = 1.0
+
+
+def shape(deployment: DeploymentPlan) -> FleetShape:
+    """Returns the fleet of a deployment: one VM in each failure domain."""
+    classes = tuple(
+        RequestClass(
+            name=c.name, priority=c.priority, deadline_ms=c.deadline_ms
+        )
+        for c in deployment.classes
+    )
+    services = tuple(
+        ServiceShape(
+            name=s.name,
+            shards=s.shards,
+            replicas=s.replicas,
+            slots=s.slots,
+            connections=s.connections,
+            connect_ms=s.connect_ms,
+            service_ms=s.service_ms,
+            classes=classes,
+        )
+        for s in deployment.services
+    )
+    return FleetShape(
+        name=deployment.name,
+        region=deployment.region,
+        failure_domains=tuple(deployment.failure_domains),
+        vms_per_domain=1,
+        services=services,
+    )
+
+
+def kinds(
+    deployment: DeploymentPlan, services: Sequence[ServicePlan]
+) -> list[Kind]:
+    """Returns the kinds of requests of some services of a deployment."""
+    return [
+        Kind(
+            service=service.name,
+            request_class=c.name,
+            priority=c.priority,
+            deadline_ms=c.deadline_ms,
+            weight=service.weight * c.weight,
+        )
+        for service in services
+        for c in deployment.classes
+    ]
+
+
+def capacity(service: ServicePlan, service_ms: float) -> float:
+    """Returns the queries/s that a service's slots carry without batches."""
+    return service.replicas * service.slots * 1000 / service_ms
+
+
+class Bench:
+    """One fleet and the phases that run on it."""
+
+    def __init__(
+        self, settings: BenchSettings, deployment: DeploymentPlan, fleet: Fleet
+    ) -> None:
+        self._settings = settings
+        self._deployment = deployment
+        self._fleet = fleet
+        self._texts = Texts(settings.texts, settings.seed)
+        self._seed = settings.seed
+        self._revision = 1
+        self._callers: dict[Policy, list[Client]] = {
+            Policy.TIER: self._open([vm.entry for vm in fleet.vms]),
+            Policy.BASELINE: self._open([vm.baseline for vm in fleet.vms]),
+        }
+
+    async def run(self) -> list[Phase]:
+        """Runs each case under each policy, one after the other."""
+        phases = []
+        for case in self._deployment.cases:
+            for policy in self._settings.policies:
+                if case.case in TIER_ONLY and policy is not Policy.TIER:
+                    continue
+                phase = await self._run_case(case, policy)
+                _show(phase)
+                phases.append(phase)
+        return phases
+
+    async def _run_case(self, plan: CasePlan, policy: Policy) -> Phase:
+        case = CASES[plan.case]
+        stage = Stage(
+            self._fleet,
+            self._settings,
+            self._callers[policy],
+            plan.seconds,
+            self._revision,
+        )
+        await self._fleet.wait_settled()
+        rate, notes = self._deployment.rate, dict[str, float]()
+        await self._load(policy, rate, self._settings.warm_up_s)
+        if plan.case is CaseName.OVERLOAD:
+            await case.act(stage)
+            peak_rate, peak = await self._find_peak(policy)
+            rate = peak_rate * self._settings.overload.factor
+            notes = {"peak_rate": peak_rate, "peak_goodput": peak}
+        before = await usage.read(self._fleet, policy)
+        start = trio.current_time()
+        if plan.case is CaseName.OVERLOAD:
+            samples = await self._load(
+                policy, rate, plan.seconds, main_only=True
+            )
+        else:
+            samples = await self._load_with(case.act, stage, policy, rate)
+        seconds = max(plan.seconds, trio.current_time() - start - LONGEST_S)
+        after = await usage.read(self._fleet, policy)
+        await case.clean(stage)
+        self._revision = stage.revision
+        return Phase(
+            deployment=self._deployment.name,
+            case=plan.case.value,
+            policy=policy.value,
+            rate=rate,
+            answers=figures.answers(samples, seconds),
+            usage=usage.difference(before, after),
+            notes=notes,
+            seconds=figures.good_by_second(samples),
+            points=_points(samples),
+        )
+
+    async def _load_with(
+        self, act: Act, stage: Stage, policy: Policy, rate: float
+    ) -> list[Sample]:
+        """Runs the load while a case acts; returns when both have ended.
+
+        The load lasts at least as long as the case says, and longer if the
+        act takes longer.
+        """
+        ended = trio.Event()
+
+        async def run_act() -> None:
+            start = trio.current_time()
+            await act(stage)
+            await trio.sleep_until(start + stage.seconds)
+            ended.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_act)
+            return await self._load(
+                policy, rate, stage.seconds * LONGEST_FACTOR, stop=ended
+            )
+
+    async def _find_peak(self, policy: Policy) -> tuple[float, float]:
+        """Returns the rate with the highest goodput, and that goodput."""
+        plan = self._settings.overload
+        service = self._deployment.services[0]
+        full = capacity(service, plan.service_ms)
+        best = (0.0, 0.0)
+        for share in plan.peak_shares:
+            rate = full * share
+            samples = await self._load(
+                policy, rate, plan.peak_seconds, main_only=True
+            )
+            goodput = figures.answers(samples, plan.peak_seconds).goodput
+            if goodput > best[1]:
+                best = (rate, goodput)
+        return best
+
+    async def _load(
+        self,
+        policy: Policy,
+        rate: float,
+        seconds: float,
+        *,
+        main_only: bool = False,
+        stop: trio.Event | None = None,
+    ) -> list[Sample]:
+        self._seed += 1
+        services = self._deployment.services
+        asked = kinds(self._deployment, services[:1] if main_only else services)
+        planned = schedule(asked, self._texts, rate, seconds, self._seed)
+        return await send(self._callers[policy], planned, stop)
+
+    def _open(self, addresses: list[str]) -> list[Client]:
+        return [
+            Caller(addresses, vm.failure_domain, random.Random(number))
+            for number, vm in enumerate(self._fleet.vms)
+        ]
+
+
+def _points(samples: Sequence[Sample]) -> list[list[float]]:
+    step = max(1, len(samples) // MAX_POINTS)
+    return [
+        [round(s.due_s, 3), round(s.latency_ms, 2), float(s.is_good)]
+        for s in samples[::step]
+    ]
+
+
+def _show(phase: Phase) -> None:
+    found = phase.answers
+    print(
+        f"{phase.deployment:10} {phase.case:13} {phase.policy:8}"
+        f" n={found.latency.count} p50={found.latency.p50:.1f}"
+        f" p99={found.latency.p99:.1f} ms"
+        f" good={found.good_share:.2%} top={found.top_good_share:.2%}"
+        f" sent/needed={phase.usage.calls_ratio:.3f}",
+        file=sys.stderr,
+    )
+
+
+def commit() -> str:
+    """Returns the commit of the working directory, or "unknown"."""
+    try:
+        found = subprocess.run(
+            ["git", "describe", "--always", "--dirty", "--abbrev=10"],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+    except (OSError, subprocess.CalledProcessError):
+        return "unknown"
+    return found.stdout.strip()
+
+
+async def run(settings: BenchSettings, command: str) -> Result:
+    """Runs all deployments and returns the result.
+
+    Raises:
+        FleetError: A process of a fleet did not start or stop.
+    """
+    phases: list[Phase] = []
+    start = trio.current_time()
+    for deployment in settings.deployments:
+        async with open_fleet(shape(deployment)) as fleet:
+            for vm in fleet.vms:
+                await fleet.start_baseline(vm, settings.baseline_timeout_ms)
+            for vm in fleet.vms:
+                await fleet.wait_entry(vm.baseline)
+            phases += await Bench(settings, deployment, fleet).run()
+    return Result(
+        command=command,
+        commit=commit(),
+        started=datetime.datetime.now(datetime.UTC).isoformat("T", "seconds"),
+        cores=os.cpu_count() or 0,
+        seconds=trio.current_time() - start,
+        phases=phases,
+    )
--- a/libs/bench/src/sapphire_bench/shape.py
+++ b/libs/bench/src/sapphire_bench/shape.py
@@ -15,6 +15,7 @@
 )
 
 HTTP_PORT = 8080
+BASELINE_PORT = 8090
 FRAMES_PORT = 7000
 ADMIN_PORT = 7001
 ENTRY_FRAMES_PORT = 7002
@@ -67,6 +68,11 @@
         """HTTP address of the entry."""
         return f"{self.ip}:{HTTP_PORT}"
 
+    @property
+    def baseline(self) -> str:
+        """HTTP address of the load tool's baseline."""
+        return f"{self.ip}:{BASELINE_PORT}"
+
     @property
     def aggregator(self) -> str:
         """Frame address of the aggregator."""
