Add tests of the load tool and a harness for slopes

Cause: the capacity page needs slopes that a fleet of stand-in processes can't give: hundreds of leaves, hundreds of polling entries. Change: sapphirecross-bench slopes measures processor time, memory, bytes and platform calls with light leaves behind one listener; tests cover the arithmetic, the schedule, the settings and the report.

--- a/libs/bench/src/sapphire_bench/cmdline.py
+++ b/libs/bench/src/sapphire_bench/cmdline.py
@@ -12,8 +12,10 @@
 from sapphire_config.settings import read_settings
 from sapphire_core.errors import SapphireError, SettingsError
 
-from sapphire_bench import plan, plot, report
+from sapphire_bench import plan, plot, report, slope
+from sapphire_bench.measure import GROUPS, measure
 from sapphire_bench.plan import BenchSettings, CaseName
+from sapphire_bench.run import commit
 from sapphire_bench.run import run as run_cases
 
 DEFAULT_SETTINGS = "examples/bench.json"
@@ -66,10 +68,35 @@
     print(directory / "report.md")
 
 
+def slopes(
+    output: str = DEFAULT_OUTPUT,
+    groups: Any = GROUPS,
+    seconds: float = 2.0,
+) -> None:
+    """Measures the slopes that a capacity page needs.
+
+    Args:
+        output: Directory for slopes.json and slopes.md.
+        groups: Some of load, control, bytes and document.
+        seconds: Length of one measurement.
+    """
+    command = "sapphirecross-bench " + shlex.join(sys.argv[1:])
+    named = groups.split(",") if isinstance(groups, str) else list(groups)
+    points = trio.run(measure, seconds, named)
+    directory = pathlib.Path(output)
+    directory.mkdir(parents=True, exist_ok=True)
+    source = commit()
+    text = slope.to_json(points, command, source)
+    (directory / "slopes.json").write_text(text, "utf-8")
+    text = slope.markdown(points, command, source)
+    (directory / "slopes.md").write_text(text, "utf-8")
+    print(directory / "slopes.md")
+
+
 def main() -> None:
     """Entry point of the console script."""
     try:
-        fire.Fire({"run": run}, name="sapphirecross-bench")
+        fire.Fire({"run": run, "slopes": slopes}, name="sapphirecross-bench")
     except SapphireError as error:
         print(f"sapphirecross-bench: {error}", file=sys.stderr)
         sys.exit(2)
--- a/libs/bench/src/sapphire_bench/direct.py
+++ b/libs/bench/src/sapphire_bench/direct.py
@@ -121,9 +121,9 @@
         for held in replica.versions:
             plan = plans.setdefault(held.version, Plan(held.version))
             totals[held.version] = held.shards
-            shard = plan.shards.setdefault(held.shard, [])
+            holders = plan.shards.setdefault(held.shard, [])
             if replica.in_service:
-                shard.append(replica)
+                holders.append(replica)
     if not plans:
         return None
     for version, plan in plans.items():
--- a/libs/bench/src/sapphire_bench/figures.py
+++ b/libs/bench/src/sapphire_bench/figures.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
@@ -41,6 +41,7 @@
         offered: Requests per second.
         coverage: Shards answered of the shards asked, over all answers.
         errors: Requests by kind of error.
+        missing: Missing shards by reason.
         client_late_ms: p99 of how late the client sent.
     """
 
@@ -54,6 +55,7 @@
     offered: float
     coverage: float
     errors: dict[str, int]
+    missing: dict[str, int]
     client_late_ms: float
 
 
@@ -64,6 +66,8 @@
     Attributes:
         calls_needed: Shards of the pinned maps of all queries.
         calls_sent: Shard calls sent, hedged requests and retries included.
+        hedges: Hedged shard calls.
+        retries: Repeated shard calls.
         cpu_s: Processor time of the policy's daemons.
         cold_concurrency: Greatest concurrent work on a cold leaf.
         cold_unnoticed: The same between an unannounced turn and its first
@@ -77,6 +81,8 @@
 
     calls_needed: float
     calls_sent: float
+    hedges: float
+    retries: float
     cpu_s: float
     cold_concurrency: int
     cold_unnoticed: int
@@ -168,8 +174,11 @@
         goodput=sum(s.is_good for s in samples) / seconds,
         offered=len(samples) / seconds,
         coverage=_ratio(sum(s.shards_answered for s in answered), shards),
-        errors=dict(
-            sorted(Counter(s.error for s in samples if s.error).items())
-        ),
+        errors=_counts(s.error for s in samples if s.error),
+        missing=_counts(reason for s in answered for reason in s.reasons),
         client_late_ms=late.p99,
     )
+
+
+def _counts(names: Iterable[str]) -> dict[str, int]:
+    return dict(sorted(Counter(names).items()))
--- a/libs/bench/src/sapphire_bench/fleet.py
+++ b/libs/bench/src/sapphire_bench/fleet.py
@@ -81,7 +81,19 @@
 class Fleet:
     """The processes of one deployment on one machine."""
 
-    def __init__(self, shape: FleetShape, directory: pathlib.Path) -> None:
+    def __init__(
+        self,
+        shape: FleetShape,
+        directory: pathlib.Path,
+        document: Document | None = None,
+    ) -> None:
+        """Chooses the addresses; start begins the processes.
+
+        Args:
+            shape: What the fleet consists of.
+            directory: For settings and logs of the processes.
+            document: The document to use; None makes it from the shape.
+        """
         self._shape = shape
         self._directory = directory
         self._network = free_network()
@@ -89,7 +101,7 @@
         self._clients: dict[str, HttpClient] = {}
         self._vms = shape.vms(self._network)
         self._leaves = shape.leaves(self._network)
-        self._document = shape.document(self._network)
+        self._document = document or shape.document(self._network)
 
     @property
     def document(self) -> Document:
@@ -132,7 +144,8 @@
         Raises:
             FleetError: A process ended or isn't ready after 30 s.
         """
-        await self._start_standins()
+        await self.start_platform()
+        await self._start_leaves()
         await self.apply(self._document, expect=0)
         for vm in self._vms:
             await self.start_aggregator(vm)
@@ -154,14 +167,17 @@
 
     async def start_aggregator(self, vm: Vm) -> Member:
         """Starts the aggregator of a VM."""
-        settings = self._daemon_settings(vm) | {
+        return await self._start_daemon(
+            f"aggregator-{vm.name}", "aggregator", self.aggregator_settings(vm)
+        )
+
+    def aggregator_settings(self, vm: Vm) -> dict[str, Any]:
+        """Returns the settings of the aggregator of a VM."""
+        return self._daemon_settings(vm) | {
             "frames": vm.aggregator,
             "admin": vm.admin,
             "cell": self._shape.region,
         }
-        return await self._start_daemon(
-            f"aggregator-{vm.name}", "aggregator", settings
-        )
 
     async def start_entry(self, vm: Vm) -> Member:
         """Starts the entry of a VM."""
@@ -192,7 +208,8 @@
         """Ends the stand-in of a leaf at once and starts it again."""
         name = f"leaf-{place.name}"
         self.kill(name)
-        await self._members[name].process.wait()
+        # Checks of other processes must not count this end as a failure.
+        await self._members.pop(name).process.wait()
         client = self._clients.pop(place.address, None)
         if client is not None:
             await client.aclose()
@@ -303,26 +320,42 @@
             return
         raise FleetError(f"{address} is not ready after {START_TIMEOUT_S} s")
 
-    async def wait_settled(self) -> None:
-        """Waits until each entry knows a holder of each leaf that is up.
+    async def wait_settled(self, stable_s: float = 0.0) -> None:
+        """Waits until each leaf has a holder that each entry knows.
+
+        Leaves move between aggregators while members join the cell, so the
+        state has to last for some time after a start.
+
+        Args:
+            stable_s: How long the state has to last, in seconds.
 
         Raises:
             FleetError: That takes more than 30 s.
         """
+        since = trio.current_time()
         with trio.move_on_after(START_TIMEOUT_S):
-            for vm in self._vms:
-                while not await self._is_settled(vm.entry):
-                    self._check_running()
-                    await trio.sleep(POLL_S)
-            return
+            while True:
+                if not await self._is_settled():
+                    since = trio.current_time()
+                elif trio.current_time() >= since + stable_s:
+                    return
+                self._check_running()
+                await trio.sleep(POLL_S)
         raise FleetError(f"leaves are not settled after {START_TIMEOUT_S} s")
 
-    async def _is_settled(self, address: str) -> bool:
+    async def _is_settled(self) -> bool:
+        for vm in self._vms:
+            cell = await self.call(vm.admin, "GET", "/v1/status")
+            if len(cell["members"]) != len(self._vms) or not cell["granted"]:
+                return False
+            if not await self._knows_leaves(vm.entry):
+                return False
+        return True
+
+    async def _knows_leaves(self, address: str) -> bool:
         status = await self.call(address, "GET", "/v1/status")
-        services = status["services"]
-        if set(services) != {s.name for s in self._shape.services}:
-            return False
-        leaves = [x for s in services.values() for x in s["leaves"]]
+        services = status["services"].values()
+        leaves = [x for service in services for x in service["leaves"]]
         return len(leaves) == len(self._leaves) and all(
             x["holder"] and x["in_service"] and x["state"] != "down"
             for x in leaves
@@ -355,7 +388,8 @@
                 return False
         return True
 
-    async def _start_standins(self) -> None:
+    async def start_platform(self) -> None:
+        """Starts the platform and the list of VMs."""
         await self._start_daemon(
             "platform",
             "standin-platform",
@@ -369,11 +403,14 @@
                 "vms": {"live": [vm.ip for vm in self._vms]},
             },
         )
+        await self._wait_answer(self.vm_list, "/vms")
+        await self._wait_answer(self.platform, "/record")
+
+    async def _start_leaves(self) -> None:
         for place in self._leaves:
             await self.start_leaf(place)
-        await self._wait_answer(self.vm_list, "/vms")
-        for address in [self.platform, *(x.address for x in self._leaves)]:
-            await self._wait_answer(address, "/record")
+        for place in self._leaves:
+            await self._wait_answer(place.address, "/record")
 
     async def _wait_answer(self, address: str, path: str) -> None:
         with trio.move_on_after(START_TIMEOUT_S):
--- a/libs/bench/src/sapphire_bench/load.py
+++ b/libs/bench/src/sapphire_bench/load.py
@@ -53,6 +53,7 @@
         complete: Whether the answer covers all shards.
         shards_total: Shards of the pinned map.
         shards_answered: Shards that the answer covers.
+        reasons: Why shards are missing, one entry per shard.
     """
 
     due_s: float
@@ -64,6 +65,7 @@
     complete: bool
     shards_total: int
     shards_answered: int
+    reasons: tuple[str, ...] = ()
 
     @property
     def latency_ms(self) -> float:
@@ -182,5 +184,8 @@
             complete=answer.is_complete,
             shards_total=coverage.get("shards_total", 0),
             shards_answered=coverage.get("shards_answered", 0),
+            reasons=tuple(
+                item["reason"] for item in coverage.get("missing", ())
+            ),
         )
     )
--- a/libs/bench/src/sapphire_bench/plan.py
+++ b/libs/bench/src/sapphire_bench/plan.py
@@ -93,7 +93,7 @@
     """Settings of sapphirecross-bench run."""
 
     deployments: list[DeploymentPlan] = Field(min_length=1)
-    policies: list[Policy] = [Policy.TIER, Policy.BASELINE]
+    policies: list[Policy] = Field([Policy.TIER, Policy.BASELINE])
     texts: int = Field(300, ge=1, description="Distinct query texts.")
     seed: int = 1
     warm_up_s: Seconds = 1.5
--- a/libs/bench/src/sapphire_bench/report.py
+++ b/libs/bench/src/sapphire_bench/report.py
@@ -100,7 +100,7 @@
     yield Target(
         pair.deployment,
         f"stragglers: p99 at most {STRAGGLER_RATIO} times the steady p99",
-        f"{p99:.1f} ms = {ratio:.2f} × {base:.1f} ms",
+        f"{p99:.1f} ms = {ratio:.2f} times {base:.1f} ms",
         ratio <= STRAGGLER_RATIO,
     )
     extra = slow.usage.calls_ratio - 1
@@ -226,10 +226,11 @@
 _ANSWER_HEAD = (
     "case | policy | rate/s | count | p50 ms | p99 ms | p99.9 ms | good"
     " | lowest second | highest class | its lowest second | coverage"
-    " | goodput/s | errors | client late p99 ms"
+    " | goodput/s | errors | missing shards | client late p99 ms"
 )
 _USAGE_HEAD = (
-    "case | policy | calls sent ÷ needed | on a cold leaf | same, unnoticed"
+    "case | policy | calls sent ÷ needed | hedges | retries"
+    " | on a cold leaf | same, unnoticed"
     " | falls | crashes | CPU ms per leaf call | platform calls/s"
     " | machine load"
 )
@@ -257,7 +258,6 @@
 
 def _answer_row(phase: Phase) -> list[str]:
     found, times = phase.answers, phase.answers.latency
-    errors = ", ".join(f"{kind} {n}" for kind, n in found.errors.items())
     return [
         phase.case,
         phase.policy,
@@ -272,17 +272,24 @@
         f"{found.top_lowest_second:.1%}",
         f"{found.coverage:.2%}",
         f"{found.goodput:.1f}",
-        errors or "-",
+        _counted(found.errors),
+        _counted(found.missing),
         f"{found.client_late_ms:.1f}",
     ]
 
 
+def _counted(counts: dict[str, int]) -> str:
+    return ", ".join(f"{name} {n}" for name, n in counts.items()) or "-"
+
+
 def _usage_row(phase: Phase) -> list[str]:
     used = phase.usage
     return [
         phase.case,
         phase.policy,
         f"{used.calls_ratio:.3f}",
+        f"{used.hedges:.0f}",
+        f"{used.retries:.0f}",
         str(used.cold_concurrency),
         str(used.cold_unnoticed),
         str(used.falls),
--- a/libs/bench/src/sapphire_bench/run.py
+++ b/libs/bench/src/sapphire_bench/run.py
@@ -35,6 +35,9 @@
 MAX_POINTS = 400
 # An act, such as a rolling restart, may outlast its case by this factor.
 LONGEST_FACTOR = 4.0
+# Members join a new cell one by one, and leaves move for a grant lifetime
+# after each.
+SETTLED_S = 3.0
 # Answers to the last requests may come this long after the load.
 LONGEST_S = 1.0
 
@@ -269,6 +272,7 @@
                 await fleet.start_baseline(vm, settings.baseline_timeout_ms)
             for vm in fleet.vms:
                 await fleet.wait_entry(vm.baseline)
+            await fleet.wait_settled(SETTLED_S)
             phases += await Bench(settings, deployment, fleet).run()
     return Result(
         command=command,
--- /dev/null
+++ b/libs/bench/src/sapphire_bench/slope.py
@@ -0,0 +1,204 @@
+"""Points that were measured and the straight lines through them."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+
+import numpy as np
+
+
+@dataclass(frozen=True)
+class Point:
+    """One measurement.
+
+    Attributes:
+        group: What was varied.
+        size: The varied sizes by name.
+        figures: Measured values by name, with the unit in the name.
+    """
+
+    group: str
+    size: dict[str, float]
+    figures: dict[str, float]
+
+
+@dataclass(frozen=True)
+class Slope:
+    """A straight line through the points of one group.
+
+    Attributes:
+        group: What was varied.
+        figure: Measured value.
+        per: Varied size.
+        intercept: Value at size 0.
+        slope: Change of the value per unit of the size.
+        residual: Greatest distance of a point from the line.
+        points: Number of points.
+    """
+
+    group: str
+    figure: str
+    per: str
+    intercept: float
+    slope: float
+    residual: float
+    points: int
+
+
+def fit(points: Sequence[Point], group: str, figure: str, per: str) -> Slope:
+    """Returns the least-squares line of a figure over a size."""
+    chosen = [p for p in points if p.group == group and figure in p.figures]
+    sizes = np.array([p.size[per] for p in chosen])
+    values = np.array([p.figures[figure] for p in chosen])
+    slope, intercept = np.polyfit(sizes, values, 1)
+    residual = np.abs(values - (intercept + slope * sizes)).max()
+    return Slope(
+        group,
+        figure,
+        per,
+        float(intercept),
+        float(slope),
+        float(residual),
+        len(chosen),
+    )
+
+
+def note(point: Point) -> Point:
+    """Shows a point while others are measured, and returns it."""
+    shown = {k: round(v, 4) for k, v in point.figures.items()}
+    print(point.group, point.size, shown, file=sys.stderr)
+    return point
+
+
+# Group, size and figures of each line.
+_LINES: tuple[tuple[str, str, tuple[str, ...]], ...] = (
+    (
+        "members",
+        "members",
+        (
+            "aggregator_cpu_percent",
+            "aggregator_memory_mb",
+            "entry_cpu_percent",
+            "entry_memory_mb",
+        ),
+    ),
+    (
+        "held",
+        "leaves_held_per_member",
+        ("aggregator_cpu_percent", "aggregator_memory_mb"),
+    ),
+    (
+        "listed",
+        "leaves_listed",
+        ("aggregator_cpu_percent", "aggregator_memory_mb"),
+    ),
+    (
+        "entries",
+        "entries",
+        ("aggregator_cpu_percent", "aggregator_memory_mb"),
+    ),
+    ("bytes-members", "members", ("bytes_sent_per_s",)),
+    ("bytes-held", "leaves_held_per_member", ("bytes_sent_per_s",)),
+    ("bytes-entries", "entries", ("bytes_sent_per_s",)),
+    (
+        "document",
+        "leaves",
+        (
+            "bytes",
+            "parse_ms",
+            "adopt_ms",
+            "refresh_rights_ms",
+            "parsed_mb",
+            "adopted_mb",
+        ),
+    ),
+)
+
+
+def lines(points: Sequence[Point]) -> list[Slope]:
+    """Returns the straight lines through the points that were measured."""
+    groups = {point.group for point in points}
+    found = [
+        fit(points, group, figure, per)
+        for group, per, figures in _LINES
+        if group in groups
+        for figure in figures
+    ]
+    if "load" in groups:
+        found += _load_lines(points)
+    return found
+
+
+def _load_lines(points: Sequence[Point]) -> list[Slope]:
+    """Returns the entry's time over shards at each concurrency."""
+    found = []
+    load = [p for p in points if p.group == "load"]
+    for concurrency in sorted({p.size["concurrent_queries"] for p in load}):
+        group = f"load, {concurrency:g} queries"
+        chosen = [
+            Point(group, p.size, p.figures)
+            for p in load
+            if p.size["concurrent_queries"] == concurrency
+        ]
+        found.append(fit(chosen, group, "entry_cpu_ms_per_query", "shards"))
+    return found
+
+
+def to_json(points: Sequence[Point], command: str, commit: str) -> str:
+    """Returns the machine-readable result."""
+    fields = {
+        "command": command,
+        "commit": commit,
+        "points": [asdict(p) for p in points],
+        "slopes": [asdict(s) for s in lines(points)],
+    }
+    return json.dumps(fields, indent=1) + "\n"
+
+
+def markdown(points: Sequence[Point], command: str, commit: str) -> str:
+    """Returns the report."""
+    text = [
+        "# Slopes",
+        "",
+        f"- Command: `{command}`",
+        f"- Commit: `{commit}`",
+        "- CPU and memory are of real daemon processes, from /proc; bytes are"
+        " of frames that aggregators in one process encode. Leaves are light:"
+        " one listener answers for all of them with canned replies.",
+        "- `load`: closed loop over one entry and one aggregator, one replica"
+        " per shard, 2 slots, 5 ms per leaf call whatever its batch.",
+        "",
+        "## Lines",
+        "",
+        "| group | figure | at size 0 | per unit of | slope | residual"
+        " | points |",
+        "|---|---|---|---|---|---|---|",
+    ]
+    text += [
+        f"| {s.group} | {s.figure} | {s.intercept:.4g} | {s.per}"
+        f" | {s.slope:.4g} | {s.residual:.2g} | {s.points} |"
+        for s in lines(points)
+    ]
+    for group in dict.fromkeys(point.group for point in points):
+        chosen = [point for point in points if point.group == group]
+        text += ["", f"## {group}", "", *_table(chosen)]
+    return "\n".join(text) + "\n"
+
+
+def _table(points: Sequence[Point]) -> list[str]:
+    sizes = list(points[0].size)
+    names = list(dict.fromkeys(n for p in points for n in p.figures))
+    head = " | ".join([*sizes, *names])
+    rows = []
+    for point in points:
+        cells = [f"{point.size[name]:g}" for name in sizes]
+        cells += [
+            f"{point.figures[name]:.4g}" if name in point.figures else "-"
+            for name in names
+        ]
+        rows.append(f"| {' | '.join(cells)} |")
+    rule = "|".join("---" for _ in [*sizes, *names])
+    return [f"| {head} |", f"|{rule}|", *rows]
--- a/libs/bench/src/sapphire_bench/usage.py
+++ b/libs/bench/src/sapphire_bench/usage.py
@@ -15,9 +15,12 @@
 
 CALLS_SENT = "sapphirecross_shard_calls_sent_total"
 CALLS_NEEDED = "sapphirecross_shard_calls_needed_total"
+HEDGES = "sapphirecross_hedges_total"
+RETRIES = "sapphirecross_retries_total"
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 # Fields of /proc/<pid>/stat after the command's closing bracket.
 _UTIME, _STIME = 11, 12
+_KB_PER_MB = 1024
 _PREFIXES = {
     Policy.TIER: ("entry-", "aggregator-"),
     Policy.BASELINE: ("baseline-",),
@@ -31,6 +34,8 @@
     calls_sent: float = 0.0
     calls_needed: float = 0.0
     cpu_s: float = 0.0
+    hedges: float = 0.0
+    retries: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -52,6 +57,19 @@
     return (int(fields[_UTIME]) + int(fields[_STIME])) / _TICKS_PER_S
 
 
+def resident_mb(status: str) -> float:
+    """Returns the resident memory in the text of /proc/<pid>/status."""
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / _KB_PER_MB
+    return 0.0
+
+
+def process_memory_mb(pid: int) -> float:
+    """Returns the resident memory of a process in MB."""
+    return resident_mb(pathlib.Path(f"/proc/{pid}/status").read_text())
+
+
 def counter(text: str, name: str) -> float:
     """Returns the sum of a counter over its labels."""
     return sum(
@@ -62,7 +80,8 @@
     )
 
 
-def _process_cpu_s(pid: int) -> float:
+def process_cpu_s(pid: int) -> float:
+    """Returns the processor seconds of a process; 0 if it has ended."""
     try:
         return cpu_s(pathlib.Path(f"/proc/{pid}/stat").read_text())
     except (FileNotFoundError, ProcessLookupError):
@@ -80,11 +99,13 @@
         processes[pid] = Counts(
             counter(text, CALLS_SENT),
             counter(text, CALLS_NEEDED),
-            _process_cpu_s(pid),
+            process_cpu_s(pid),
+            counter(text, HEDGES),
+            counter(text, RETRIES),
         )
     for name, member in fleet.members.items():
         if name.startswith(_PREFIXES[policy]) and member.pid not in processes:
-            processes[member.pid] = Counts(cpu_s=_process_cpu_s(member.pid))
+            processes[member.pid] = Counts(cpu_s=process_cpu_s(member.pid))
     platform = await fleet.record(fleet.platform)
     records = []
     for place in fleet.leaves:
@@ -111,15 +132,19 @@
     predecessor used after the first reading is not known. Falls and crashes
     of a leaf process that was replaced are not counted either.
     """
-    sent = needed = cpu = 0.0
+    sent = needed = cpu = hedges = retries = 0.0
     for pid, now in after.processes.items():
         was = before.processes.get(pid, Counts())
         sent += now.calls_sent - was.calls_sent
         needed += now.calls_needed - was.calls_needed
         cpu += now.cpu_s - was.cpu_s
+        hedges += now.hedges - was.hedges
+        retries += now.retries - was.retries
     return Usage(
         calls_needed=needed,
         calls_sent=sent,
+        hedges=hedges,
+        retries=retries,
         cpu_s=cpu,
         cold_concurrency=after.cold,
         cold_unnoticed=after.cold_unnoticed,
--- /dev/null
+++ b/libs/bench/tests/test_direct.py
@@ -0,0 +1,101 @@
+"""Tests of the baseline, the light leaves and the slopes."""
+
+import json
+
+import pytest
+from sapphire_bench.direct import Replica, choose_version
+from sapphire_bench.harness import leaf_ip, leaf_number
+from sapphire_bench.light import Held, search_body, split
+from sapphire_bench.slope import Point, fit, lines, markdown
+from sapphire_bench.usage import resident_mb
+from sapphire_wire.leaf import IndexVersion
+
+
+def _replica(version, shard, *, shards=2, in_service=True):
+    held = (IndexVersion(version, shard, shards, 10),)
+    return Replica(None, held, in_service)
+
+
+def test_newest_whole_version_is_chosen():
+    """Guards against a baseline that answers from half an index."""
+    replicas = [_replica("v1", 0), _replica("v1", 1), _replica("v2", 0)]
+    found = choose_version(replicas)
+    assert found.version == "v1"
+    assert {s: len(r) for s, r in found.shards.items()} == {0: 1, 1: 1}
+    assert choose_version([]) is None
+
+
+def test_replica_out_of_service_is_not_called():
+    """Guards against a comparison in which the baseline ignores operators."""
+    replicas = [
+        _replica("v1", 0),
+        _replica("v1", 1, in_service=False),
+        _replica("v1", 1),
+    ]
+    assert choose_version(replicas).shards[1] == [replicas[2]]
+
+
+def test_request_is_cut_at_its_length():
+    """Guards against a light leaf that loses pipelined or split requests."""
+    first = b"POST /search HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd"
+    second = b"GET /index HTTP/1.1\r\nHost: x\r\n\r\n"
+    call, rest = split(first + second)
+    assert (call.path, call.body) == ("/search", b"abcd")
+    call, rest = split(rest)
+    assert (call.path, call.body, rest) == ("/index", b"", b"")
+    assert split(first[:-1]) is None
+
+
+def test_light_leaf_answers_every_query():
+    """Guards against replies that the leaf client rejects."""
+    call = {
+        "batch_id": "b",
+        "version": "v1",
+        "shard": 3,
+        "queries": [{"id": "1"}, {"id": "2"}],
+    }
+    answer = json.loads(search_body(call, Held(3, 4)))
+    assert [r["id"] for r in answer["results"]] == ["1", "2"]
+    assert answer["shard"] == 3
+
+
+@pytest.mark.parametrize("number", [0, 199, 200, 4899])
+def test_leaf_number_is_the_inverse_of_its_address(number):
+    """Guards against two leaves that claim the same shard."""
+    assert leaf_number(leaf_ip("127.9", number)) == number
+
+
+def test_fit_finds_slope_and_residual():
+    """Guards against slopes that hide points off the line."""
+    points = [
+        Point("g", {"x": x}, {"y": y}) for x, y in ((0, 1), (1, 3), (2, 5))
+    ]
+    found = fit(points, "g", "y", "x")
+    assert (found.slope, found.intercept) == pytest.approx((2.0, 1.0))
+    assert found.residual == pytest.approx(0.0, abs=1e-9)
+    bent = [*points, Point("g", {"x": 3}, {"y": 17})]
+    assert fit(bent, "g", "y", "x").residual > 1
+
+
+def test_slopes_report(snapshot):
+    """Guards against lost points and lines in the capacity figures."""
+    points = [
+        Point("load", {"shards": s, "concurrent_queries": c},
+              {"entry_cpu_ms_per_query": 1.0 + 0.1 * s})
+        for c in (1, 8) for s in (4, 16, 48)
+    ]  # fmt: skip
+    points += [
+        Point("document", {"leaves": n}, {
+            "bytes": 58.0 * n, "parse_ms": 0.007 * n, "adopt_ms": 0.004 * n,
+            "refresh_rights_ms": 0.0002 * n, "parsed_mb": 0.0006 * n,
+            "adopted_mb": 0.001 * n,
+        })
+        for n in (100, 1000, 4900)
+    ]  # fmt: skip
+    assert len(lines(points)) == 8
+    assert markdown(points, "sapphirecross-bench slopes", "01") == snapshot
+
+
+def test_resident_memory_is_in_mb():
+    """Guards against kilobytes that are reported as megabytes."""
+    assert resident_mb("Name:\tx\nVmRSS:\t   51200 kB\n") == 50.0
