Keep the figures of a run when one case fails

Cause: a leaf that the failure domain case crashes cuts the connection of the call that asks for it, and the error ended the whole run without a result. Change: the cut call is expected; other errors are listed in the report.

--- a/libs/bench/src/sapphire_bench/cases.py
+++ b/libs/bench/src/sapphire_bench/cases.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
 
-from sapphire_bench.fleet import Fleet
+from sapphire_bench.fleet import Fleet, FleetError
 from sapphire_bench.load import Client
 from sapphire_bench.plan import BenchSettings, CaseName
 from sapphire_bench.shape import LeafPlace
@@ -135,8 +136,12 @@
     await stage.take_out([stage.domain()])
     await stage.wait((FAULT_UNTIL - FAULT_FROM) / 2)
     for place in stage.leaves_of_domain():
-        # The leaves restart while out of service and come back cold.
-        await stage.fleet.fault(place.address, act="crash", restart_ms=LOST_MS)
+        # The leaves restart while out of service and come back cold. A
+        # leaf that crashes cuts the connection of this call, too.
+        with contextlib.suppress(FleetError):
+            await stage.fleet.fault(
+                place.address, act="crash", restart_ms=LOST_MS
+            )
     await stage.wait((FAULT_UNTIL - FAULT_FROM) / 2)
     await stage.take_out([])
 
--- a/libs/bench/src/sapphire_bench/report.py
+++ b/libs/bench/src/sapphire_bench/report.py
@@ -4,7 +4,7 @@
 
 import json
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 
 from sapphire_bench.figures import Phase
 from sapphire_bench.plan import CaseName, Policy
@@ -30,6 +30,7 @@
     cores: int
     seconds: float
     phases: list[Phase]
+    failures: list[str] = field(default_factory=list)
 
     def to_json(self) -> str:
         """Returns the machine-readable result."""
@@ -200,6 +201,7 @@
         " or admission control.",
         "- Latency is of all answers with HTTP 200; refusals count as not"
         " good. Good: complete and on time.",
+        *(f"- **Did not run to its end:** {x}" for x in result.failures),
         "",
         "## Targets",
         "",
--- a/libs/bench/src/sapphire_bench/run.py
+++ b/libs/bench/src/sapphire_bench/run.py
@@ -11,6 +11,7 @@
 
 import trio
 from sapphire_config.document import RequestClass
+from sapphire_core.errors import SapphireError
 
 from sapphire_bench import figures, usage
 from sapphire_bench.caller import Caller
@@ -106,6 +107,7 @@
         self._texts = Texts(settings.texts, settings.seed)
         self._seed = settings.seed
         self._revision = 1
+        self.failures: list[str] = []
         self._callers: dict[Policy, list[Client]] = {
             Policy.TIER: self._open([vm.entry for vm in fleet.vms]),
             Policy.BASELINE: self._open([vm.baseline for vm in fleet.vms]),
@@ -118,9 +120,17 @@
             for policy in self._settings.policies:
                 if case.case in TIER_ONLY and policy is not Policy.TIER:
                     continue
-                phase = await self._run_case(case, policy)
-                _show(phase)
-                phases.append(phase)
+                # One case that fails must not lose the others' figures.
+                try:
+                    phase = await self._run_case(case, policy)
+                    phases.append(phase)
+                    _show(phase)
+                except* SapphireError as group:
+                    self.failures.append(
+                        f"{self._deployment.name} {case.case} {policy}:"
+                        f" {_first(group)}"
+                    )
+                    print(self.failures[-1], file=sys.stderr)
         return phases
 
     async def _run_case(self, plan: CasePlan, policy: Policy) -> Phase:
@@ -224,6 +234,12 @@
         ]
 
 
+def _first(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def _points(samples: Sequence[Sample]) -> list[list[float]]:
     step = max(1, len(samples) // MAX_POINTS)
     return [
@@ -265,6 +281,7 @@
         FleetError: A process of a fleet did not start or stop.
     """
     phases: list[Phase] = []
+    failures: list[str] = []
     start = trio.current_time()
     for deployment in settings.deployments:
         async with open_fleet(shape(deployment)) as fleet:
@@ -273,7 +290,9 @@
             for vm in fleet.vms:
                 await fleet.wait_entry(vm.baseline)
             await fleet.wait_settled(SETTLED_S)
-            phases += await Bench(settings, deployment, fleet).run()
+            bench = Bench(settings, deployment, fleet)
+            phases += await bench.run()
+            failures += bench.failures
     return Result(
         command=command,
         commit=commit(),
@@ -281,4 +300,5 @@
         cores=os.cpu_count() or 0,
         seconds=trio.current_time() - start,
         phases=phases,
+        failures=failures,
     )
