--- a/libs/bench/src/sapphire_bench/cmdline.py
+++ b/libs/bench/src/sapphire_bench/cmdline.py
@@ -82,10 +82,10 @@
     """
     command = "sapphirecross-bench " + shlex.join(sys.argv[1:])
     named = groups.split(",") if isinstance(groups, str) else list(groups)
+    source = commit()
     points = trio.run(measure, seconds, named)
     directory = pathlib.Path(output)
     directory.mkdir(parents=True, exist_ok=True)
-    source = commit()
     text = slope.to_json(points, command, source)
     (directory / "slopes.json").write_text(text, "utf-8")
     text = slope.markdown(points, command, source)
--- a/libs/bench/src/sapphire_bench/report.py
+++ b/libs/bench/src/sapphire_bench/report.py
@@ -36,7 +36,8 @@
         """Returns the machine-readable result."""
         fields = asdict(self)
         fields["targets"] = [asdict(t) for t in targets(self.phases)]
-        return json.dumps(fields, indent=1) + "\n"
+        # Without line breaks: a result holds thousands of points.
+        return json.dumps(fields) + "\n"
 
 
 @dataclass(frozen=True)
--- a/libs/bench/src/sapphire_bench/run.py
+++ b/libs/bench/src/sapphire_bench/run.py
@@ -284,6 +284,7 @@
     failures: list[str] = []
     start = trio.current_time()
     started = datetime.datetime.now(datetime.UTC)
+    source = commit()
     for deployment in settings.deployments:
         async with open_fleet(shape(deployment)) as fleet:
             for vm in fleet.vms:
@@ -296,7 +297,7 @@
             failures += bench.failures
     return Result(
         command=command,
-        commit=commit(),
+        commit=source,
         started=started.isoformat("T", "seconds"),
         cores=os.cpu_count() or 0,
         seconds=trio.current_time() - start,
