--- a/libs/aggregator/src/sapphire_aggregator/link.py
+++ b/libs/aggregator/src/sapphire_aggregator/link.py
@@ -52,6 +52,10 @@
 # The leaf's deadline ends this much before the send right and the callers'
 # deadlines, so that its answer can still be received and sent on.
 MARGIN_S = 0.002
+# A right that ends sooner than this leaves no time for a usual reply.
+MIN_RIGHT_S = 0.02
+# A call that ended this close to the callers' deadline was ended by it.
+LATE_MARGIN_S = 0.01
 # After a longer time without the send right, another member may have used
 # the leaf, so nothing is known about it.
 FORGET_AFTER_S = 1.0
@@ -64,7 +68,9 @@
 class Rights(Protocol):
     """Tells until when this member holds the send right of a leaf."""
 
-    def right_until(self, leaf: str, now: float) -> float | None:
+    def right_until(
+        self, leaf: str, now: float, failure_domain: str
+    ) -> float | None:
         """Returns the time at which the right ends; None without it."""
         ...
 
@@ -163,6 +169,7 @@
         self._is_out = False
         self._is_polling = False
         self._wake_at = math.inf
+        self._logged_state = self._window.state
 
     @property
     def window(self) -> Window:
@@ -304,7 +311,6 @@
         if self._is_polling:
             return
         self._is_polling = True
-        before = self._window.state
         try:
             index = await self._client.index(INDEX_TIMEOUT_S)
         except LeafError as error:
@@ -315,7 +321,7 @@
             self._adopt_index(index)
         finally:
             self._is_polling = False
-        self._log_state(before)
+        self._log_state()
         self._end_if_unusable()
         self.pump()
 
@@ -370,7 +376,9 @@
             self._end_waiting(status)
 
     def _right_until(self, now: float) -> float | None:
-        until = self._context.rights.right_until(self.address, now)
+        until = self._context.rights.right_until(
+            self.address, now, self.failure_domain
+        )
         return until if until is not None and until > now else None
 
     def _remaining(self, deadline: float) -> float:
@@ -383,7 +391,7 @@
         """
         now = trio.current_time()
         until = self._right_until(now)
-        if until is None:
+        if until is None or until < min(deadline, now + MIN_RIGHT_S):
             raise RightLostError
         if self._is_out:
             raise LeafDrainingError("the leaf is out of service.")
@@ -433,7 +441,6 @@
         fingerprint = batch.items[0].query.fingerprint
         if batch.alone:
             self._context.flights.enter(fingerprint)
-        before = self._window.state
         evidence = Evidence.NEUTRAL
         try:
             evidence = await self._send(batch, started)
@@ -444,7 +451,7 @@
             self._window.finish(token, trio.current_time(), evidence)
             if batch.alone:
                 self._context.flights.leave(fingerprint)
-        self._log_state(before)
+        self._log_state()
         self._end_if_unusable()
 
     async def _send(self, batch: Batch, started: float) -> Evidence:
@@ -513,6 +520,8 @@
         self.calls += 1
         self.failures += 1
         status = status_of(error)
+        if status is ShardStatus.LATE:
+            status = self._late_status(batch, now)
         kind = getattr(error, "kind", "right_lost")
         metrics.BATCHES.labels(self.service, kind).inc()
         if isinstance(error, LeafReplyError):
@@ -532,6 +541,18 @@
                 )
         return evidence_of(error)
 
+    def _late_status(self, batch: Batch, now: float) -> ShardStatus:
+        """Tells callers that ran out of time from those that have some left.
+
+        The send right may have ended the call before the callers' time did;
+        they can still ask another replica.
+        """
+        if batch.deadline - now <= LATE_MARGIN_S:
+            return ShardStatus.LATE
+        if self._right_until(now) is None:
+            return ShardStatus.NOT_HOLDER
+        return ShardStatus.FAILED
+
     def _count_crash(self, batch: Batch, now: float) -> None:
         quarantine = self._context.quarantine
         for item in batch.items:
@@ -561,7 +582,6 @@
         if not turn.is_set():
             raise LeafUnreachableError("no slot was free in time.")
         token = self._window.start(trio.current_time(), 0)
-        before = self._window.state
 
         def end(evidence: Evidence) -> None:
             self._window.finish(token, trio.current_time(), evidence)
@@ -569,7 +589,7 @@
         try:
             yield end
         finally:
-            self._log_state(before)
+            self._log_state()
             self._end_if_unusable()
             self.pump()
 
@@ -578,9 +598,10 @@
         self._wake_at = math.inf
         self.pump()
 
-    def _log_state(self, before: State) -> None:
-        state = self._window.state
+    def _log_state(self) -> None:
+        before, state = self._logged_state, self._window.state
         if state is not before:
+            self._logged_state = state
             log.leaf_state(self.service, self.address, before, state)
 
 
--- a/libs/aggregator/src/sapphire_aggregator/scatter.py
+++ b/libs/aggregator/src/sapphire_aggregator/scatter.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import heapq
+import itertools
 import math
 from collections.abc import Callable
 from typing import Any
@@ -10,7 +12,14 @@
 import trio
 from sapphire_core import quarantine
 from sapphire_core.quarantine import Quarantine, Verdict
-from sapphire_wire.gen.ttypes import Frame, Part, ShardResult, ShardStatus
+from sapphire_wire.gen.ttypes import (
+    Frame,
+    Match,
+    Part,
+    ShardResult,
+    ShardStatus,
+)
+from sapphire_wire.leaf import Hit
 
 from sapphire_aggregator import log, metrics
 from sapphire_aggregator.backlog import Call, Outcome, Query
@@ -30,14 +39,13 @@
 Send = Callable[[Any], None]
 
 
-def merge(lists: list[list[Any]], k: int) -> list[Any]:
+def merge(lists: list[list[Hit]], k: int) -> list[Match]:
     """Returns the k best matches, by score and then by document id."""
-    if len(lists) == 1:
-        return lists[0][:k]
-    everything = [match for matches in lists for match in matches]
-    return heapq.nsmallest(
-        k, everything, key=lambda match: (-match.score, match.document)
-    )
+    everything = itertools.chain.from_iterable(lists)
+    return [
+        Match(document=hit.document, score=-hit.order, title=hit.title)
+        for hit in heapq.nsmallest(k, everything)
+    ]
 
 
 class Collector:
@@ -48,7 +56,7 @@
         self._send = send
         self._pending: dict[int, Call] = {}
         self._results: list[ShardResult] = []
-        self._matches: list[list[Any]] = []
+        self._matches: list[list[Hit]] = []
         self._changed = trio.Event()
 
     def add(self, call: Call) -> None:
@@ -96,6 +104,10 @@
                     wait_s=trio.current_time() - call.enqueued,
                 )
             )
+        self.send_last()
+
+    def send_last(self) -> None:
+        """Sends the last part."""
         self._send_part(last=True)
 
     def fail_rest(self, targets: list[Any]) -> None:
@@ -141,6 +153,12 @@
     async def run(self, scatter: Any, send: Send) -> None:
         """Answers one Scatter; ends all its calls when cancelled."""
         metrics.SCATTERS.inc()
+        if not _is_whole(scatter):
+            # A bad query in a batch would make the leaf refuse all of it.
+            collector = Collector(0, self._count(scatter, send))
+            collector.fail_rest(scatter.targets or [])
+            collector.send_last()
+            return
         now = trio.current_time()
         remaining_s = scatter.remaining_ms / 1000
         deadline = now + remaining_s
@@ -156,6 +174,8 @@
             deadline=deadline,
             canary=bool(scatter.canary),
         )
+        if scatter.crashes:
+            self._quarantine.learn(query.fingerprint, scatter.crashes, now)
         collector = Collector(scatter.k, self._count(scatter, send))
         try:
             try:
@@ -201,7 +221,7 @@
         """Returns the status of all targets, or None if they may run."""
         if self.is_leaving:
             return ShardStatus.NOT_HOLDER
-        if not math.isfinite(query.deadline) or query.deadline <= now:
+        if query.deadline <= now:
             return ShardStatus.LATE
         verdict = self._quarantine.verdict(query.fingerprint, now)
         if verdict is Verdict.QUARANTINED:
@@ -215,13 +235,29 @@
             service = "unknown"
 
         def send_and_count(frame: Any) -> None:
-            for result in frame.part.results:
-                metrics.RESULTS.labels(
-                    service, _STATUS_NAMES[result.status]
-                ).inc()
+            statuses = [result.status for result in frame.part.results]
+            for status in set(statuses):
+                counter = _result_counter(service, status)
+                counter.inc(statuses.count(status))
             send(frame)
 
         return send_and_count
 
 
-_STATUS_NAMES = {status: status.name.lower() for status in ShardStatus}
+def _is_whole(scatter: Any) -> bool:
+    """Returns whether all fields that a query needs are usable."""
+    texts = (scatter.service_name, scatter.version, scatter.text)
+    return (
+        all(isinstance(text, str) for text in texts)
+        and isinstance(scatter.priority, int)
+        and isinstance(scatter.k, int)
+        and scatter.k >= 0
+        and isinstance(scatter.remaining_ms, float)
+        and math.isfinite(scatter.remaining_ms)
+    )
+
+
+@functools.lru_cache(maxsize=4096)
+def _result_counter(service: str, status: ShardStatus) -> Any:
+    # Looking up a labelled counter costs more than counting.
+    return metrics.RESULTS.labels(service, status.name.lower())
--- a/libs/bench/src/sapphire_bench/fleet.py
+++ b/libs/bench/src/sapphire_bench/fleet.py
@@ -16,9 +16,11 @@
 from typing import Any
 
 import trio
+from sapphire_aggregator.cell import format_roster
 from sapphire_config.document import Document, StoredDocument
 from sapphire_core.errors import SapphireError
-from sapphire_wire.platform import PlatformClient
+from sapphire_core.rights import Roster
+from sapphire_wire.platform import PlatformClient, join
 from sapphire_wire.web import (
     HttpClient,
     HttpConnectError,
@@ -28,6 +30,7 @@
 )
 
 from sapphire_bench.shape import (
+    CONTROL_PORT,
     ENTRY_FRAMES_PORT,
     PLATFORM_PORT,
     VM_LIST_PORT,
@@ -108,6 +111,11 @@
         """The deployment document at the start."""
         return self._document
 
+    @property
+    def directory(self) -> pathlib.Path:
+        """Directory of settings and logs."""
+        return self._directory
+
     @property
     def vms(self) -> list[Vm]:
         """VMs of the query tier."""
@@ -138,20 +146,25 @@
         """Address of the VM list stand-in."""
         return f"{self._network}.250.1:{VM_LIST_PORT}"
 
-    async def start(self, ready_leaves: bool = True) -> None:
+    async def start(self, *, preset_roster: bool = False) -> None:
         """Starts all processes and waits until searches can be served.
 
+        Args:
+            preset_roster: Stores the whole roster first, so that the members
+                need not join one after the other.
+
         Raises:
             FleetError: A process ended or isn't ready after 30 s.
         """
         await self.start_platform()
         await self._start_leaves()
         await self.apply(self._document, expect=0)
+        if preset_roster:
+            await self.store_roster()
         for vm in self._vms:
             await self.start_aggregator(vm)
             await self.start_entry(vm)
-        if ready_leaves:
-            await self.wait_ready()
+        await self.wait_ready()
 
     async def apply(self, document: Document, expect: int) -> int:
         """Writes a document as the next revision; returns the revision."""
@@ -165,6 +178,20 @@
             await client.aclose()
         return expect + 1
 
+    async def store_roster(self) -> None:
+        """Stores a roster of all members, before they start."""
+        members = tuple(vm.aggregator for vm in self._vms)
+        domains = tuple(vm.failure_domain for vm in self._vms)
+        client = PlatformClient(self.platform, None)
+        try:
+            await client.put(
+                join(["roster", self._shape.region]),
+                format_roster(Roster(1, members, domains)),
+                0,
+            )
+        finally:
+            await client.aclose()
+
     async def start_aggregator(self, vm: Vm) -> Member:
         """Starts the aggregator of a VM."""
         return await self._start_daemon(
@@ -210,11 +237,12 @@
         self.kill(name)
         # Checks of other processes must not count this end as a failure.
         await self._members.pop(name).process.wait()
-        client = self._clients.pop(place.address, None)
+        control = control_address(place.address)
+        client = self._clients.pop(control, None)
         if client is not None:
             await client.aclose()
         member = await self.start_leaf(place, cold=cold)
-        await self._wait_answer(place.address, "/record")
+        await self._wait_answer(control, "/record")
         return member
 
     async def start_leaf(
@@ -224,6 +252,7 @@
         service = place.service
         settings = {
             "listen": place.address,
+            "control": control_address(place.address),
             "service": service.name,
             "slots": service.slots,
             "connections": service.connections,
@@ -291,11 +320,13 @@
 
     async def fault(self, address: str, **faults: Any) -> None:
         """Sets faults of a stand-in."""
-        await self.call(address, "POST", "/faults", faults)
+        control = control_address(address)
+        await self.call(control, "POST", "/faults", faults)
 
     async def record(self, address: str) -> dict[str, Any]:
         """Returns the counters of a stand-in."""
-        counters: dict[str, Any] = await self.call(address, "GET", "/record")
+        control = control_address(address)
+        counters: dict[str, Any] = await self.call(control, "GET", "/record")
         return counters
 
     async def wait_ready(self) -> None:
@@ -393,7 +424,10 @@
         await self._start_daemon(
             "platform",
             "standin-platform",
-            {"listen": self.platform},
+            {
+                "listen": self.platform,
+                "control": control_address(self.platform),
+            },
         )
         await self._start_daemon(
             "vmlist",
@@ -404,13 +438,13 @@
             },
         )
         await self._wait_answer(self.vm_list, "/vms")
-        await self._wait_answer(self.platform, "/record")
+        await self._wait_answer(control_address(self.platform), "/record")
 
     async def _start_leaves(self) -> None:
         for place in self._leaves:
             await self.start_leaf(place)
         for place in self._leaves:
-            await self._wait_answer(place.address, "/record")
+            await self._wait_answer(control_address(place.address), "/record")
 
     async def _wait_answer(self, address: str, path: str) -> None:
         with trio.move_on_after(START_TIMEOUT_S):
@@ -460,6 +494,12 @@
         return member
 
 
+def control_address(address: str) -> str:
+    """Returns where a stand-in answers while faults cut its own address."""
+    ip, _, _ = address.rpartition(":")
+    return f"{ip}:{CONTROL_PORT}"
+
+
 def free_network() -> str:
     """Returns the first two bytes of a loopback network of this process.
 
@@ -470,7 +510,9 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(shape: FleetShape) -> AsyncIterator[Fleet]:
+async def open_fleet(
+    shape: FleetShape, *, preset_roster: bool = False
+) -> AsyncIterator[Fleet]:
     """Starts a fleet and ends all of its processes at the end.
 
     Raises:
@@ -479,7 +521,7 @@
     with tempfile.TemporaryDirectory(prefix="sapphirecross-") as directory:
         fleet = Fleet(shape, pathlib.Path(directory))
         try:
-            await fleet.start()
+            await fleet.start(preset_roster=preset_roster)
             yield fleet
         finally:
             with trio.CancelScope(shield=True):
--- a/libs/bench/src/sapphire_bench/harness.py
+++ b/libs/bench/src/sapphire_bench/harness.py
@@ -183,6 +183,7 @@
             try:
                 await fleet.start_platform()
                 await fleet.apply(fleet.document, expect=0)
+                await fleet.store_roster()
                 for vm in fleet.vms:
                     if aggregators:
                         await fleet.start_aggregator(vm)
--- a/libs/bench/src/sapphire_bench/run.py
+++ b/libs/bench/src/sapphire_bench/run.py
@@ -36,8 +36,7 @@
 MAX_POINTS = 400
 # An act, such as a rolling restart, may outlast its case by this factor.
 LONGEST_FACTOR = 4.0
-# Members join a new cell one by one, and leaves move for a grant lifetime
-# after each.
+# Leaves move for a grant lifetime after the start of their cell.
 SETTLED_S = 3.0
 # Answers to the last requests may come this long after the load.
 LONGEST_S = 1.0
@@ -286,7 +285,7 @@
     started = datetime.datetime.now(datetime.UTC)
     source = commit()
     for deployment in settings.deployments:
-        async with open_fleet(shape(deployment)) as fleet:
+        async with open_fleet(shape(deployment), preset_roster=True) as fleet:
             for vm in fleet.vms:
                 await fleet.start_baseline(vm, settings.baseline_timeout_ms)
             for vm in fleet.vms:
--- a/libs/core/src/sapphire_core/quarantine.py
+++ b/libs/core/src/sapphire_core/quarantine.py
@@ -113,6 +113,15 @@
             life_s = min(record.expires_in_s, self._expire_s)
             self._merge_one(record, now + life_s, now)
 
+    def learn(self, fingerprint: str, crashes: int, now: float) -> None:
+        """Adopts crashes that a caller of this daemon has seen.
+
+        The second leaf that a request crashes may be held by another member
+        than the first; without this count both would know of one crash only.
+        """
+        known = min(crashes, QUARANTINE_CRASHES)
+        self.merge([Record(fingerprint, known, self._expire_s)], now)
+
     def _merge_one(self, record: Record, expires: float, now: float) -> None:
         entry = self._live(record.fingerprint, now)
         if entry is not None:
