--- a/libs/bench/src/sapphire_bench/direct.py
+++ b/libs/bench/src/sapphire_bench/direct.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import heapq
 import json
 import random
 import signal
@@ -39,7 +40,6 @@
     SapphireError,
     UnknownServiceError,
 )
-from sapphire_core.merge import merge
 from sapphire_entry.requests import SearchRequest, parse_body
 from sapphire_wire.leaf import IndexVersion, LeafClient, LeafQuery, SearchReply
 from sapphire_wire.platform import PlatformClient
@@ -262,16 +262,20 @@
     answers: list[ShardAnswer],
     elapsed_ms: float,
 ) -> dict[str, Any]:
-    merged: list[Any] = []
-    for answer in answers:
-        if answer.reply is not None:
-            merged = merge(merged, answer.reply.matches[0], asked.k)
+    # Shards hold distinct documents, so that no match occurs twice.
+    hits = (
+        hit
+        for answer in answers
+        if answer.reply is not None
+        for hit in answer.reply.matches[0]
+    )
+    merged = heapq.nsmallest(asked.k, hits)
     missing = [a.shard for a in answers if a.reply is None]
     return {
         "request_id": asked.request_id or uuid.uuid4().hex,
         "run": "run",
         "matches": [
-            {"id": m.document, "score": m.score, "title": m.title}
+            {"id": m.document, "score": -m.order, "title": m.title}
             for m in merged
         ],
         "coverage": {
