--- a/libs/bench/src/sapphire_bench/direct.py
+++ b/libs/bench/src/sapphire_bench/direct.py
@@ -21,7 +21,12 @@
 
 import fire
 import trio
-from prometheus_client import CONTENT_TYPE_LATEST, Counter, generate_latest
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    generate_latest,
+)
 from pydantic import Field, ValidationError
 from sapphire_config.document import (
     Address,
@@ -57,13 +62,20 @@
 # aggregators of the same fleet need the rest.
 CONNECTION_SHARE = 0.7
 
+# The names are those of the entry, so that the load tool reads both alike. A
+# registry of their own lets one process import both.
+REGISTRY = CollectorRegistry()
 CALLS_SENT = Counter(
-    "sapphirecross_shard_calls_sent_total", "Leaf calls sent.", ["service"]
+    "sapphirecross_shard_calls_sent_total",
+    "Leaf calls sent.",
+    ["service"],
+    registry=REGISTRY,
 )
 CALLS_NEEDED = Counter(
     "sapphirecross_shard_calls_needed_total",
     "Shards of all queries.",
     ["service"],
+    registry=REGISTRY,
 )
 
 
@@ -198,7 +210,9 @@
 
     async def metrics(self, request: Request) -> Response:
         """Answers GET /metrics."""
-        return Response(generate_latest(), media_type=CONTENT_TYPE_LATEST)
+        return Response(
+            generate_latest(REGISTRY), media_type=CONTENT_TYPE_LATEST
+        )
 
     def _adopt(self, document: Document) -> None:
         self._document = document
--- a/libs/bench/tests/test_direct.py
+++ b/libs/bench/tests/test_direct.py
@@ -3,12 +3,14 @@
 import json
 
 import pytest
-from sapphire_bench.direct import Replica, choose_version
+from sapphire_bench import direct
+from sapphire_bench.direct import Plan, Replica, ShardAnswer, choose_version
 from sapphire_bench.harness import leaf_ip, leaf_number
 from sapphire_bench.light import Held, search_body, split
 from sapphire_bench.slope import Point, fit, lines, markdown
 from sapphire_bench.usage import resident_mb
-from sapphire_wire.leaf import IndexVersion
+from sapphire_entry.requests import SearchRequest
+from sapphire_wire.leaf import Hit, IndexVersion, SearchReply
 
 
 def _replica(version, shard, *, shards=2, in_service=True):
@@ -35,6 +37,25 @@
     assert choose_version(replicas).shards[1] == [replicas[2]]
 
 
+def test_answer_merges_hits_and_names_missing_shards():
+    """Guards against a baseline that can't read the leaf client's hits."""
+    asked = SearchRequest.model_validate(
+        {"service": "s", "text": "t", "k": 2, "class": "c", "deadline_ms": 9}
+    )
+    answers = [
+        ShardAnswer(
+            0, SearchReply(5, [[Hit(-3.0, "a", ""), Hit(-1.0, "b", "")]])
+        ),
+        ShardAnswer(1, SearchReply(5, [[Hit(-2.0, "c", "")]])),
+        ShardAnswer(2),
+    ]
+    body = direct._answer(asked, Plan("v1"), answers, 1.0)
+    found = [(m["id"], m["score"]) for m in body["matches"]]
+    assert found == [("a", 3.0), ("c", 2.0)]
+    assert body["coverage"]["missing"] == [{"shard": 2, "reason": "failed"}]
+    assert not body["coverage"]["complete"]
+
+
 def test_request_is_cut_at_its_length():
     """Guards against a light leaf that loses pipelined or split requests."""
     first = b"POST /search HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd"
