Keep the load tool's settings apart from the example documents

Cause: every examples/*.json is tested as a deployment document, so the settings of the load tool failed 14 tests of config. Change: the default settings are examples/bench/default.json.

--- a/libs/bench/src/sapphire_bench/cmdline.py
+++ b/libs/bench/src/sapphire_bench/cmdline.py
@@ -18,7 +18,7 @@
 from sapphire_bench.run import commit
 from sapphire_bench.run import run as run_cases
 
-DEFAULT_SETTINGS = "examples/bench.json"
+DEFAULT_SETTINGS = "examples/bench/default.json"
 DEFAULT_OUTPUT = "build/bench"
 
 
--- a/libs/bench/tests/test_plan.py
+++ b/libs/bench/tests/test_plan.py
@@ -10,7 +10,9 @@
 from sapphire_config.settings import read_settings
 from sapphire_core.errors import SettingsError
 
-EXAMPLE = pathlib.Path(__file__).parents[3] / "examples" / "bench.json"
+EXAMPLE = (
+    pathlib.Path(__file__).parents[3] / "examples" / "bench" / "default.json"
+)
 MAX_PROCESSES = 60
 
 
