--- a/libs/bench/src/sapphire_bench/fleet.py
+++ b/libs/bench/src/sapphire_bench/fleet.py
@@ -26,6 +26,7 @@
     HttpClient,
     HttpConnectError,
     HttpLostError,
+    HttpReply,
     HttpTimeoutError,
 )
 
@@ -86,8 +87,20 @@
     """The processes of one deployment on one machine."""
 
     def __init__(
-        self, shape: FleetShape, directory: pathlib.Path, network: str
+        self,
+        shape: FleetShape,
+        directory: pathlib.Path,
+        network: str,
+        document: Document | None = None,
     ) -> None:
+        """Chooses the addresses; start begins the processes.
+
+        Args:
+            shape: What the fleet consists of.
+            directory: For settings and logs of the processes.
+            network: First two bytes of its loopback addresses.
+            document: The document to use; None makes it from the shape.
+        """
         self._shape = shape
         self._directory = directory
         self._network = network
@@ -95,7 +108,7 @@
         self._clients: dict[str, HttpClient] = {}
         self._vms = shape.vms(self._network)
         self._leaves = shape.leaves(self._network)
-        self._document = shape.document(self._network)
+        self._document = document or shape.document(self._network)
 
     @property
     def document(self) -> Document:
@@ -147,10 +160,11 @@
         Raises:
             FleetError: A process ended or isn't ready after 30 s.
         """
-        await self._start_standins()
+        await self.start_platform()
+        await self._start_leaves()
         await self.apply(self._document, expect=0)
         if preset_roster:
-            await self._store_roster()
+            await self.store_roster()
         for vm in self._vms:
             await self.start_aggregator(vm)
             await self.start_entry(vm)
@@ -168,7 +182,8 @@
             await client.aclose()
         return expect + 1
 
-    async def _store_roster(self) -> None:
+    async def store_roster(self) -> None:
+        """Stores a roster of all members, before they start."""
         members = tuple(vm.aggregator for vm in self._vms)
         domains = tuple(vm.failure_domain for vm in self._vms)
         client = PlatformClient(self.platform, None)
@@ -183,14 +198,17 @@
 
     async def start_aggregator(self, vm: Vm) -> Member:
         """Starts the aggregator of a VM."""
-        settings = self._daemon_settings(vm) | {
+        return await self._start_daemon(
+            f"aggregator-{vm.name}", "aggregator", self.aggregator_settings(vm)
+        )
+
+    def aggregator_settings(self, vm: Vm) -> dict[str, Any]:
+        """Returns the settings of the aggregator of a VM."""
+        return self._daemon_settings(vm) | {
             "frames": vm.aggregator,
             "admin": vm.admin,
             "cell": self._shape.region,
         }
-        return await self._start_daemon(
-            f"aggregator-{vm.name}", "aggregator", settings
-        )
 
     async def start_entry(self, vm: Vm) -> Member:
         """Starts the entry of a VM."""
@@ -200,7 +218,40 @@
         }
         return await self._start_daemon(f"entry-{vm.name}", "entry", settings)
 
-    async def start_leaf(self, place: LeafPlace) -> Member:
+    async def start_baseline(self, vm: Vm, timeout_ms: float) -> Member:
+        """Starts the baseline's process of a VM."""
+        peers = [
+            {"address": x.baseline, "failure_domain": x.failure_domain}
+            for x in self._vms
+        ]
+        settings = {
+            "listen": vm.baseline,
+            "failure_domain": vm.failure_domain,
+            "platform": self.platform,
+            "peers": peers,
+            "timeout_ms": timeout_ms,
+        }
+        return await self._start_daemon(
+            f"baseline-{vm.name}", "baseline", settings
+        )
+
+    async def restart_leaf(self, place: LeafPlace, *, cold: bool) -> Member:
+        """Ends the stand-in of a leaf at once and starts it again."""
+        name = f"leaf-{place.name}"
+        self.kill(name)
+        # Checks of other processes must not count this end as a failure.
+        await self._members.pop(name).process.wait()
+        control = control_address(place.address)
+        client = self._clients.pop(control, None)
+        if client is not None:
+            await client.aclose()
+        member = await self.start_leaf(place, cold=cold)
+        await self._wait_answer(control, "/record")
+        return member
+
+    async def start_leaf(
+        self, place: LeafPlace, *, cold: bool = False
+    ) -> Member:
         """Starts the stand-in of one leaf."""
         service = place.service
         settings = {
@@ -211,6 +262,7 @@
             "connections": service.connections,
             "connect_ms": service.connect_ms,
             "service_ms": service.service_ms,
+            "cold": cold,
             "versions": [
                 {
                     "version": FIRST_VERSION,
@@ -247,16 +299,29 @@
         Raises:
             FleetError: The endpoint can't be reached.
         """
+        return (await self._call(address, method, path, body)).json()
+
+    async def _call(
+        self, address: str, method: str, path: str, body: Any
+    ) -> HttpReply:
         if address not in self._clients:
             self._clients[address] = HttpClient(address, 4)
         try:
-            reply = await self._clients[address].call(
+            return await self._clients[address].call(
                 method, path, body, timeout_s=CALL_TIMEOUT_S
             )
-            return reply.json()
         except (HttpConnectError, HttpLostError, HttpTimeoutError) as error:
             raise FleetError(f"{address} did not answer {path}") from error
 
+    async def metrics(self, address: str) -> str:
+        """Returns the metrics of a daemon as text.
+
+        Raises:
+            FleetError: The daemon can't be reached.
+        """
+        reply = await self._call(address, "GET", "/metrics", None)
+        return reply.body.decode()
+
     async def fault(self, address: str, **faults: Any) -> None:
         """Sets faults of a stand-in."""
         control = control_address(address)
@@ -271,16 +336,65 @@
     async def wait_ready(self) -> None:
         """Waits until each entry serves a whole index of each service.
 
+        Raises:
+            FleetError: That takes more than 30 s.
+        """
+        for vm in self._vms:
+            await self.wait_entry(vm.entry)
+
+    async def wait_entry(self, address: str) -> None:
+        """Waits until one entry serves a whole index of each service.
+
         Raises:
             FleetError: That takes more than 30 s.
         """
         with trio.move_on_after(START_TIMEOUT_S):
-            for vm in self._vms:
-                while not await self._entry_is_whole(vm.entry):
-                    self._check_running()
-                    await trio.sleep(POLL_S)
+            while not await self._entry_is_whole(address):
+                self._check_running()
+                await trio.sleep(POLL_S)
             return
-        raise FleetError(f"entries are not ready after {START_TIMEOUT_S} s")
+        raise FleetError(f"{address} is not ready after {START_TIMEOUT_S} s")
+
+    async def wait_settled(self, stable_s: float = 0.0) -> None:
+        """Waits until each leaf has a holder that each entry knows.
+
+        Leaves move between aggregators while members join the cell, so the
+        state has to last for some time after a start.
+
+        Args:
+            stable_s: How long the state has to last, in seconds.
+
+        Raises:
+            FleetError: That takes more than 30 s.
+        """
+        since = trio.current_time()
+        with trio.move_on_after(START_TIMEOUT_S):
+            while True:
+                if not await self._is_settled():
+                    since = trio.current_time()
+                elif trio.current_time() >= since + stable_s:
+                    return
+                self._check_running()
+                await trio.sleep(POLL_S)
+        raise FleetError(f"leaves are not settled after {START_TIMEOUT_S} s")
+
+    async def _is_settled(self) -> bool:
+        for vm in self._vms:
+            cell = await self.call(vm.admin, "GET", "/v1/status")
+            if len(cell["members"]) != len(self._vms) or not cell["granted"]:
+                return False
+            if not await self._knows_leaves(vm.entry):
+                return False
+        return True
+
+    async def _knows_leaves(self, address: str) -> bool:
+        status = await self.call(address, "GET", "/v1/status")
+        services = status["services"].values()
+        leaves = [x for service in services for x in service["leaves"]]
+        return len(leaves) == len(self._leaves) and all(
+            x["holder"] and x["in_service"] and x["state"] != "down"
+            for x in leaves
+        )
 
     async def aclose(self) -> None:
         """Ends every process that the fleet started, by its id."""
@@ -309,7 +423,8 @@
                 return False
         return True
 
-    async def _start_standins(self) -> None:
+    async def start_platform(self) -> None:
+        """Starts the platform and the list of VMs."""
         await self._start_daemon(
             "platform",
             "standin-platform",
@@ -326,11 +441,14 @@
                 "vms": {"live": [vm.ip for vm in self._vms]},
             },
         )
+        await self._wait_answer(self.vm_list, "/vms")
+        await self._wait_answer(control_address(self.platform), "/record")
+
+    async def _start_leaves(self) -> None:
         for place in self._leaves:
             await self.start_leaf(place)
-        await self._wait_answer(self.vm_list, "/vms")
-        for address in [self.platform, *(x.address for x in self._leaves)]:
-            await self._wait_answer(control_address(address), "/record")
+        for place in self._leaves:
+            await self._wait_answer(control_address(place.address), "/record")
 
     async def _wait_answer(self, address: str, path: str) -> None:
         with trio.move_on_after(START_TIMEOUT_S):
