Return the announcements of entries to every viewer

Cause: entries announce themselves in each View, but the aggregator did not keep the records, so that GET /v1/addresses listed only the entry that was asked.

Ruled out: a list in each ViewReply repeats the same bytes twice a second for each entry; the sequence number of the list avoids that.

ViewReply carries the list when it differs from the one that the viewer knows.

Before: each entry listed itself only.

Conclusion: callers learn all entries from any of them.

--- a/libs/aggregator/src/sapphire_aggregator/view.py
+++ b/libs/aggregator/src/sapphire_aggregator/view.py
@@ -17,6 +17,7 @@
     ViewReply,
 )
 
+from sapphire_aggregator.announcements import Announcements
 from sapphire_aggregator.cell import Cell, to_wire
 from sapphire_aggregator.leaves import LeafSet
 from sapphire_aggregator.link import LeafLink
@@ -40,6 +41,7 @@
         self._leaves = leaves
         self._cell = cell
         self._quarantine = quarantine
+        self._announcements = Announcements()
         # A random start keeps the numbers of a restarted daemon apart from
         # those of its predecessor.
         self._sequence = secrets.randbits(_SEQUENCE_BITS) + 1
@@ -50,6 +52,9 @@
     def run(self, view: View) -> ViewReply:
         """Answers one View."""
         self._refresh()
+        now = trio.current_time()
+        self._announcements.take(view.entry, now)
+        self._announcements.expire(now)
         changed = view.known != self._sequence
         return ViewReply(
             member=self._cell.member,
@@ -58,12 +63,12 @@
             leaves=self._views() if changed else [],
             config_revision=self._cell.config_revision,
             quarantine=(
-                to_wire(self._quarantine.records(trio.current_time()))
-                if changed
-                else []
+                to_wire(self._quarantine.records(now)) if changed else []
             ),
             leaving=self._is_leaving(),
             peers=self._cell.peers if changed else [],
+            entries=self._announcements.news(view.known_entries),
+            entries_sequence=self._announcements.sequence,
         )
 
     def _refresh(self) -> None:
--- a/libs/aggregator/tests/test_view.py
+++ b/libs/aggregator/tests/test_view.py
@@ -3,9 +3,10 @@
 import types
 
 import trio
+from sapphire_aggregator.announcements import KEEP_S
 from sapphire_aggregator.view import SNAPSHOT_S, ViewHandler
 from sapphire_core.window import Evidence
-from sapphire_wire.gen.ttypes import LeafState, View
+from sapphire_wire.gen.ttypes import EntryRecord, LeafState, View
 from trio.testing import MockClock
 
 from .fakes import FakeClient, make_context, make_link
@@ -52,3 +53,32 @@
             assert seen[-1].leaving
 
     trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def test_announced_entries_reach_every_viewer():
+    """Guards against lists that name only the entry that is asked."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            context = make_context(nursery)
+            cell = types.SimpleNamespace(
+                member="m", config_revision=1, peers=["m"], is_in_service=True
+            )
+            handler = ViewHandler([], cell, context.quarantine)
+
+            def ask(address, known=None):
+                entry = EntryRecord(address=address, ready=True, stamp=1)
+                view = View(known=0, entry=entry, known_entries=known)
+                return handler.run(view)
+
+            ask("a")
+            reply = ask("b")
+            assert [r.address for r in reply.entries] == ["a", "b"]
+            again = ask("a", reply.entries_sequence)
+            assert again.entries is None
+            assert again.entries_sequence == reply.entries_sequence
+            await trio.sleep(KEEP_S)
+            later = ask("a", reply.entries_sequence)
+            assert [r.address for r in later.entries] == ["a"]
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import signal
 import time
+from collections.abc import Iterable
 from typing import Any
 
 import trio
 from sapphire_bench.fleet import Fleet
-from sapphire_bench.shape import LeafPlace
+from sapphire_bench.shape import LeafPlace, Vm
 from support import (
     OUT_BOUND_S,
     has_full_roster,
@@ -17,6 +19,9 @@
 )
 
 GRACEFUL_S = 20.0
+KILLED_BOUND_S = 5.0
+# A poll of each entry and of the one that is asked, and time to spare.
+ANNOUNCED_BOUND_S = 2.0
 
 
 def now_ms() -> float:
@@ -160,3 +165,70 @@
         await fleet.wait_ready()
 
     run_scenario(scenario)
+
+
+async def listed(fleet: Fleet, vm: Vm) -> set[str]:
+    """Returns the addresses that the entry of a VM tells callers."""
+    reply = await fleet.call(vm.entry, "GET", "/v1/addresses")
+    return {item["address"] for item in reply["addresses"]}
+
+
+async def wait_listed(
+    fleet: Fleet, asked: Iterable[Vm], expected: set[str], within_s: float
+) -> None:
+    """Waits until each asked entry lists exactly the expected ones."""
+
+    async def is_listed(fleet: Fleet) -> bool:
+        return all([await listed(fleet, vm) == expected for vm in asked])
+
+    await wait_until(fleet, is_listed, within_s)
+
+
+async def search_at(fleet: Fleet, vm: Vm, text: str) -> Any:
+    """Searches through the entry of one VM."""
+    body = {
+        "service": "toxdesk",
+        "text": text,
+        "k": 5,
+        "class": "sweep",
+        "deadline_ms": 1500,
+    }
+    return await fleet.call(vm.entry, "POST", "/v1/search", body)
+
+
+def test_every_entry_lists_the_entries_in_service():
+    """Guards against callers sent to one entry only, or to a lost one."""
+
+    async def scenario(fleet: Fleet) -> None:
+        first, second, third = fleet.vms
+        everyone = {vm.entry for vm in fleet.vms}
+        await wait_listed(fleet, fleet.vms, everyone, ANNOUNCED_BOUND_S)
+
+        fleet.kill(f"entry-{third.name}")
+        rest = everyone - {third.entry}
+        await wait_listed(fleet, (first, second), rest, KILLED_BOUND_S)
+        await fleet.start_entry(third)
+        await wait_listed(fleet, (first, second), everyone, GRACEFUL_S)
+
+        out = {"out_failure_domains": [third.failure_domain]}
+        revision = await set_out(fleet, 1, **out)
+        await wait_listed(fleet, fleet.vms, rest, ANNOUNCED_BOUND_S)
+        await set_out(fleet, revision)
+        await wait_listed(fleet, fleet.vms, everyone, ANNOUNCED_BOUND_S)
+
+        answer = await fleet.call(first.entry, "GET", "/v1/addresses")
+        keep_s = answer["keep_ms"] / 1000
+        member = fleet.members[f"entry-{third.name}"]
+        stopped_at = trio.current_time()
+        member.signal(signal.SIGTERM)
+        served_until = stopped_at + keep_s
+        rest_within = stopped_at + ANNOUNCED_BOUND_S
+        while trio.current_time() < served_until:
+            reply = await search_at(fleet, third, "safety dossier")
+            assert reply.get("coverage", {}).get("complete"), reply
+            await trio.sleep(0.05)
+        left_s = max(rest_within - trio.current_time(), 0.1)
+        await wait_listed(fleet, (first, second), rest, left_s)
+        assert await fleet.stop(f"entry-{third.name}") == 0
+
+    run_scenario(scenario)
