Keep a fleet running for the operators' drills

Cause: the drills could not be typed without a deployment. Change: make fleet runs the demonstration's fleet until Ctrl-C and prints the variables that sapphirecross-ctl and sapphirecross-burn read. Conclusion: the operators' page can be followed by copying commands.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 LIBS := $(wildcard libs/*)
 
-.PHONY: setup format lint types unit model test demo bench lock clean
+.PHONY: setup format lint types unit model test demo fleet bench lock clean
 
 setup: $(VENV)/.installed
 
@@ -45,6 +45,10 @@
 demo: setup
 	@$(BIN)/python -m sapphire_bench.demo --fault=$(or $(FAULT),none)
 
+# Keeps the demonstration's fleet running for the drills of docs/operators.md.
+fleet: setup
+	@$(BIN)/python -m sapphire_bench.demo --keep
+
 bench: setup
 	$(BIN)/sapphirecross-bench run $(BENCH_ARGS)
 
--- a/libs/bench/src/sapphire_bench/demo.py
+++ b/libs/bench/src/sapphire_bench/demo.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass
@@ -131,12 +132,28 @@
         return summarise(fault, answers)
 
 
-def demo(fault: str = "none") -> None:
+async def keep_fleet() -> None:
+    """Runs the fleet until SIGINT or SIGTERM, for drills by hand."""
+    async with open_fleet(DEMO) as fleet:
+        daemons = [*fleet.entries, *(vm.admin for vm in fleet.vms)]
+        print("The fleet runs until Ctrl-C. In another shell:")
+        print(f"export SAPPHIRECROSS_PLATFORM={fleet.platform}")
+        print(f"export SAPPHIRECROSS_DAEMONS={','.join(daemons)}", flush=True)
+        with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as stops:
+            async for _ in stops:
+                return
+
+
+def demo(fault: str = "none", keep: bool = False) -> None:
     """Runs the demonstration.
 
     Args:
         fault: One of none, leaf-kill, shard-loss and entry-kill.
+        keep: Keep the fleet running for drills by hand.
     """
+    if keep:
+        trio.run(keep_fleet)
+        return
     if fault not in FAULTS:
         print(f"fault must be one of {', '.join(FAULTS)}.", file=sys.stderr)
         sys.exit(2)
