--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,11 @@
 types: setup
 	$(BIN)/mypy $(wildcard libs/*/src)
 
+# The tests with whole fleets run one after the other: each needs several
+# cores, and deadlines are missed when more fleets run than cores allow.
 unit: setup
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n 4 libs
+	$(BIN)/python -m pytest tests
 
 model: setup
 	@if [ -f model/check ]; then sh model/check; fi
--- a/libs/bench/src/sapphire_bench/harness.py
+++ b/libs/bench/src/sapphire_bench/harness.py
@@ -24,7 +24,7 @@
     START_TIMEOUT_S,
     Fleet,
     FleetError,
-    free_network,
+    reserve_network,
 )
 from sapphire_bench.light import Held, LightLeaves
 from sapphire_bench.shape import FleetShape
@@ -122,11 +122,14 @@
 class LightFleet(Fleet):
     """A fleet whose leaves are light."""
 
-    def __init__(self, size: Size, directory: pathlib.Path, port: int) -> None:
+    def __init__(
+        self, size: Size, directory: pathlib.Path, network: str, port: int
+    ) -> None:
         super().__init__(
             shape(size.members),
             directory,
-            document(size, free_network(), port),
+            network,
+            document(size, network, port),
         )
         self._vms = self._vms[: size.members]
         self._size = size
@@ -178,8 +181,11 @@
 
     async with trio.open_nursery() as nursery:
         port = await nursery.start(LightLeaves(held).serve)
-        with tempfile.TemporaryDirectory(prefix="sapphirecross-") as directory:
-            fleet = LightFleet(size, pathlib.Path(directory), port)
+        with (
+            reserve_network() as network,
+            tempfile.TemporaryDirectory(prefix="sapphirecross-") as directory,
+        ):
+            fleet = LightFleet(size, pathlib.Path(directory), network, port)
             try:
                 await fleet.start_platform()
                 await fleet.apply(fleet.document, expect=0)
