Run the second canary on another shard, and earn each hedge

Ruled out: a third attempt in place of the second (three leaves lost). Change: the order of canary leaves goes over the shards first; a new budget holds only the reserve for retries. Before/after: the new test fails on the former order. Conclusion: each shard keeps a replica through one crash request.

--- a/libs/core/src/sapphire_core/budget.py
+++ b/libs/core/src/sapphire_core/budget.py
@@ -5,10 +5,12 @@
 # The bucket bounds a burst of extra calls, for example after the loss of an
 # aggregator, to this many calls.
 CAPACITY = 400.0
-INITIAL = 100.0
 # Hedges leave these tokens to retries: a shard without a retry is missing
 # from the answer, one without a hedge is only late.
 HEDGE_RESERVE = 50.0
+# A new bucket serves retries at once, but each hedge has to be earned, so
+# that hedges never exceed their share of the calls.
+INITIAL = HEDGE_RESERVE
 
 
 class Budget:
--- a/libs/entry/src/sapphire_entry/gather.py
+++ b/libs/entry/src/sapphire_entry/gather.py
@@ -490,19 +490,32 @@
     # The canary: leaves in an order that all entries share.
 
     def _canary_leaves(self) -> Iterator[tuple[int, Replica]]:
+        """Yields one leaf of each shard, then the next leaf of each.
+
+        A crash request takes two leaves. They belong to different shards, so
+        that each shard keeps a replica for the other queries.
+        """
         count = len(self._map.shards)
         first = int(self._fingerprint[:8], 16) % max(1, count)
-        for offset in range(count):
-            shard = (first + offset) % count
-            usable = {
-                replica.address: replica
-                for replica in self._map.shards[shard].replicas
-                if replica.is_usable
-            }
-            order = ranking(self._fingerprint, usable)
-            order.sort(key=lambda address: not usable[address].is_ready)
-            for address in order:
-                yield shard, usable[address]
+        orders = [
+            (shard % count, self._canary_order(shard % count))
+            for shard in range(first, first + count)
+        ]
+        longest = max((len(order) for _, order in orders), default=0)
+        for rank in range(longest):
+            for shard, order in orders:
+                if rank < len(order):
+                    yield shard, order[rank]
+
+    def _canary_order(self, shard: int) -> list[Replica]:
+        usable = {
+            replica.address: replica
+            for replica in self._map.shards[shard].replicas
+            if replica.is_usable
+        }
+        order = [usable[a] for a in ranking(self._fingerprint, usable)]
+        order.sort(key=lambda replica: not replica.is_ready)
+        return order
 
     def _next_canary(
         self, now: float, reason: str, *, hedge: bool = False
--- a/libs/entry/tests/test_gather.py
+++ b/libs/entry/tests/test_gather.py
@@ -220,6 +220,15 @@
     assert gather.hedge(1.0) == []
 
 
+def test_second_canary_runs_on_another_shard():
+    """Guards against a crash request that takes both replicas of a shard."""
+    gather, _ = _gather(4, 2, canary=True)
+    (first,) = gather.begin(0.0)
+    (second,) = gather.take(first, _all(first, ShardStatus.CRASHED), 0.01)
+    assert set(first.targets).isdisjoint(second.targets)
+    assert second.alone
+
+
 def test_canary_runs_before_the_other_shards():
     """Guards against an unknown query that reaches all leaves at once."""
     gather, _ = _gather(4, 2, canary=True)
