Count crashes of equal canaries of several entries together

Cause: a crashing text sent through every entry at once could crash three leaves. A canary that waited for a leaf which an equal query crashed ended as FAILED, so that its entry went on to the next leaf without knowing of the crash. A hedged canary can crash two leaves of two aggregators, each of which then knows of one crash only. Both were found by reading the code after the test failed; single events were not traced.

Ruled out: reporting a crash to every waiting canary, since an entry that knows of a crash would count it twice and quarantine a harmless query. A new field in Part needs a new message version for the same knowledge.

Change: the aggregator reports CRASHED instead of FAILED to a canary whose entry knows of no crash, and QUARANTINED once two are known. An entry that has seen the second crash itself tells the aggregators with a Scatter that has no targets.

--- a/libs/aggregator/src/sapphire_aggregator/scatter.py
+++ b/libs/aggregator/src/sapphire_aggregator/scatter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 import heapq
 import itertools
@@ -36,7 +37,11 @@
 END_MARGIN_S = 0.005
 _END_MARGIN_SHARE = 0.1
 
+# Statuses with which an equal query's crash of the leaf can end a call.
+_LEAF_DOWN = frozenset({ShardStatus.FAILED, ShardStatus.CRASHED})
+
 Send = Callable[[Any], None]
+Deliver = Callable[[Call, Outcome], None]
 
 
 def merge(lists: list[list[Hit]], k: int) -> list[Match]:
@@ -197,6 +202,9 @@
         """Queues a call for each target; returns the time to hold results."""
         refusal = self._refusal(query, now)
         waits = []
+        deliver: Deliver = collector.deliver
+        if query.canary:
+            deliver = self._telling_crashes(scatter, deliver)
         for target in scatter.targets or ():
             link = self._leaves.find(scatter.service_name, target.leaf)
             status = refusal
@@ -207,9 +215,7 @@
                 collector.refuse(target.shard, target.leaf, outcome)
                 continue
             waits.append(link.expected_wait_s())
-            call = Call(
-                query, target.shard, target.leaf, now, collector.deliver
-            )
+            call = Call(query, target.shard, target.leaf, now, deliver)
             collector.add(call)
             link.add(call)
         if not waits:
@@ -228,6 +234,30 @@
             return ShardStatus.QUARANTINED
         return None
 
+    def _telling_crashes(self, scatter: Any, deliver: Deliver) -> Deliver:
+        """Returns a deliver that tells a canary of crashes new to its entry.
+
+        An equal query of another entry may have crashed the leaf while this
+        one waited for it. An entry that took that for a failed leaf would
+        go on with the next leaf, and the bound of two crashes would hold
+        for each entry instead of for all.
+        """
+
+        def tell(call: Call, outcome: Outcome) -> None:
+            verdict = self._quarantine.verdict(
+                call.query.fingerprint, trio.current_time()
+            )
+            status = outcome.status
+            if status in _LEAF_DOWN and verdict is Verdict.QUARANTINED:
+                status = ShardStatus.QUARANTINED
+            elif status is ShardStatus.FAILED and verdict is Verdict.SUSPECT:
+                # An entry that knows of a crash must not count it again.
+                known = scatter.crashes or 0
+                status = status if known else ShardStatus.CRASHED
+            deliver(call, dataclasses.replace(outcome, status=status))
+
+        return tell
+
     def _count(self, scatter: Any, send: Send) -> Send:
         service = scatter.service_name
         if self._leaves.find_service(service) is None:
--- a/libs/aggregator/tests/test_scatter.py
+++ b/libs/aggregator/tests/test_scatter.py
@@ -7,7 +7,11 @@
 from sapphire_aggregator.leaves import LeafSet
 from sapphire_aggregator.scatter import ScatterHandler, merge
 from sapphire_config.document import Document
-from sapphire_core.errors import LeafReplyError
+from sapphire_core.errors import (
+    LeafCrashedError,
+    LeafReplyError,
+    LeafUnreachableError,
+)
 from sapphire_wire.gen.ttypes import Scatter, ShardStatus, Target
 from sapphire_wire.leaf import Hit
 from trio.testing import MockClock
@@ -250,3 +254,72 @@
     merged = [m.document for m in merge(lists, 3)]
     assert merged == [m.document for m in merge(lists[::-1], 3)]
     assert merged == ["a", "b", "c"]
+
+
+def test_waiting_canary_learns_of_an_equal_query_s_crash():
+    """Guards against an entry that tries a known crasher on another leaf.
+
+    An entry that has seen no crash hears of the one that ended its wait; an
+    entry that knows of one must not count it twice.
+    """
+
+    async def check(fleet):
+        fleet.client(0).errors["q"] = error_of(LeafCrashedError)
+        targets = [Target(0, "10.0.0.0:1")]
+        statuses = {}
+
+        async def run(name, after_s, **changes: object):
+            await trio.sleep(after_s)
+            scatter = _scatter(targets=targets, canary=True, **changes)
+
+            def keep(frame):
+                for result in frame.part.results:
+                    statuses[name] = result.status
+
+            await fleet.handler.run(scatter, keep)
+
+        async def go_down():
+            # After the crash, before the end of the next attempt.
+            await trio.sleep(0.015)
+            unreachable = error_of(LeafUnreachableError)
+            fleet.client(0).errors["q"] = unreachable
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(go_down)
+            nursery.start_soon(run, "first", 0.0)
+            nursery.start_soon(run, "waiting", 0.005)
+            nursery.start_soon(run, "later", 0.05)
+        assert statuses == dict.fromkeys(
+            ("first", "waiting", "later"), ShardStatus.CRASHED
+        )
+        await run("informed", 0.0, crashes=1)
+        assert statuses["informed"] == ShardStatus.FAILED
+
+    _run(check)
+
+
+def test_second_crash_ends_every_waiting_canary():
+    """Guards against a third crash by an entry that knew of none."""
+
+    async def check(fleet):
+        fleet.client(0).errors["q"] = error_of(LeafCrashedError)
+        targets = [Target(0, "10.0.0.0:1")]
+        statuses = []
+
+        async def run(after_s, crashes):
+            await trio.sleep(after_s)
+            scatter = _scatter(targets=targets, canary=True, crashes=crashes)
+            await fleet.handler.run(
+                scatter,
+                lambda frame: statuses.extend(
+                    result.status for result in frame.part.results
+                ),
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run, 0.0, 0)
+            # Another leaf's crash becomes known while the first one runs.
+            nursery.start_soon(run, 0.005, 1)
+        assert statuses == [ShardStatus.QUARANTINED] * 2
+
+    _run(check)
--- a/libs/entry/src/sapphire_entry/search.py
+++ b/libs/entry/src/sapphire_entry/search.py
@@ -24,12 +24,14 @@
 from sapphire_wire.gen.ttypes import Frame, Scatter, Target
 
 from sapphire_entry import metrics
-from sapphire_entry.gather import Call, Gather, MisroutedError
+from sapphire_entry.gather import MAX_CRASHES, Call, Gather, MisroutedError
 from sapphire_entry.suspects import Suspects
 from sapphire_entry.views import Views
 
 # Time taken off the remaining time for one hop.
 HOP_MS = 1.0
+# Time for the answer to a notice that runs nothing.
+NOTICE_MS = 1000.0
 # When all leaves of a shard have lost the pinned version, the views are
 # asked again; their replies take a poll pause and a round trip.
 VIEW_WAIT_S = 0.15
@@ -260,6 +262,8 @@
             self._suspects.quarantine(
                 self._query.fingerprint, trio.current_time()
             )
+            if self.gather.has_crashed:
+                self._views.tell(self._crash_notice())
             raise
         finally:
             self._end()
@@ -387,6 +391,28 @@
         )
         return Frame(scatter=scatter)
 
+    def _crash_notice(self) -> Any:
+        """Returns a Scatter without targets that tells of the crashes.
+
+        A hedged canary can crash two leaves of two aggregators, each of
+        which knows of one crash only and would let other entries go on.
+        """
+        query = self._query
+        scatter = Scatter(
+            service_name=query.service,
+            version=self._map.version,
+            text=query.text,
+            k=query.k,
+            remaining_ms=NOTICE_MS,
+            priority=query.priority,
+            targets=[],
+            canary=True,
+            hedge=False,
+            fingerprint=query.fingerprint,
+            crashes=MAX_CRASHES,
+        )
+        return Frame(scatter=scatter)
+
     def _end(self) -> None:
         self._views.remove_listener(self._inbox.wake)
         now = trio.current_time()
--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -199,6 +200,12 @@
         self._refresh.set()
         self._refresh = trio.Event()
 
+    def tell(self, frame: Any) -> None:
+        """Sends a request to every aggregator that answers its polls."""
+        for source in self._sources.values():
+            if source.is_reached:
+                self._nursery.start_soon(self._tell, source, frame)
+
     def recheck(self, address: str) -> None:
         """Asks for a whole view of an aggregator that gave up a leaf.
 
@@ -242,6 +249,11 @@
         self._sources[address] = source
         self._nursery.start_soon(self._poll, address, source)
 
+    async def _tell(self, source: Source, frame: Any) -> None:
+        with contextlib.suppress(ChannelError):
+            with trio.move_on_after(POLL_TIMEOUT_S):
+                await source.peer.request(frame)
+
     async def _poll(self, address: str, source: Source) -> None:
         while not self._is_forgotten(address, source):
             refresh = self._refresh
--- a/libs/entry/tests/test_web.py
+++ b/libs/entry/tests/test_web.py
@@ -150,6 +150,10 @@
     reached = [t.leaf for s in stage.cell.scatters for t in s.targets]
     assert len(reached) == len(set(reached)) == 2
     assert all(s.canary for s in stage.cell.scatters)
+    # The aggregators may know of one crash each; they hear of the second.
+    while not (notices := [s for s in stage.cell.scatters if not s.targets]):
+        await trio.sleep(0.01)
+    assert [s.crashes for s in notices] == [2]
     stage.cell.answers.clear()
     assert (await stage.search(text="good")).status == 200
 
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -2,10 +2,16 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import pytest
 import trio
 from sapphire_bench.fleet import Fleet
+from sapphire_bench.shape import LeafPlace
 from support import run_scenario, with_load
 
+CRASH_ROUNDS = 3
+RECOVERY_S = 2.0
 FAULTY_REPLIES = {
     "crossed_share": 0.1,
     "late_share": 0.1,
@@ -131,6 +137,50 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("spacing_ms", [0, 10, 30, 60])
+def test_crash_request_through_every_entry_at_once(spacing_ms):
+    """Guards against entries that each try a crashing request anew."""
+
+    async def scenario(fleet: Fleet) -> None:
+        places = [p for p in fleet.leaves if p.service.name == "toxdesk"]
+        for place in places:
+            await fleet.fault(
+                place.address, crash_word="zzcrash", restart_ms=300
+            )
+        for number in range(CRASH_ROUNDS):
+            before = await count_crashes(fleet, places)
+            body = {
+                "service": "toxdesk",
+                "text": f"zzcrash dossier {number}",
+                "k": 5,
+                "class": "sweep",
+                "deadline_ms": 1500,
+            }
+
+            async def send(entry: str, delay_s: float, body: Any) -> None:
+                await trio.sleep(delay_s)
+                await fleet.call(entry, "POST", "/v1/search", body)
+
+            for _ in range(2):
+                async with trio.open_nursery() as nursery:
+                    for place, entry in enumerate(fleet.entries):
+                        delay_s = place * spacing_ms / 1000
+                        nursery.start_soon(send, entry, delay_s, body)
+            # The leaves restart and their holders find them again.
+            await trio.sleep(RECOVERY_S)
+            crashes = await count_crashes(fleet, places) - before
+            # Section 6.5 of the design.
+            assert 1 <= crashes <= 2, number
+
+    run_scenario(scenario)
+
+
+async def count_crashes(fleet: Fleet, places: list[LeafPlace]) -> int:
+    """Returns how often the leaves have crashed."""
+    records = [await fleet.record(place.address) for place in places]
+    return sum(record["crashes"] for record in records)
+
+
 def test_answers_are_whole_for_concurrent_callers():
     """Guards against answers that reach another caller's request."""
 
