Let a fleet recover whose predecessors nobody saw listed

Cause: a member counted as absent only if the observer had seen it in the VM list before. When a whole fleet is replaced after the list has dropped the old members, nobody alive has, and the roster keeps its lost majority.

Ruled out: counting each unlisted member as absent at once, since a VM that exists may not be listed yet.

Change: a roster member that was not heard and is missing from every answer of the list for 60 s, longer than the list lags, is absent too. An answer that lacks the observer's own VM is no evidence and starts the time anew, so that an empty list makes nobody absent.

Before: a cell in this state had no holders. After: with a mock clock, the new members hold no leaf for 55 s and all leaves within 90 s; members that are heard but not listed stay in the roster.

Conclusion: the cell recovers without an operator.

--- a/libs/aggregator/src/sapphire_aggregator/cell.py
+++ b/libs/aggregator/src/sapphire_aggregator/cell.py
@@ -560,10 +560,13 @@
             return
         listed = lists.live | lists.leaving
         known = {*self.roster.members, *self._joiners, self._member}
+        # An answer without this VM may be empty or of another deployment.
+        is_evidence = vm_of(self._member) in listed
         self._sightings.listed(
             [member for member in known if vm_of(member) in listed],
             asked_at,
             trio.current_time(),
+            self.roster.members if is_evidence else (),
         )
         if lists.leaving != self._leaving_vms:
             self._leaving_vms = lists.leaving
--- a/libs/aggregator/tests/test_cell.py
+++ b/libs/aggregator/tests/test_cell.py
@@ -253,6 +253,39 @@
     _run(check)
 
 
+def test_replaced_fleet_recovers_without_having_seen_its_predecessors():
+    """Guards against a roster of members that nobody alive saw listed."""
+
+    async def check(network, cells, nursery):
+        for cell in cells:
+            network.lose(cell)
+        network.platform.vm_lists = VmLists(
+            frozenset({"10.0.0.7", "10.0.0.8"}), frozenset()
+        )
+        await network.start(nursery, 7)
+        await network.start(nursery, 8)
+        await network.watch(55)
+        assert not any(network.holders(leaf) for leaf in LEAVES)
+        await network.watch(35)
+        assert network.all_held()
+
+    _run(check)
+
+
+def test_unlisted_members_that_are_heard_stay():
+    """Guards against the removal of members that a faulty list lacks."""
+
+    async def check(network, cells, nursery):
+        network.platform.vm_lists = VmLists(
+            frozenset({"10.0.0.0"}), frozenset()
+        )
+        await network.watch(75)
+        assert all(len(cell.roster.members) == 3 for cell in cells)
+        assert network.all_held()
+
+    _run(check)
+
+
 def test_crash_records_spread_at_once():
     """Guards against further leaves lost before the next regular ping."""
 
--- a/libs/core/src/sapphire_core/roster.py
+++ b/libs/core/src/sapphire_core/roster.py
@@ -12,6 +12,11 @@
 # in seconds. Restarts and most partitions end earlier.
 REMOVE_AFTER_S = 30.0
 
+# Time for which a member must have been neither heard nor listed before its
+# VM counts as gone although nobody saw it listed, in seconds. The VM list
+# lags by less, so that a VM that exists is listed earlier.
+UNLISTED_S = 60.0
+
 # A cell has 7 to 9 members; a joiner waits while the cell is full.
 MAX_MEMBERS = 9
 
@@ -28,23 +33,38 @@
     """Tells VMs that no longer exist from VMs that are not listed yet.
 
     The VM list lags: a VM that exists may be missing from it, but a VM that
-    was listed and is missing from a later answer no longer exists.
+    was listed and is missing from a later answer no longer exists. Nor does
+    one that is missing for longer than the list lags: after the replacement
+    of a whole fleet, nobody alive may have seen its predecessors listed.
     """
 
     def __init__(self) -> None:
         self._seen: set[str] = set()
         self._missing_since: dict[str, float] = {}
+        self._unlisted_since: dict[str, float] = {}
         self._asked_at = -math.inf
 
-    def listed(self, vms: Iterable[str], asked_at: float, now: float) -> None:
+    def listed(
+        self,
+        vms: Iterable[str],
+        asked_at: float,
+        now: float,
+        expected: Collection[str] = (),
+    ) -> None:
         """Records an answer of the VM list, live and leaving VMs together.
 
         Args:
             vms: Members on the VMs that the answer contains.
             asked_at: The time at which the list was asked for.
             now: The time of receipt.
+            expected: Members of the roster, listed or not; empty if the
+                answer is no evidence of what is missing.
         """
         listed = set(vms)
+        self._unlisted_since = {
+            member: self._unlisted_since.get(member, now)
+            for member in set(expected) - listed
+        }
         for member in listed:
             self._missing_since.pop(member, None)
         for member in self._seen - listed:
@@ -60,10 +80,14 @@
         isn't taken for its predecessor.
         """
         self._missing_since.pop(member, None)
+        self._unlisted_since.pop(member, None)
         self._seen.discard(member)
 
     def absence(self, now: float) -> Absence:
-        """Returns the VMs missing for GUARD_S and the validity of this.
+        """Returns the VMs that are gone and the validity of this.
+
+        Those seen in the list before are gone when missing for GUARD_S, the
+        others when missing for UNLISTED_S.
 
         The delay lets the grants and fence reports of the VM expire. The
         knowledge expires as a grant does, since a replacement at the same
@@ -72,11 +96,15 @@
         until = self._asked_at + GRANT_S
         if now >= until:
             return Absence(frozenset(), until)
-        since = self._missing_since.items()
-        gone = frozenset(m for m, at in since if now - at >= GUARD_S)
+        gone = _older(self._missing_since, now - GUARD_S)
+        gone |= _older(self._unlisted_since, now - UNLISTED_S)
         return Absence(gone, until)
 
 
+def _older(since: Mapping[str, float], limit: float) -> frozenset[str]:
+    return frozenset(m for m, at in since.items() if at <= limit)
+
+
 def track_fenced(
     fenced_since: Mapping[str, float], fenced: Collection[str], now: float
 ) -> dict[str, float]:
--- a/libs/core/tests/test_rights.py
+++ b/libs/core/tests/test_rights.py
@@ -14,7 +14,12 @@
     RightsLedger,
     Roster,
 )
-from sapphire_core.roster import Sightings, next_roster, track_fenced
+from sapphire_core.roster import (
+    UNLISTED_S,
+    Sightings,
+    next_roster,
+    track_fenced,
+)
 
 LEAVES = [f"10.1.0.{i}:9000" for i in range(12)]
 DOMAINS = ("a", "b", "c")
@@ -329,6 +334,30 @@
     assert set(cell.roster.members) <= set(cell.processes)
 
 
+def test_member_missing_for_longer_than_the_list_lags_is_absent():
+    """Guards against a member that is never absent, or is so too early."""
+    sightings = Sightings()
+
+    def ask(now, listed=(), expected=("a", "b")):
+        sightings.listed(listed, now, now, expected)
+        return sightings.absence(now).members
+
+    assert not ask(0.0)
+    assert not ask(UNLISTED_S - 1.0)
+    # A message shows that the member exists, however late it is listed.
+    sightings.heard("b")
+    assert ask(UNLISTED_S) == {"a"}
+    # The knowledge ends with the answers that it comes from.
+    assert not sightings.absence(UNLISTED_S + GRANT_S).members
+    assert ask(2 * UNLISTED_S - 1.0) == {"a"}
+    assert ask(2 * UNLISTED_S) == {"a", "b"}
+    # A member that is listed again is not absent.
+    assert ask(2 * UNLISTED_S + 1.0, listed=("a",)) == {"b"}
+    # An answer that proves nothing starts the time anew.
+    assert not ask(2 * UNLISTED_S + 2.0, expected=())
+    assert not ask(2 * UNLISTED_S + 3.0)
+
+
 def heard(table, member, incarnation, now, *, released=False, revision=1):
     return table.heard(
         member,
