Cancel the search of a caller that hangs up

Cause: an entry went on with a search after its caller had closed the connection, so that leaves worked for nobody.

Ruled out: cancelling at the next write, since the answer is the only one.

Change: while a search runs, a task waits for http.disconnect and cancels it; the existing clean-up sends Cancel to the aggregators, which call POST /cancel when no caller waits for the batch. Submissions do not watch the connection. The result is counted as cancelled, which the burn report leaves out, or as late if the class's deadline had passed: a caller who gave up after that was kept waiting.

Before: leaves ran to the end. After: the in-process tests see the Cancel and the freed admission, and a submission that goes on; the test with processes saw a cancelled job at a leaf within 2 s of a search of 3 s.

Conclusion: costs one task for each running search; the CPU cost was not measured.

--- a/libs/core/src/sapphire_core/burn.py
+++ b/libs/core/src/sapphire_core/burn.py
@@ -14,6 +14,9 @@
 from dataclasses import dataclass
 
 GOOD = "good"
+# Callers that type on hang up on searches that were in time, which says
+# nothing about the service.
+CANCELLED = "cancelled"
 MINUTE_S = 60.0
 HOUR_S = 3_600.0
 DAY_S = 86_400.0
@@ -164,7 +167,9 @@
     increase: _Increase,
 ) -> Burn:
     counts = {
-        s.result: n for s, n in increase.counts.items() if s.group == group
+        s.result: n
+        for s, n in increase.counts.items()
+        if s.group == group and s.result != CANCELLED
     }
     requests = sum(counts.values())
     bad = requests - counts.get(GOOD, 0.0)
--- a/libs/core/src/sapphire_core/errors.py
+++ b/libs/core/src/sapphire_core/errors.py
@@ -75,6 +75,14 @@
     default_remedy = "Use a service of the configuration in force."
 
 
+class CallerGoneError(SapphireError):
+    """The caller closed the connection while its search was running."""
+
+    kind = "caller_gone"
+    status = 499
+    default_remedy = "Repeat the search."
+
+
 class TooLargeError(RequestRefusedError):
     """The request body is larger than the limit."""
 
--- a/libs/core/tests/test_burn.py
+++ b/libs/core/tests/test_burn.py
@@ -1,5 +1,7 @@
 """Tests of the error-budget burn rates."""
 
+import dataclasses
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from sapphire_core import burn
@@ -94,3 +96,14 @@
     windows = _windows(samples)
     assert [w.requests for w in windows] == [0, 0, 0, 1900]
     assert windows[0].rate is None
+
+
+def test_cancelled_requests_are_not_counted():
+    """Guards against typing callers who use up the error budget."""
+    first, last = _sample(0, 0, 0), _sample(300, 90, 10)
+    for sample, number in ((first, 0), (last, 500)):
+        series = next(iter(sample.counts))
+        cancelled = dataclasses.replace(series, result=burn.CANCELLED)
+        sample.counts[cancelled] = number
+    window = _windows([first, last])[0]
+    assert (window.requests, window.bad) == (100, 10)
--- a/libs/entry/src/sapphire_entry/web.py
+++ b/libs/entry/src/sapphire_entry/web.py
@@ -12,8 +12,10 @@
 from eliot import log_message
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from sapphire_core.admission import ClassLimit
+from sapphire_core.burn import CANCELLED
 from sapphire_core.errors import (
     BadRequestError,
+    CallerGoneError,
     DeadlinePassedError,
     DomainOutError,
     KeyConflictError,
@@ -136,6 +138,8 @@
         account = Account(trio.current_time())
         try:
             return self._reply(await handler(request, account))
+        except CallerGoneError as error:
+            return self._refuse(error)
         except SapphireError as error:
             _blame(account, error)
             return self._refuse(error)
@@ -183,10 +187,15 @@
         admission = self._entry.admission
         admission.enter(limit, trio.current_time())
         try:
-            gather = await self._entry.searcher.run(query)
+            gather = await self._run_connected(request, query)
         finally:
             admission.leave(limit)
         elapsed_ms = (trio.current_time() - account.started) * 1000
+        if gather is None:
+            # A caller who gave up after the usual time was kept waiting.
+            in_time = elapsed_ms <= chosen.deadline_ms
+            account.result = CANCELLED if in_time else "late"
+            raise CallerGoneError("the caller closed the connection.")
         if not gather.coverage.is_complete:
             account.result = "incomplete"
         elif elapsed_ms > asked.deadline_ms:
@@ -194,6 +203,24 @@
         request_id = asked.request_id or uuid.uuid4().hex
         return _answer(gather, request_id, elapsed_ms)
 
+    async def _run_connected(
+        self, request: Request, query: Query
+    ) -> Gather | None:
+        """Runs a query; None if the caller closed the connection first."""
+        gather: Gather | None = None
+        refusal: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_wait_gone, request, nursery.cancel_scope)
+            try:
+                gather = await self._entry.searcher.run(query)
+            except Exception as error:
+                # Raised outside the nursery, which would put it in a group.
+                refusal = error
+            nursery.cancel_scope.cancel()
+        if refusal is not None:
+            raise refusal
+        return gather
+
     async def _submit(
         self, request: Request, account: Account
     ) -> dict[str, Any]:
@@ -277,6 +304,15 @@
     )
 
 
+async def _wait_gone(request: Request, scope: trio.CancelScope) -> None:
+    """Cancels the scope when the caller closes the connection."""
+    while True:
+        message = await request.receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
 def _answer_at(started: float, deadline_ms: float) -> float:
     """Returns when to answer.
 
--- a/libs/entry/tests/conftest.py
+++ b/libs/entry/tests/conftest.py
@@ -72,6 +72,7 @@
         self.scatters = []
         self.submits = []
         self.submit_replies = []
+        self.cancelled = 0
         self.entries = []
         self.peers = []
         self.config = ""
@@ -79,6 +80,13 @@
         self._sequence = 0
 
     async def handle(self, frame, reply):
+        try:
+            await self._handle(frame, reply)
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
+
+    async def _handle(self, frame, reply):
         if frame.view is not None:
             reply(Frame(view_reply=self._view(frame.view)))
         elif frame.scatter is not None:
--- a/libs/entry/tests/test_web.py
+++ b/libs/entry/tests/test_web.py
@@ -185,6 +185,46 @@
     assert refused.json()["error"]["run"] == "not run"
 
 
+async def _hang_up(stage, data, path):
+    """Sends a request and closes the connection when the cell has it."""
+    received = stage.cell.submits if "submit" in path else stage.cell.scatters
+    before = len(received)
+    host, port = stage.entry.address.split(":")
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\n"
+    async with await trio.open_tcp_stream(host, int(port)) as stream:
+        head += f"Content-Length: {len(data)}\r\n\r\n"
+        await stream.send_all(head.encode() + data)
+        while len(received) == before:
+            await trio.sleep(0.01)
+
+
+async def test_caller_that_hangs_up_cancels_its_search(stage):
+    """Guards against work at leaves that nobody waits for."""
+    for leaf in stage.leaves:
+        stage.cell.answers[leaf] = None
+    before = _count("cancelled")
+    started = trio.current_time()
+    await _hang_up(stage, _body(deadline_ms=9_000), "/v1/search")
+    while not stage.cell.cancelled:
+        await trio.sleep(0.01)
+    while stage.entry.admission.running:
+        await trio.sleep(0.01)
+    assert trio.current_time() < started + 9.0
+    assert _count("cancelled") == before + 1
+
+
+async def test_caller_that_hangs_up_leaves_its_submission_running(stage):
+    """Guards against a submission that is lost half-way."""
+    stage.cell.submit_replies = ["late"]
+    fields = {"service": "tox", "key": "k", "body": {}, "deadline_ms": 2_000}
+    await _hang_up(stage, json.dumps(fields).encode(), "/v1/submit")
+    reply = await stage.submit(key="k", body={}, deadline_ms=2_000)
+    assert reply.json()["outcome"] == {"score": 1}
+    assert not reply.json()["first"]
+    assert len(stage.cell.submits) == 1
+    assert not stage.cell.cancelled
+
+
 async def test_newer_version_replaces_one_that_is_gone(stage):
     """Guards against answers that miss shards after a repartition."""
     assert (await stage.search()).json()["index_version"] == "v1"
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import pytest
 import trio
 from sapphire_bench.fleet import Fleet
 from sapphire_bench.shape import LeafPlace
-from support import run_scenario, with_load
+from support import run_scenario, wait_until, with_load
 
 CRASH_ROUNDS = 3
 RECOVERY_S = 2.0
@@ -194,3 +195,35 @@
         assert not load.incomplete
 
     run_scenario(scenario)
+
+
+def test_caller_that_hangs_up_frees_the_leaves():
+    """Guards against leaves that work on for a caller who has gone."""
+
+    async def scenario(fleet: Fleet) -> None:
+        places = [p for p in fleet.leaves if p.service.name == "toxdesk"]
+        for place in places:
+            await fleet.fault(place.address, service_ms=3000)
+        body = {
+            "service": "toxdesk",
+            "text": "hang up",
+            "k": 5,
+            "class": "sweep",
+            "deadline_ms": 10_000,
+        }
+        data = json.dumps(body)
+        host, _, port = fleet.entries[0].rpartition(":")
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            head = "POST /v1/search HTTP/1.1\r\nHost: x\r\n"
+            head += f"Content-Length: {len(data)}\r\n\r\n"
+            await stream.send_all((head + data).encode())
+            await trio.sleep(0.3)
+
+        async def is_cancelled(fleet: Fleet) -> bool:
+            records = [await fleet.record(place.address) for place in places]
+            return any(record["stops"]["cancelled"] for record in records)
+
+        # Sooner than the search would have ended at the leaf.
+        await wait_until(fleet, is_cancelled, 2.0)
+
+    run_scenario(scenario)
