Answer unknown paths and methods with the typed error

Cause: they got the plain text of the web framework, which does not state whether anything ran.

Ruled out: bad_request, since its status would hide what is wrong.

Before: plain text. After: the test of two unknown paths and one method passes.

Conclusion: every error of the interface has the same form.

--- a/libs/core/src/sapphire_core/errors.py
+++ b/libs/core/src/sapphire_core/errors.py
@@ -75,6 +75,20 @@
     default_remedy = "Use a service of the configuration in force."
 
 
+class NotFoundError(RequestRefusedError):
+    """The interface has no such path."""
+
+    kind = "not_found"
+    status = 404
+    default_remedy = "Use a path and method of the callers' interface."
+
+
+class MethodNotAllowedError(NotFoundError):
+    """The path does not take this method."""
+
+    status = 405
+
+
 class CallerGoneError(SapphireError):
     """The caller closed the connection while its search was running."""
 
--- a/libs/entry/src/sapphire_entry/web.py
+++ b/libs/entry/src/sapphire_entry/web.py
@@ -20,6 +20,8 @@
     DomainOutError,
     KeyConflictError,
     LeavingError,
+    MethodNotAllowedError,
+    NotFoundError,
     OutcomeUnknownError,
     RunState,
     SapphireError,
@@ -134,6 +136,22 @@
         status = 200 if phase is Phase.READY else 503
         return self._reply({"phase": phase.value}, status)
 
+    async def not_found(self, request: Request, error: Exception) -> Response:
+        """Answers a request for an unknown path."""
+        del error
+        return self._refuse(NotFoundError(f"no path {request.url.path!r}."))
+
+    async def not_allowed(self, request: Request, error: Exception) -> Response:
+        """Answers a request with a method that its path does not take."""
+        refusal = MethodNotAllowedError(
+            f"{request.url.path!r} does not take {request.method}."
+        )
+        response = self._refuse(refusal)
+        # HTTP requires the methods that the path takes.
+        headers = getattr(error, "headers", None) or {}
+        response.headers.update(headers)
+        return response
+
     async def _run(self, request: Request, handler: Handler) -> Response:
         account = Account(trio.current_time())
         try:
@@ -300,7 +318,8 @@
             Route("/v1/status", api.status, methods=["GET"]),
             Route("/metrics", api.metrics, methods=["GET"]),
             Route("/readyz", api.readyz, methods=["GET"]),
-        ]
+        ],
+        exception_handlers={404: api.not_found, 405: api.not_allowed},
     )
 
 
--- a/libs/entry/tests/test_web.py
+++ b/libs/entry/tests/test_web.py
@@ -299,3 +299,16 @@
     assert body["revision"] == 1
     reply = await stage.client.call("GET", "/metrics", timeout_s=1)
     assert b"sapphirecross_requests_total{" in reply.body
+
+
+@pytest.mark.parametrize(
+    ("path", "status"), [("/v1/none", 404), ("/", 404), ("/v1/addresses", 405)]
+)
+async def test_unknown_paths_and_methods_get_a_typed_error(stage, path, status):
+    """Guards against a refusal that leaves open whether anything ran."""
+    found, body = await _send(stage, b"{}", path=path)
+    assert found == status
+    assert body["error"]["kind"] == "not_found"
+    assert body["error"]["run"] == "not run"
+    assert body["error"]["message"]
+    assert body["error"]["remedy"]
