Refuse to move a leaf that stays to another failure domain

Cause: the ranking of send rights puts members in the leaf's failure domain first. Daemons adopt a change at different times, so that two members could hold the right for a leaf whose domain changes.

Ruled out: a ranking that keeps the former domain for a while needs state that a restarted member does not have.

Change: sapphirecross-ctl apply compares the document with the one in force and refuses the change; the remedy is to remove the leaf and to add it in a later change, at least 10 s later. check reads no platform and has no document in force to compare with.

Before: such a document was accepted. After: it is refused, nothing is written, and the remedy is accepted.

Conclusion: the command does not enforce the 10 s of the remedy.

--- a/libs/ctl/src/sapphire_ctl/decisions.py
+++ b/libs/ctl/src/sapphire_ctl/decisions.py
@@ -16,6 +16,9 @@
 from sapphire_config.parsing import parse
 from sapphire_core.errors import ChangeRefusedError, SettingsError
 
+# Time within which an accepted change is in force everywhere, in seconds.
+ADOPTION_S = 10
+
 
 @dataclass(frozen=True)
 class Reading:
@@ -94,6 +97,39 @@
     return Verdict.LOST
 
 
+def check_leaf_domains(old: Document, new: Document) -> None:
+    """Refuses to move a leaf that stays to another failure domain.
+
+    The failure domain of a leaf decides which member holds its send right.
+    Daemons adopt a change at different times, so that two members could
+    hold the right for the leaf meanwhile.
+
+    Raises:
+        ChangeRefusedError: The failure domain of a leaf changes.
+    """
+    before, after = _leaf_domains(old), _leaf_domains(new)
+    moved = [
+        address
+        for address, domain in sorted(before.items())
+        if after.get(address, domain) != domain
+    ]
+    if moved:
+        raise ChangeRefusedError(
+            f"the failure domain of {', '.join(moved)} changes while the"
+            " address stays.",
+            "Nothing was changed. Remove the leaf in one change and add it"
+            f" in a later one, at least {ADOPTION_S} s later.",
+        )
+
+
+def _leaf_domains(document: Document) -> dict[str, str]:
+    return {
+        leaf.address: leaf.failure_domain
+        for service in document.services
+        for leaf in service.leaves
+    }
+
+
 class Target(enum.StrEnum):
     """What can be taken out of service; values are document fields."""
 
--- a/libs/ctl/src/sapphire_ctl/operator.py
+++ b/libs/ctl/src/sapphire_ctl/operator.py
@@ -137,6 +137,7 @@
 
         Raises:
             SettingsError: The document is not valid.
+            ChangeRefusedError: A leaf that stays changes its failure domain.
             ConfigConflictError: Another revision is in force.
             PlatformUnavailableError: Nothing was changed.
             ChangeUnknownError: The result is not known.
@@ -148,6 +149,8 @@
             base = await self._read_after_race(seen, expected_revision)
             if base.revision != expected_revision:
                 raise _conflict(base, expected_revision)
+            if base.stored is not None:
+                decisions.check_leaf_domains(base.stored.document, document)
             try:
                 return await self._replace(base, document, change_id)
             except WriteConflictError as error:
--- a/libs/ctl/tests/test_operator.py
+++ b/libs/ctl/tests/test_operator.py
@@ -88,6 +88,32 @@
     assert platform.change_ids == ["seventh", "other8"]
 
 
+def _with_leaf(stored, leaf):
+    """Returns the document as text with another first leaf, or without."""
+    fields = stored.document.model_dump(mode="json")
+    leaves = fields["services"][0]["leaves"]
+    leaves[:1] = [] if leaf is None else [leaf]
+    return json.dumps(fields)
+
+
+def test_leaf_that_stays_keeps_its_failure_domain(fake, stored):
+    """Guards against two holders of a leaf whose ranking changes."""
+    leaf = stored.document.services[0].leaves[0].model_dump(mode="json")
+    domains = stored.document.regions[0].failure_domains
+    other = next(d for d in domains if d != leaf["failure_domain"])
+    moved = _with_leaf(stored, {**leaf, "failure_domain": other})
+    platform = fake.FakePlatform([stored.model_dump_json()], [])
+    with pytest.raises(ChangeRefusedError) as caught:
+        _run(platform, lambda on: on.apply(moved, 7))
+    assert leaf["address"] in caught.value.message
+    assert "at least 10 s later" in caught.value.remedy
+    assert platform.change_ids == ["seventh"]
+    # The remedy: remove it, then add it.
+    removed = _with_leaf(stored, None)
+    assert _run(platform, lambda on: on.apply(removed, 7)).revision == 8
+    assert _run(platform, lambda on: on.apply(moved, 8)).revision == 9
+
+
 def test_edit_is_applied_to_the_winners_revision(fake, stored):
     """Guards against a domain that stays in service after a lost race."""
     race = [fake.Fault.NONE, fake.Fault.RACE]
