--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import json
 import random
+from typing import Any
 
+import pytest
 import trio
 from sapphire_bench.caller import Caller
 from sapphire_bench.fleet import Fleet
+from sapphire_bench.shape import LeafPlace
 from sapphire_standins.corpus import WORDS
-from support import Load, run_scenario, with_load
+from support import Load, run_scenario, wait_until, with_load
 
 CALLS = 600
 CALLERS = 30
-
+CRASH_ROUNDS = 3
+RECOVERY_S = 2.0
 FAULTY_REPLIES = {
     "crossed_share": 0.1,
     "late_share": 0.1,
@@ -138,6 +143,50 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("spacing_ms", [0, 10, 30, 60])
+def test_crash_request_through_every_entry_at_once(spacing_ms):
+    """Guards against entries that each try a crashing request anew."""
+
+    async def scenario(fleet: Fleet) -> None:
+        places = [p for p in fleet.leaves if p.service.name == "toxdesk"]
+        for place in places:
+            await fleet.fault(
+                place.address, crash_word="zzcrash", restart_ms=300
+            )
+        for number in range(CRASH_ROUNDS):
+            before = await count_crashes(fleet, places)
+            body = {
+                "service": "toxdesk",
+                "text": f"zzcrash dossier {number}",
+                "k": 5,
+                "class": "sweep",
+                "deadline_ms": 1500,
+            }
+
+            async def send(entry: str, delay_s: float, body: Any) -> None:
+                await trio.sleep(delay_s)
+                await fleet.call(entry, "POST", "/v1/search", body)
+
+            for _ in range(2):
+                async with trio.open_nursery() as nursery:
+                    for place, entry in enumerate(fleet.entries):
+                        delay_s = place * spacing_ms / 1000
+                        nursery.start_soon(send, entry, delay_s, body)
+            # The leaves restart and their holders find them again.
+            await trio.sleep(RECOVERY_S)
+            crashes = await count_crashes(fleet, places) - before
+            # Section 6.5 of the design.
+            assert 1 <= crashes <= 2, number
+
+    run_scenario(scenario)
+
+
+async def count_crashes(fleet: Fleet, places: list[LeafPlace]) -> int:
+    """Returns how often the leaves have crashed."""
+    records = [await fleet.record(place.address) for place in places]
+    return sum(record["crashes"] for record in records)
+
+
 def test_answers_are_whole_for_concurrent_callers():
     """Guards against answers that reach another caller's request."""
 
@@ -160,3 +209,35 @@
         assert len(load.answers) == CALLS
 
     run_scenario(scenario)
+
+
+def test_caller_that_hangs_up_frees_the_leaves():
+    """Guards against leaves that work on for a caller who has gone."""
+
+    async def scenario(fleet: Fleet) -> None:
+        places = [p for p in fleet.leaves if p.service.name == "toxdesk"]
+        for place in places:
+            await fleet.fault(place.address, service_ms=3000)
+        body = {
+            "service": "toxdesk",
+            "text": "hang up",
+            "k": 5,
+            "class": "sweep",
+            "deadline_ms": 10_000,
+        }
+        data = json.dumps(body)
+        host, _, port = fleet.entries[0].rpartition(":")
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            head = "POST /v1/search HTTP/1.1\r\nHost: x\r\n"
+            head += f"Content-Length: {len(data)}\r\n\r\n"
+            await stream.send_all((head + data).encode())
+            await trio.sleep(0.3)
+
+        async def is_cancelled(fleet: Fleet) -> bool:
+            records = [await fleet.record(place.address) for place in places]
+            return any(record["stops"]["cancelled"] for record in records)
+
+        # Sooner than the search would have ended at the leaf.
+        await wait_until(fleet, is_cancelled, 2.0)
+
+    run_scenario(scenario)
