Send only known batch sizes to a warm leaf that answered slowly

Cause: a trial with a trace of the pauses test showed further falls: after a slow reply the leaf got one request at a time, but of a size never seen. Its time of 63 ms was within five times and, as an extrapolation, within twice the expected 30 ms, so it counted as good and a second request followed.

Ruled out: a second holder; both requests came from the one that held the right.

Change: until the next good reply such a leaf gets only sizes whose time is known. Other warm leaves still get full batches.

--- a/libs/core/src/sapphire_core/window.py
+++ b/libs/core/src/sapphire_core/window.py
@@ -173,6 +173,8 @@
         self._slow_since = math.inf
         # Whether the expected time was taken from a leaf that stayed slow.
         self._is_adopted = False
+        # Whether the last judged reply of the warm leaf was slower than usual.
+        self._is_suspect = False
         self.slack_s = 0.0
         self._state = State.COLD
         self._limit = 1
@@ -231,8 +233,11 @@
         if not self._shape.multi_search:
             return 1
         if self._state is State.WARMING or self._state is State.WARM:
-            return self._shape.max_batch
-        return self._cold_queries()
+            most = self._shape.max_batch
+            return self._known_queries(most) if self._is_suspect else most
+        return self._known_queries(
+            min(self._shape.cold_batch, self._shape.max_batch)
+        )
 
     def overdue_at(self) -> float:
         """Returns when the oldest running request is overdue, or inf."""
@@ -336,13 +341,12 @@
             return 0
         return self._limit
 
-    def _cold_queries(self) -> int:
-        """Returns how many queries a request to the cold leaf may carry.
+    def _known_queries(self, most: int) -> int:
+        """Returns the greatest size up to most whose time is known.
 
         The expected time of a size never seen is only an upper bound, within
         which a cold leaf may answer; such a reply would not show warmth.
         """
-        most = min(self._shape.cold_batch, self._shape.max_batch)
         if self._warm_estimate.is_empty and self._prior.is_empty:
             return most
         while most > 1 and not (
@@ -381,6 +385,7 @@
             return
         self._paused_until = -math.inf
         self._pause_s = 0.0
+        self._is_suspect = False
         self._limit = min(self._limit + 1, self._shape.slots)
         full = self._limit == self._shape.slots
         self._state = State.WARM if full else State.WARMING
@@ -397,6 +402,7 @@
         del now
         if self._state in (State.WARM, State.WARMING):
             self._limit = self._cold_limit()
+            self._is_suspect = True
 
     def _on_lost(self, now: float) -> None:
         if self._is_adopted:
--- a/libs/core/tests/test_window.py
+++ b/libs/core/tests/test_window.py
@@ -158,6 +158,16 @@
     assert window.max_queries() == 4
 
 
+def test_slower_warm_leaf_gets_only_batches_whose_time_is_known():
+    """Guards against two requests after a cold reply to an unknown size."""
+    window, now = _warm_window()
+    assert window.max_queries() == Shape().max_batch
+    now = _run(window, now, WARM_S * SLOW_FACTOR * 0.9)
+    assert (window.max_queries(), window.free_slots(now)) == (1, 1)
+    now = _run(window, now, WARM_S)
+    assert window.max_queries() == Shape().max_batch
+
+
 def test_time_starts_at_the_send():
     """Guards against slow replies that are the opening of connections."""
     window, now = _warm_window()
