Give a suspect the leaf to itself, and set the expected time of a leaf

A service whose usual time is above 20 ms counted as cold for 120 s after a start. Ruled out: counting no crash of a shared leaf (a third leaf could be lost). Change: a suspect waits until the leaf is idle and runs alone on it; only the loss of a batch that had the leaf to itself counts a second time. The document has leaf.expected_ms. Conclusion: a harmless query is not blamed for its neighbour.

--- a/libs/aggregator/src/sapphire_aggregator/backlog.py
+++ b/libs/aggregator/src/sapphire_aggregator/backlog.py
@@ -123,9 +123,21 @@
 
 
 class Batch:
-    """Items that go to the leaf in one request."""
+    """Items that go to the leaf in one request.
 
-    __slots__ = ("alone", "items", "on_abandoned", "shard", "version")
+    Attributes:
+        alone: Whether the batch holds a single query on purpose.
+        exclusive: Whether nothing else runs on the leaf meanwhile.
+    """
+
+    __slots__ = (
+        "alone",
+        "exclusive",
+        "items",
+        "on_abandoned",
+        "shard",
+        "version",
+    )
 
     def __init__(
         self, version: str, shard: int, items: list[Item], alone: bool
@@ -134,6 +146,7 @@
         self.shard = shard
         self.items = items
         self.alone = alone
+        self.exclusive = False
         self.on_abandoned: Callable[[], None] | None = None
         for item in items:
             for call in item.calls:
--- a/libs/aggregator/src/sapphire_aggregator/leaves.py
+++ b/libs/aggregator/src/sapphire_aggregator/leaves.py
@@ -27,6 +27,7 @@
         cold_concurrency=shape.cold_concurrency,
         cold_batch=shape.cold_batch,
         multi_search=shape.multi_search,
+        expected_s=shape.expected_ms / 1000,
     )
 
 
--- a/libs/aggregator/src/sapphire_aggregator/link.py
+++ b/libs/aggregator/src/sapphire_aggregator/link.py
@@ -164,6 +164,11 @@
         # used them.
         self._starting = 0
         self._granted = 0
+        # A suspect runs alone on the leaf, so that a lost connection can't
+        # put the blame on the queries next to it.
+        self._suspect_runs = False
+        self._suspect_waits = False
+        self._sole: Batch | None = None
         self._is_held = False
         self._lost_at = -math.inf
         self._is_out = False
@@ -253,7 +258,7 @@
         """Starts a request if a slot is free and something waits."""
         now = trio.current_time()
         self._window.slack_s = self._context.lag.recent_s
-        free = self._window.free_slots(now) - self._starting - self._granted
+        free = self._free_slots(now) - self._starting - self._granted
         while free > 0 and self._submitters:
             self._submitters.popleft().set()
             self._granted += 1
@@ -414,15 +419,29 @@
 
     def _take(self) -> Batch | None:
         now = trio.current_time()
+        if self._is_idle():
+            self._suspect_waits = False
         wanted = self._granted + len(self._submitters)
-        if self._window.free_slots(now) <= wanted:
+        if self._free_slots(now) <= wanted:
             self.pump()
             return None
         return self._backlog.take(
             self._window.max_queries(), now, self._how_to_run
         )
 
+    def _is_idle(self) -> bool:
+        return not self._window.running and not self._granted
+
+    def _free_slots(self, now: float) -> int:
+        if self._suspect_runs:
+            return 0
+        if self._suspect_waits and not self._is_idle():
+            return 0
+        return self._window.free_slots(now)
+
     def _how_to_run(self, item: Item) -> Admit:
+        if self._suspect_waits:
+            return Admit.LATER
         flights = self._context.flights
         fingerprint = item.query.fingerprint
         verdict = self._context.quarantine.verdict(
@@ -431,16 +450,23 @@
         how = admit(item, verdict, flights)
         if how is Admit.LATER:
             flights.call_when_free(fingerprint, self.pump)
+        is_suspect = how is Admit.ALONE and verdict is Verdict.SUSPECT
+        if is_suspect and not self._is_idle():
+            self._suspect_waits = True
+            return Admit.LATER
         return how
 
     async def _run_batch(self, batch: Batch) -> None:
         started = trio.current_time()
         token = self._window.start(started, len(batch.items))
-        # Others may start while this one runs.
-        self.pump()
         fingerprint = batch.items[0].query.fingerprint
         if batch.alone:
             self._context.flights.enter(fingerprint)
+            verdict = self._context.quarantine.verdict(fingerprint, started)
+            self._suspect_runs = verdict is Verdict.SUSPECT
+        self._note_start(batch)
+        # Others may start while this one runs.
+        self.pump()
         evidence = Evidence.NEUTRAL
         try:
             evidence = await self._send(batch, started, token)
@@ -450,10 +476,22 @@
             self._window.slack_s = self._context.lag.recent_s
             self._window.finish(token, trio.current_time(), evidence)
             if batch.alone:
+                # A suspect keeps the leaf to itself, so no other batch that
+                # runs alone can end meanwhile.
+                self._suspect_runs = False
                 self._context.flights.leave(fingerprint)
         self._log_state()
         self._end_if_unusable()
 
+    def _note_start(self, batch: Batch | None) -> None:
+        """Notes which batch, if any, has the leaf to itself."""
+        if self._sole is not None:
+            self._sole.exclusive = False
+        self._sole = None
+        if batch is not None and batch.alone and self._window.running == 1:
+            batch.exclusive = True
+            self._sole = batch
+
     async def _send(self, batch: Batch, started: float, token: int) -> Evidence:
         """Sends a batch and delivers its results."""
         batch_id = self._context.next_batch_id()
@@ -564,7 +602,7 @@
         quarantine = self._context.quarantine
         for item in batch.items:
             fingerprint = item.query.fingerprint
-            verdict = quarantine.crashed(fingerprint, now, batch.alone)
+            verdict = quarantine.crashed(fingerprint, now, batch.exclusive)
             if verdict is Verdict.QUARANTINED:
                 metrics.QUARANTINED.inc()
                 log.quarantined(fingerprint, self.service, self.address)
@@ -589,6 +627,7 @@
         if not turn.is_set():
             raise LeafUnreachableError("no slot was free in time.")
         token = self._window.start(trio.current_time(), 0)
+        self._note_start(None)
 
         def end(evidence: Evidence) -> None:
             self._window.finish(token, trio.current_time(), evidence)
--- a/libs/aggregator/tests/fakes.py
+++ b/libs/aggregator/tests/fakes.py
@@ -29,6 +29,7 @@
         self.errors = {}
         self.running = 0
         self.most_running = 0
+        self.beside = {}
         self.draining = False
 
     async def search(self, batch_id, version, shard, queries, *, remaining):
@@ -37,6 +38,8 @@
         self.batches.append(texts)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
+        for text in texts:
+            self.beside[text] = self.running - 1
         try:
             await trio.sleep(self.seconds)
         finally:
--- a/libs/aggregator/tests/test_link.py
+++ b/libs/aggregator/tests/test_link.py
@@ -127,6 +127,32 @@
     _run(main)
 
 
+def test_suspect_has_the_leaf_to_itself():
+    """Guards against a harmless query blamed for its neighbour's crash."""
+
+    async def main():
+        client, ended = FakeClient(), []
+        async with trio.open_nursery() as nursery:
+            context = make_context(nursery)
+            link = make_link(context, client)
+            await _warm_up(link)
+            now = trio.current_time()
+            context.quarantine.crashed("suspect", now, False)
+            client.beside.clear()
+            client.batches.clear()
+            _add(link, ended, "running")
+            await trio.sleep(0.003)
+            _add(link, ended, "suspect")
+            await trio.sleep(0.003)
+            _add(link, ended, "next", canary=True)
+            await trio.sleep(2)
+        assert client.beside == {"running": 0, "suspect": 0, "next": 0}
+        assert client.batches == [["running"], ["suspect"], ["next"]]
+        assert len(ended) == 3
+
+    _run(main)
+
+
 def test_canary_runs_alone_and_one_at_a_time():
     """Guards against two leaves that run an unknown request at once."""
 
--- a/libs/config/src/sapphire_config/document.py
+++ b/libs/config/src/sapphire_config/document.py
@@ -152,6 +152,16 @@
     cold_batch: int = Field(
         4, ge=1, le=64, description="Queries in one call to a cold leaf."
     )
+    expected_ms: float = Field(
+        10.0,
+        gt=0,
+        le=60_000,
+        description=(
+            "Time in milliseconds of one query on a warm leaf, used until one"
+            " has been measured. If it is set too low, a leaf that is warm"
+            " counts as cold for up to 120 s after all aggregators started."
+        ),
+    )
 
 
 class RequestClass(Model):
--- a/libs/core/src/sapphire_core/window.py
+++ b/libs/core/src/sapphire_core/window.py
@@ -27,8 +27,6 @@
 # Below these times the scheduling of this process decides, not the leaf.
 MIN_OVERDUE_S = 0.01
 MIN_GOOD_S = 0.002
-# Used until a leaf of the service is known to be warm.
-DEFAULT_EXPECTED_S = 0.01
 SHED_PAUSE_S = 0.05
 MAX_SHED_PAUSE_S = 1.0
 DOWN_PAUSE_S = 0.25
@@ -83,6 +81,8 @@
     cold_concurrency: int = 1
     cold_batch: int = 4
     multi_search: bool = True
+    # Taken as the time of a warm leaf until a warm one has answered.
+    expected_s: float = 0.01
 
 
 class Estimate:
@@ -365,7 +365,7 @@
         if own is not None:
             return own
         prior = self._prior.expected_s(queries)
-        return DEFAULT_EXPECTED_S if prior is None else prior
+        return self._shape.expected_s if prior is None else prior
 
     def _overdue_s(self, queries: int) -> float:
         slow_s = SLOW_FACTOR * self._warm_s(queries)
