Choose canary leaves in the same order on every entry

Entries sorted the canary's leaves by readiness, which they may see differently while leaves become warm, so equal canaries could go to different leaves. Change: the order of canary leaves ignores readiness. Conclusion: likely cause removed; a rarer one is not excluded.

--- a/libs/entry/src/sapphire_entry/gather.py
+++ b/libs/entry/src/sapphire_entry/gather.py
@@ -513,9 +513,9 @@
             for replica in self._map.shards[shard].replicas
             if replica.is_usable
         }
-        order = [usable[a] for a in ranking(self._fingerprint, usable)]
-        order.sort(key=lambda replica: not replica.is_ready)
-        return order
+        # Entries may see a leaf in different states. Readiness is ignored, so
+        # that they choose the same leaf and its holder sees their canaries.
+        return [usable[a] for a in ranking(self._fingerprint, usable)]
 
     def _next_canary(
         self, now: float, reason: str, *, hedge: bool = False
