Do not wait for the next holder of a leaf that is down

Cause: a view without a leaf's index releases its holder, and a shard whose leaves have no holder is waited for during a handover. The demonstration with a lost shard took 1,486 ms of a 1,500 ms deadline. Ruled out: the retry of the lost leaf (answers before the next view took 30 ms). Change: a leaf whose last state was down is not waited for. Conclusion: a lost shard is named at once.

--- a/libs/core/src/sapphire_core/shardmap.py
+++ b/libs/core/src/sapphire_core/shardmap.py
@@ -92,10 +92,15 @@
             self.released_at = now
 
     def is_moving(self, now: float) -> bool:
-        """Whether the leaf's send right is on its way to the next holder."""
+        """Whether the leaf's send right is on its way to the next holder.
+
+        A leaf that was down will not answer its next holder either, and
+        waiting for it would delay the answer to the deadline.
+        """
         return (
             self.holder is None
             and self.in_service
+            and self.state is not ReplicaState.DOWN
             and now - self.released_at < HANDOVER_S
         )
 
--- a/libs/core/tests/test_shardmap.py
+++ b/libs/core/tests/test_shardmap.py
@@ -42,6 +42,15 @@
     assert plan(leaves).version == "v1"
 
 
+def test_down_leaf_is_not_waited_for():
+    """Guards against an answer held until the deadline for a lost shard."""
+    leaf = _leaf("a", ("v1", 0, 1, 5))
+    leaf.release(10.0)
+    assert leaf.is_moving(10.1)
+    leaf.state = ReplicaState.DOWN
+    assert not leaf.is_moving(10.1)
+
+
 def test_down_leaf_keeps_its_documents_in_the_total():
     """Guards against a lost shard that no longer counts as missing."""
     leaves = [
