Remove three functions that nothing calls

Cause: a read of the whole change found Coverage.is_answered, the submissions' unfinished property and views.entry_record without a caller. Ruled out: adoption.resolve_write, which the specification's walk uses, though sapphirecross-ctl has its own settling of lost answers; joining the two changes a test and waits. Change: the three are gone. Before/after: lint, types and the 179 tests of core and entry pass. Conclusion: no behaviour changes.

--- a/libs/core/src/sapphire_core/coverage.py
+++ b/libs/core/src/sapphire_core/coverage.py
@@ -60,10 +60,6 @@
             and self.documents_answered == self.documents_total
         )
 
-    def is_answered(self, shard: int) -> bool:
-        """Whether the shard was merged."""
-        return shard in self._answered
-
     def answer(self, shard: int, documents: int) -> None:
         """Counts a merged shard; the first reply for a shard counts.
 
--- a/libs/entry/src/sapphire_entry/submit.py
+++ b/libs/entry/src/sapphire_entry/submit.py
@@ -146,11 +146,6 @@
         self._unfinished = 0
         self._idle = trio.Event()
 
-    @property
-    def unfinished(self) -> int:
-        """Answered submissions whose claim is not yet up to date."""
-        return self._unfinished
-
     async def wait_idle(self) -> None:
         """Returns when all claims of answered requests are up to date."""
         while self._unfinished:
--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -19,7 +19,7 @@
     plan,
 )
 from sapphire_wire.channel import Peer
-from sapphire_wire.gen.ttypes import EntryRecord, Frame, View
+from sapphire_wire.gen.ttypes import Frame, View
 
 POLL_S = 0.5
 # Queries that find stale views ask for new ones at most this often.
@@ -327,16 +327,3 @@
             listener()
         self._replied.set()
         self._replied = trio.Event()
-
-
-def entry_record(
-    address: str, vm: str, failure_domain: str, *, ready: bool, stamp: int
-) -> Any:
-    """Returns what an entry announces about itself."""
-    return EntryRecord(
-        address=address,
-        vm=vm,
-        failure_domain=failure_domain,
-        ready=ready,
-        stamp=stamp,
-    )
