--- a/Makefile
+++ b/Makefile
@@ -30,11 +30,12 @@
 
 types: setup
 	$(BIN)/mypy $(wildcard libs/*/src)
+	MYPYPATH=platform $(BIN)/mypy --explicit-package-bases platform/run.py platform/adapter
 
 # The tests with whole fleets run one after the other: each needs several
 # cores, and deadlines are missed when more fleets run than cores allow.
 unit: setup
-	$(BIN)/python -m pytest -n 4 libs
+	$(BIN)/python -m pytest -n 4 libs platform
 	$(BIN)/python -m pytest tests
 
 model: setup
--- /dev/null
+++ b/libs/core/src/sapphire_core/choice.py
@@ -0,0 +1,158 @@
+"""Choice of the leaf that gets a call, from what earlier calls have shown."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+# Weight of a new sample in the slowness of a leaf.
+SLOWNESS_WEIGHT = 0.3
+# A leaf that gets no calls is taken to be as fast as the others again after
+# about this time, so that a former straggler gets a chance.
+SLOWNESS_MEMORY_S = 3.0
+MAX_SLOWNESS = 30.0
+# A failed call counts like this much slowness, as a failure is repeated.
+FAILURE_SLOWNESS = 8.0
+# What a leaf reports of other callers' requests holds for about this time.
+REPORT_MEMORY_S = 0.2
+# A leaf in another failure domain costs as much as this part of a call.
+FAR_PART = 0.5
+# A cold leaf is slower than a warm one by about this factor.
+COLD_FACTOR = 2.0
+# A leaf that can't be reached is tried again after this time, doubled at each
+# failure up to the longest.
+FIRST_RETRY_S = 0.2
+LONGEST_RETRY_S = 2.0
+
+
+@dataclass(slots=True)
+class LeafLoad:
+    """What this VM knows about the load and speed of one leaf.
+
+    Attributes:
+        slots: Requests that the leaf runs concurrently.
+        waiting: Send times of the calls without a reply, oldest first.
+        slowness: Reply time as a multiple of the expected one.
+    """
+
+    slots: int
+    waiting: dict[int, float] = field(default_factory=dict)
+    slowness: float = 1.0
+    slowness_at: float = 0.0
+    others: float = 0.0
+    others_at: float = 0.0
+    down_until: float = 0.0
+    down_backoff_s: float = 0.0
+
+    def sent(self, call: int, now: float) -> None:
+        """Counts a call that was sent."""
+        self.waiting[call] = now
+
+    def replied(
+        self, call: int, elapsed_s: float, expected_s: float, now: float
+    ) -> None:
+        """Counts a good reply."""
+        self.waiting.pop(call, None)
+        self.down_backoff_s = 0.0
+        self.down_until = 0.0
+        self._sample(elapsed_s / expected_s, now)
+
+    def failed(self, call: int, now: float) -> None:
+        """Counts a call that ended without a good reply."""
+        self.waiting.pop(call, None)
+        self._sample(FAILURE_SLOWNESS, now)
+
+    def unreachable(self, now: float) -> None:
+        """Notes that the leaf refuses connections or is silent."""
+        self.down_backoff_s = min(
+            LONGEST_RETRY_S, max(FIRST_RETRY_S, 2 * self.down_backoff_s)
+        )
+        self.down_until = now + self.down_backoff_s
+
+    def reported(self, running: int, queued: int, now: float) -> None:
+        """Takes the load that the leaf reports, own calls included."""
+        self.others = max(0.0, running + queued - len(self.waiting) - 1)
+        self.others_at = now
+
+    def is_down(self, now: float) -> bool:
+        """Returns whether the leaf should not be tried yet."""
+        return now < self.down_until
+
+    def slowness_now(self, now: float) -> float:
+        """Returns the slowness, which fades without samples."""
+        age = max(0.0, now - self.slowness_at)
+        return 1.0 + (self.slowness - 1.0) * math.exp(-age / SLOWNESS_MEMORY_S)
+
+    def overdue_s(self, expected_s: float, now: float) -> float:
+        """Returns how long the oldest call has been waiting beyond its time.
+
+        A paused leaf answers nothing; the longer it has been silent, the
+        longer the rest of its pause is expected to be.
+        """
+        if not self.waiting:
+            return 0.0
+        oldest = next(iter(self.waiting.values()))
+        usual = 2.0 * expected_s * self.slowness_now(now)
+        return max(0.0, now - oldest - usual)
+
+    def _sample(self, ratio: float, now: float) -> None:
+        ratio = min(ratio, MAX_SLOWNESS)
+        before = self.slowness_now(now)
+        self.slowness = before + SLOWNESS_WEIGHT * (ratio - before)
+        self.slowness_at = now
+
+
+@dataclass(frozen=True, slots=True)
+class Prospect:
+    """A leaf that may get a call, as seen at the time of the choice.
+
+    Attributes:
+        load: What is known about the leaf.
+        is_near: It is in this VM's failure domain.
+        is_cold: It is warming up.
+        connect_s: Time to open a connection, or 0 if one is free.
+    """
+
+    load: LeafLoad
+    is_near: bool
+    is_cold: bool
+    connect_s: float
+
+
+def expected_cost(prospect: Prospect, expected_s: float, now: float) -> float:
+    """Returns the expected reply time in seconds, with a charge for distance.
+
+    Args:
+        prospect: The leaf.
+        expected_s: Median reply time of such calls.
+        now: Present time in seconds.
+    """
+    load = prospect.load
+    fading = math.exp(-max(0.0, now - load.others_at) / REPORT_MEMORY_S)
+    ahead = len(load.waiting) + load.others * fading
+    run_s = expected_s * load.slowness_now(now)
+    if prospect.is_cold:
+        run_s *= COLD_FACTOR
+    cost = run_s * max(1.0, (ahead + 1.0) / load.slots)
+    cost += load.overdue_s(expected_s, now) + prospect.connect_s
+    if not prospect.is_near:
+        cost += FAR_PART * expected_s
+    return cost
+
+
+def order(
+    prospects: list[Prospect], expected_s: float, now: float
+) -> list[int]:
+    """Returns the indices of the prospects, best first.
+
+    Leaves that can't be reached come last; the one to be tried next leads
+    them.
+    """
+
+    def key(index: int) -> tuple[bool, float]:
+        load = prospects[index].load
+        if load.is_down(now):
+            return True, load.down_until
+        return False, expected_cost(prospects[index], expected_s, now)
+
+    return sorted(range(len(prospects)), key=key)
--- a/libs/core/src/sapphire_core/latency.py
+++ b/libs/core/src/sapphire_core/latency.py
@@ -25,16 +25,19 @@
 class RunningQuantile:
     """Estimates one quantile within about 9 percent (1/8 octave)."""
 
-    def __init__(self, quantile: float = 0.95) -> None:
+    def __init__(
+        self, quantile: float = 0.95, default_ms: float = DEFAULT_MS
+    ) -> None:
         """Starts without samples.
 
         Args:
             quantile: Between 0 and 1.
+            default_ms: The estimate before there are enough samples.
         """
         self._quantile = quantile
         self._counts = [0.0] * _COUNT
         self._total = 0.0
-        self._value = DEFAULT_MS
+        self._value = default_ms
         self._stale = 0
 
     @property
--- /dev/null
+++ b/libs/core/src/sapphire_core/margin.py
@@ -0,0 +1,66 @@
+"""How long before its aim an answer must leave to arrive in time."""
+
+from __future__ import annotations
+
+import collections
+
+# Samples of how late answers left that are kept.
+SAMPLES = 64
+# Part of the answers that should leave in time.
+QUANTILE = 0.9
+# Assumptions before there are samples.
+DEFAULT_LATE_S = 0.003
+DEFAULT_ONE_WAY_S = 0.001
+_WEIGHT = 0.1
+# A caller that sends nothing for longer after connecting says nothing about
+# the way.
+LONGEST_ROUND_TRIP_S = 0.02
+
+
+class AnswerMargin:
+    """Learns the time between the decision to answer and the arrival.
+
+    The time of a request before it is read counts as well: the caller's
+    clock starts when it begins to connect.
+    """
+
+    def __init__(self) -> None:
+        self._one_way_s = DEFAULT_ONE_WAY_S
+        self._late: collections.deque[float] = collections.deque(maxlen=SAMPLES)
+        self._late_s = DEFAULT_LATE_S
+
+    @property
+    def one_way_s(self) -> float:
+        """Estimated time from this VM to a caller."""
+        return self._one_way_s
+
+    @property
+    def late_s(self) -> float:
+        """Time by which answers leave after the planned time."""
+        return self._late_s
+
+    def connected(self, round_trip_s: float) -> None:
+        """Takes the time from accepting a connection to its first bytes."""
+        if round_trip_s <= LONGEST_ROUND_TRIP_S:
+            change = round_trip_s / 2 - self._one_way_s
+            self._one_way_s += _WEIGHT * change
+
+    def left(self, late_s: float) -> None:
+        """Takes how long after the planned time an answer was sent."""
+        self._late.append(max(0.0, late_s))
+        ordered = sorted(self._late)
+        index = min(len(ordered) - 1, int(QUANTILE * len(ordered)))
+        self._late_s = ordered[index]
+
+    def before_s(self, is_first: bool) -> float:
+        """Returns the time that a request has used when it is read.
+
+        Args:
+            is_first: It is the first one on its connection, so that
+                connecting took a round trip before.
+        """
+        return self._one_way_s * (3 if is_first else 1)
+
+    def after_s(self) -> float:
+        """Returns the time from the planned answer to its arrival."""
+        return self._one_way_s + self._late_s
--- /dev/null
+++ b/libs/core/src/sapphire_core/members.py
@@ -0,0 +1,128 @@
+"""VMs of the fleet, and the addresses that callers are told."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+# A member whose entry vanished is still named for this time: after an outage
+# of the store all entries vanish and are written again.
+VANISHED_GRACE_S = 1.5
+# The number of members is the largest of this last time, so that the shares
+# of limits don't grow when entries vanish for a moment.
+COUNT_MEMORY_S = 30.0
+# A failure domain whose leaves number less than this part of the largest
+# one's is not named to callers while others are.
+LEAF_DOMAIN_PART = 0.5
+# Fewest VMs named to a caller, so that the loss of one leaves another.
+LEAST_NAMED = 2
+MOST_NAMED = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A VM of the fleet.
+
+    Attributes:
+        name: Name of the VM.
+        address: Where callers connect.
+        domain: Failure domain.
+        leaving: It is being stopped and must not be named.
+    """
+
+    name: str
+    address: str
+    domain: str
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class _Known:
+    member: Member
+    vanished_at: float | None = None
+
+
+class Members:
+    """Members by name; times are seconds of one monotonic clock."""
+
+    def __init__(self, self_name: str) -> None:
+        self._self_name = self_name
+        self._known: dict[str, _Known] = {}
+        self._peak = 1
+        self._peak_at = 0.0
+
+    def put(self, member: Member) -> None:
+        """Takes a member's entry."""
+        self._known[member.name] = _Known(member)
+
+    def remove(self, name: str, now: float) -> None:
+        """Notes that a member's entry has vanished."""
+        known = self._known.get(name)
+        if known is not None and known.vanished_at is None:
+            known.vanished_at = now
+
+    def retain(self, names: set[str], now: float) -> None:
+        """Removes each member that a full listing does not contain."""
+        for name in self._known.keys() - names:
+            self.remove(name, now)
+
+    def live(self, now: float) -> list[Member]:
+        """Returns the members that callers may be sent to."""
+        for name in [n for n, k in self._known.items() if _is_gone(k, now)]:
+            del self._known[name]
+        return [
+            known.member
+            for known in self._known.values()
+            if not known.member.leaving
+        ]
+
+    def names(self, now: float) -> list[str]:
+        """Returns the names of the live members and of this VM."""
+        return sorted({m.name for m in self.live(now)} | {self._self_name})
+
+    def count(self, now: float) -> int:
+        """Returns the largest number of members in the last 30 s."""
+        present = len(self.names(now))
+        if present >= self._peak or now - self._peak_at > COUNT_MEMORY_S:
+            self._peak = present
+            self._peak_at = now
+        return self._peak
+
+
+def _is_gone(known: _Known, now: float) -> bool:
+    if known.vanished_at is None:
+        return False
+    return now - known.vanished_at >= VANISHED_GRACE_S
+
+
+def serving_domains(leaf_counts: Mapping[str, int]) -> set[str]:
+    """Returns the failure domains that hold the leaves.
+
+    An entry next to the leaves sends the parts of a search within its domain;
+    only the merged answer crosses to the caller.
+    """
+    most = max(leaf_counts.values(), default=0)
+    return {
+        domain
+        for domain, count in leaf_counts.items()
+        if count >= most * LEAF_DOMAIN_PART
+    }
+
+
+def named_to(
+    caller_domain: str, live: list[Member], leaf_counts: Mapping[str, int]
+) -> list[Member]:
+    """Returns the members that a caller of a failure domain should use.
+
+    Args:
+        caller_domain: The caller's failure domain.
+        live: Members that may be named.
+        leaf_counts: Usable leaves of sharded services by failure domain.
+    """
+    domains = serving_domains(leaf_counts)
+    near = [m for m in live if m.domain in domains] or live
+    own = [m for m in near if m.domain == caller_domain]
+    chosen = own if len(own) >= LEAST_NAMED else near
+    if len(chosen) < LEAST_NAMED:
+        chosen = live
+    return sorted(chosen, key=lambda m: m.name)[:MOST_NAMED]
--- /dev/null
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -0,0 +1,112 @@
+"""Calls to leaves: what is sent, and what a reply means."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from sapphire_core.fanout import Failure
+
+from sapphire_gateway.dialect import Dialect
+from sapphire_gateway.messages import Reply
+
+MISDIRECTED = 421
+_NUMBERS = itertools.count(1)
+
+
+@dataclass(frozen=True, slots=True)
+class CallEnd:
+    """How a call ended.
+
+    Attributes:
+        reply: The leaf's own reply, if a whole one arrived.
+        failure: Why the reply is no success, or None.
+        detail: Reason for the log.
+        was_sent: Whether a byte of the request may have reached the leaf.
+        is_silent: Whether nothing at all came back.
+    """
+
+    reply: Reply | None
+    failure: Failure | None
+    detail: str = ""
+    was_sent: bool = True
+    is_silent: bool = False
+
+
+@dataclass(slots=True)
+class Call:
+    """One request to one leaf.
+
+    Attributes:
+        payload: Bytes of the request.
+        request_id: Identity that the reply must repeat.
+        is_to_head: The method is HEAD.
+        needs_fresh: The request must not meet a connection that the leaf may
+            have dropped, since it can't be repeated.
+        expires_at: Time after which nobody waits for the reply.
+        on_end: Called once with the outcome.
+        created_at: Time of the decision to send.
+        sent_at: Time of the first byte, or 0.
+        is_cancelled: The caller has left, so that the outcome says nothing
+            about the leaf.
+    """
+
+    payload: bytes
+    request_id: bytes
+    is_to_head: bool
+    needs_fresh: bool
+    expires_at: float
+    on_end: Callable[[CallEnd], None]
+    created_at: float
+    sent_at: float = 0.0
+    is_over: bool = False
+    is_cancelled: bool = False
+    number: int = field(default_factory=lambda: next(_NUMBERS))
+
+    def end(self, end: CallEnd) -> None:
+        """Reports the outcome; later ones are ignored."""
+        if not self.is_over:
+            self.is_over = True
+            self.on_end(end)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load that a leaf reports."""
+
+    running: int
+    queued: int
+
+
+def judge(reply: Reply, call: Call, dialect: Dialect) -> CallEnd:
+    """Decides what a whole reply says about the call."""
+    echoed = reply.get(dialect.request_id.lower())
+    if echoed is not None and echoed != call.request_id:
+        return CallEnd(None, Failure.LOST, "reply to another request")
+    if reply.status == MISDIRECTED:
+        return CallEnd(reply, Failure.NOT_RUN, "another leaf answered")
+    if reply.get(dialect.not_run.lower()) is not None:
+        return CallEnd(reply, Failure.NOT_RUN, f"rejected with {reply.status}")
+    if not reply.is_success:
+        if reply.get(dialect.signature.lower()) is None:
+            detail = f"unsigned reply {reply.status}"
+            return CallEnd(None, Failure.LOST, detail)
+        return CallEnd(reply, Failure.ANSWERED, f"answered {reply.status}")
+    if reply.get(dialect.signature.lower()) is None:
+        return CallEnd(None, Failure.LOST, "success without signature")
+    if reply.get(b"content-encoding") is not None:
+        return CallEnd(None, Failure.LOST, "encoded body")
+    return CallEnd(reply, None)
+
+
+def load_report(reply: Reply, dialect: Dialect) -> LoadReport | None:
+    """Returns the load that a reply reports, or None."""
+    value = reply.get(dialect.load.lower())
+    if value is None:
+        return None
+    numbers = value.split(b",")
+    try:
+        return LoadReport(int(numbers[0]), int(numbers[1]))
+    except (ValueError, IndexError):
+        return None
--- /dev/null
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -0,0 +1,250 @@
+"""The gateway process: starts, serves, reloads and leaves."""
+
+from __future__ import annotations
+
+import functools
+import signal
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import trio
+from sapphire_core.retrybudget import BudgetTerms
+from sapphire_core.routing import ClientLimits
+
+from sapphire_gateway import telemetry
+from sapphire_gateway.belief import Belief
+from sapphire_gateway.callers import Caller, CallerServer
+from sapphire_gateway.dialect import Dialect
+from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.gateway import Gateway
+from sapphire_gateway.messages import Answer, Request
+from sapphire_gateway.pool import LeafPool
+from sapphire_gateway.store import MemberValue, Store
+from sapphire_gateway.sync import Sync
+
+TICK_S = 0.25
+# A tick that is later than this means that the VM stood still.
+PAUSE_S = 1.0
+# Callers keep the addresses they were told for this long, some three times
+# as long.
+ADDRESSES_KEEP_S = 1.0
+# A stopping VM serves callers with old addresses for at least this long.
+LEAVE_AFTER_S = 3.2
+# Left of the time to stop when the last requests get a final answer.
+STOP_MARGIN_S = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Settings of a gateway process.
+
+    Attributes:
+        name: Name of the VM.
+        domain: Failure domain of the VM.
+        callers_address: Where callers connect.
+        budget: Limit of extra calls over all VMs.
+        grace_s: Time from SIGTERM to SIGKILL.
+        metrics_address: Where metrics are served, or None.
+    """
+
+    name: str
+    domain: str
+    callers_address: str
+    budget: BudgetTerms
+    grace_s: float
+    metrics_address: str | None
+
+
+ExtraHandler = Callable[["GatewayDaemon", Request], Answer]
+
+
+@dataclass(frozen=True, slots=True)
+class ExtraListener:
+    """A further address of the process, answered without leaves."""
+
+    name: str
+    address: str
+    handler: ExtraHandler
+
+
+class GatewayDaemon:
+    """Holds the parts of a gateway process together."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        store: Store,
+        extras: list[ExtraListener],
+        reload_settings: Callable[[], None],
+    ) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._store = store
+        self._extras = extras
+        self._reload_settings = reload_settings
+        self._belief = Belief(settings.name)
+        self._is_leaving = False
+        self._fleet: Fleet | None = None
+        self._gateway: Gateway | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return not self._is_leaving and self._belief.configuration is not None
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the process is being stopped."""
+        return self._is_leaving
+
+    def addresses_for(self, caller_domain: str) -> list[str]:
+        """Returns the addresses that a caller should use, possibly none."""
+        if self._fleet is None:
+            return []
+        now = trio.current_time()
+        named = self._fleet.named_to(caller_domain, now)
+        if not named and self.is_ready:
+            return [self._settings.callers_address]
+        return [member.address for member in named]
+
+    def set_budget(self, terms: BudgetTerms) -> None:
+        """Adopts another limit of extra calls."""
+        if self._fleet is not None:
+            self._fleet.budget.set_terms(terms)
+
+    async def run(self) -> None:
+        """Runs until SIGTERM and a graceful stop."""
+        telemetry.event("start", vm=self._settings.name)
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGHUP
+        ) as signals:
+            async with trio.open_nursery() as nursery:
+                await self._serve(nursery, signals)
+                nursery.cancel_scope.cancel()
+        telemetry.event("stop", vm=self._settings.name)
+
+    async def _serve(
+        self, nursery: trio.Nursery, signals: AsyncIterator[int]
+    ) -> None:
+        self._store.start(nursery)
+        pool = LeafPool(nursery, self._dialect)
+        fleet = Fleet(
+            self._belief,
+            pool,
+            self._dialect,
+            self._settings.domain,
+            self._settings.budget,
+            trio.current_time(),
+        )
+        gateway = Gateway(fleet)
+        self._fleet = fleet
+        self._gateway = gateway
+        server = CallerServer(
+            gateway.handle, self._limits, self._closes, gateway.sent
+        )
+        await nursery.start(server.serve, self._settings.callers_address)
+        for extra in self._extras:
+            await self._listen(nursery, extra)
+        if self._settings.metrics_address is not None:
+            metrics = ExtraListener(
+                "metrics", self._settings.metrics_address, _metrics
+            )
+            await self._listen(nursery, metrics)
+        me = MemberValue(
+            self._settings.name,
+            self._settings.callers_address,
+            self._settings.domain,
+            False,
+        )
+        sync = Sync(self._store, self._belief, me, self._believed)
+        nursery.start_soon(sync.run)
+        nursery.start_soon(pool.sweep)
+        nursery.start_soon(self._tick, sync, pool)
+        telemetry.event("serving", address=self._settings.callers_address)
+        async for number in signals:
+            if number == signal.SIGTERM:
+                await self._leave(sync, server)
+                return
+            telemetry.event("reload", reason="SIGHUP")
+            self._reload_settings()
+
+    async def _listen(
+        self, nursery: trio.Nursery, extra: ExtraListener
+    ) -> None:
+        async def handle(request: Request, caller: Caller) -> Answer:
+            return extra.handler(self, request)
+
+        server = CallerServer(
+            handle, ClientLimits, self._closes, lambda _request, _now: None
+        )
+        await nursery.start(server.serve, extra.address)
+
+    async def _leave(self, sync: Sync, server: CallerServer) -> None:
+        """Stops: leaves the addresses, then waits for callers to go."""
+        began = trio.current_time()
+        self._is_leaving = True
+        await sync.leave()
+        telemetry.event("leaving", connections=server.connections)
+        end = began + self._settings.grace_s - STOP_MARGIN_S
+        while trio.current_time() < end:
+            if trio.current_time() >= began + LEAVE_AFTER_S and (
+                server.connections == 0
+            ):
+                break
+            await trio.sleep(0.05)
+        with trio.move_on_after(STOP_MARGIN_S / 2):
+            while server.busy:
+                await trio.sleep(0.02)
+        telemetry.event("left", connections=server.connections)
+
+    def _closes(self) -> bool:
+        return self._is_leaving
+
+    def _limits(self) -> ClientLimits:
+        configuration = self._belief.configuration
+        return configuration.limits if configuration else ClientLimits()
+
+    def _believed(self) -> None:
+        assert self._fleet is not None
+        self._fleet.changed(trio.current_time())
+        self._fleet.warm()
+
+    async def _tick(self, sync: Sync, pool: LeafPool) -> None:
+        assert self._fleet is not None
+        before = _clocks()
+        while True:
+            await trio.sleep(TICK_S)
+            now = _clocks()
+            if max(n - b for n, b in zip(now, before, strict=True)) > PAUSE_S:
+                telemetry.event("paused", clocks=now, before=before)
+                pool.close_idle("the VM stood still")
+                sync.resync("the VM stood still")
+            before = now
+            self._fleet.tidy(trio.current_time())
+            telemetry.CONNECTIONS.set(pool.opened)
+
+
+def _clocks() -> tuple[float, float]:
+    """Returns the steady clock and the one that counts a suspended VM."""
+    return time.monotonic(), time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _metrics(daemon: GatewayDaemon, request: Request) -> Answer:
+    headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+    return Answer(200, headers, telemetry.metrics_text())
+
+
+def run(daemon: GatewayDaemon) -> None:
+    """Runs a daemon to its end."""
+    telemetry.start()
+    trio.run(functools.partial(_guarded, daemon))
+
+
+async def _guarded(daemon: GatewayDaemon) -> None:
+    try:
+        await daemon.run()
+    except BaseException as error:
+        telemetry.event("crash", error=repr(error))
+        raise
--- /dev/null
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -0,0 +1,120 @@
+"""What all requests of a VM share: belief, connections and limits."""
+
+from __future__ import annotations
+
+from sapphire_core.coldshare import ColdShare
+from sapphire_core.leafset import LeafEntry, RegisteredLeaf
+from sapphire_core.members import Member, named_to, serving_domains
+from sapphire_core.retrybudget import BudgetTerms, RetryBudget
+
+from sapphire_gateway import telemetry
+from sapphire_gateway.belief import Belief
+from sapphire_gateway.calls import MISDIRECTED
+from sapphire_gateway.dialect import Dialect
+from sapphire_gateway.messages import Reply
+from sapphire_gateway.pool import CONNECTIONS_PART, LeafPool
+
+DEFAULT_CONNECTIONS = 8
+LEAST_CONNECTIONS = 1
+
+
+class Fleet:
+    """Belief about leaves and members, with this VM's shares of limits."""
+
+    def __init__(
+        self,
+        belief: Belief,
+        pool: LeafPool,
+        dialect: Dialect,
+        domain: str,
+        terms: BudgetTerms,
+        now: float,
+    ) -> None:
+        self.belief = belief
+        self.pool = pool
+        self.dialect = dialect
+        self.domain = domain
+        self.budget = RetryBudget(terms, now)
+        self._cold = ColdShare(belief.self_name)
+        self._vms = 1
+        pool.connections_per_leaf = self._connections_per_leaf
+
+    def changed(self, now: float) -> None:
+        """Adapts this VM's shares after the belief has changed."""
+        members = self.belief.members
+        self._vms = members.count(now)
+        self.budget.set_vms(self._vms)
+        self._cold.set_members(members.names(now))
+        telemetry.LEAVES.set(len(self.belief.registry))
+        telemetry.MEMBERS.set(len(members.names(now)))
+
+    def tidy(self, now: float) -> None:
+        """Drops leaves that are gone."""
+        for leaf in self.belief.registry.forget_gone(now):
+            self.pool.drop(leaf.entry.leaf_id, "the leaf is gone")
+            self._cold.forget(leaf.entry.leaf_id)
+
+    def warm(self) -> None:
+        """Opens a connection to each leaf, if callers are sent here."""
+        registry = self.belief.registry
+        if self.domain not in serving_domains(self.leaf_counts()):
+            return
+        for leaf in registry.leaves:
+            if leaf.leaving_since is None:
+                self.pool.warm(leaf.entry)
+
+    def leaf_counts(self) -> dict[str, int]:
+        """Counts the leaves of sharded services by failure domain."""
+        configuration = self.belief.configuration
+        if configuration is None:
+            return {}
+        services = configuration.gather_services() or set(
+            configuration.services
+        )
+        return self.belief.registry.domain_counts(services)
+
+    def named_to(self, caller_domain: str, now: float) -> list[Member]:
+        """Returns the members that a caller should connect to."""
+        live = self.belief.members.live(now)
+        return named_to(caller_domain, live, self.leaf_counts())
+
+    def may_send(self, leaf: RegisteredLeaf, now: float) -> bool:
+        """Returns whether a cold leaf may get a request; a warm one may."""
+        if not leaf.is_cold(now):
+            return True
+        rate = self._cold_rate(leaf.entry)
+        if rate <= 0:
+            return True
+        return self._cold.may_send(leaf.entry.leaf_id, rate, now)
+
+    def cold_sent(self, entry: LeafEntry, now: float) -> None:
+        """Counts a request to a cold leaf."""
+        rate = self._cold_rate(entry)
+        if rate > 0:
+            self._cold.sent(entry.leaf_id, rate, now)
+
+    def rejected(self, entry: LeafEntry, reply: Reply) -> None:
+        """Takes a leaf's statement that it did not run a request."""
+        if reply.status == MISDIRECTED:
+            self.belief.registry.misdirected(entry.leaf_id)
+            self.pool.drop(entry.leaf_id, "another leaf answered")
+            telemetry.event(
+                "leaf_misdirected", leaf=entry.leaf_id, address=entry.address
+            )
+
+    def _cold_rate(self, entry: LeafEntry) -> float:
+        configuration = self.belief.configuration
+        if configuration is None:
+            return 0.0
+        service = configuration.services.get(entry.service)
+        return service.cold_rate if service is not None else 0.0
+
+    def _connections_per_leaf(self, entry: LeafEntry) -> int:
+        configuration = self.belief.configuration
+        limit = DEFAULT_CONNECTIONS
+        if configuration is not None:
+            service = configuration.services.get(entry.service)
+            if service is not None:
+                limit = service.max_connections
+        share = int(limit * CONNECTIONS_PART / self._vms)
+        return max(LEAST_CONNECTIONS, share)
--- /dev/null
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -0,0 +1,306 @@
+"""Requests of callers: checks, run and answer."""
+
+from __future__ import annotations
+
+import trio
+from sapphire_core.fanout import Terms, Verdict, least_parts
+from sapphire_core.margin import AnswerMargin
+from sapphire_core.routing import Configuration, Kind, Route
+
+from sapphire_gateway import telemetry
+from sapphire_gateway.callers import HEAD, Caller
+from sapphire_gateway.dialect import CONNECTION_HEADERS
+from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.messages import Answer, Headers, Reply, Request, header
+from sapphire_gateway.records import greatest
+from sapphire_gateway.run import Expectation, Job, Outcome, Run
+
+# When a refused caller should come back.
+RETRY_UNCONFIGURED_S = 0.3
+RETRY_NO_LEAF_S = 0.5
+RETRY_FULL_S = 0.1
+# A hedge is sent when a call takes longer than 19 of 20 do, but within these
+# parts of the route's target.
+EARLIEST_HEDGE_PART = 0.15
+LATEST_HEDGE_PART = 0.5
+# The final answer leaves this long before the caller gives up.
+FINAL_MARGIN_S = 0.01
+MAX_EXPECTATIONS = 4096
+# Headers of leaves that are not forwarded besides those of a connection.
+_LEAF_ONLY = frozenset({b"content-length"})
+
+
+class Gateway:
+    """Answers the requests of callers."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self._dialect = fleet.dialect
+        self._expectations: dict[tuple[str, ...], Expectation] = {}
+        self._lines = telemetry.RequestLines()
+        self._planned: dict[int, float] = {}
+        self.margin = AnswerMargin()
+
+    async def handle(self, request: Request, caller: Caller) -> Answer:
+        """Answers one request."""
+        if request.is_first:
+            self.margin.connected(request.received_at - caller.accepted_at)
+        configuration = self._fleet.belief.configuration
+        if configuration is None:
+            return self._refuse(
+                request, 503, "no configuration yet", RETRY_UNCONFIGURED_S
+            )
+        request_id = header(request.headers, self._dialect.request_id.lower())
+        host = header(request.headers, b"host")
+        if request_id is None or host is None:
+            return self._refuse(request, 400, "no request id or no host")
+        target = request.target.decode("latin-1")
+        route = self._fleet.belief.table.match(host.decode("latin-1"), target)
+        if route is None:
+            return self._refuse(request, 404, "no route")
+        job = self._job(request, request_id, route, configuration)
+        if self._is_hopeless(job):
+            return self._refuse(
+                request, 503, "too few leaves", RETRY_NO_LEAF_S, route
+            )
+        return await self._run(request, job, caller)
+
+    def sent(self, request: Request, now: float) -> None:
+        """Learns how late an answer with parts missing left."""
+        planned = self._planned.pop(id(request), None)
+        if planned is not None:
+            self.margin.left(now - planned)
+
+    async def _run(self, request: Request, job: Job, caller: Caller) -> Answer:
+        expects = self._expectation(job)
+        run = Run(job, self._fleet, expects)
+        with (
+            telemetry.RUNNING.track_inprogress(),
+            caller.watched(run.caller_left),
+        ):
+            outcome = await run.finish()
+        now = trio.current_time()
+        if now >= job.terms.answer_at and outcome.verdict is Verdict.ANSWER:
+            self._planned[id(request)] = job.terms.answer_at
+        answer = self._answer(job, outcome, now)
+        self._report(request, job, outcome, answer, now, caller)
+        return answer
+
+    def _job(
+        self,
+        request: Request,
+        request_id: bytes,
+        route: Route,
+        configuration: Configuration,
+    ) -> Job:
+        if route.gather is not None:
+            parts = route.gather.shards
+            least = least_parts(len(parts), route.gather.least_share)
+        else:
+            parts = (self._fleet.belief.splits.choose(route),)
+            least = 1
+        terms = self._terms(request, route, least)
+        return Job(
+            request_id,
+            self._leaf_head(request),
+            request.body,
+            request.method == HEAD,
+            route,
+            configuration,
+            parts,
+            terms,
+        )
+
+    def _terms(self, request: Request, route: Route, least: int) -> Terms:
+        began = request.received_at - self.margin.before_s(request.is_first)
+        after_s = self.margin.after_s()
+        patience_s = route.timeout_s
+        stated = header(request.headers, self._dialect.time_left.lower())
+        if stated is not None and stated.strip().isdigit():
+            patience_s = min(patience_s, int(stated) / 1000)
+        give_up_at = began + patience_s - after_s - FINAL_MARGIN_S
+        expects = self._expectation_of(route)
+        hedge_s = min(
+            max(expects.late_s, EARLIEST_HEDGE_PART * route.target_s),
+            LATEST_HEDGE_PART * route.target_s,
+        )
+        return Terms(
+            least,
+            max(1, route.max_attempts),
+            route.kind is Kind.IDEMPOTENT,
+            min(began + route.target_s - after_s, give_up_at),
+            request.received_at + hedge_s,
+            give_up_at,
+        )
+
+    def _is_hopeless(self, job: Job) -> bool:
+        now = trio.current_time()
+        registry = self._fleet.belief.registry
+        held = sum(bool(registry.candidates(p, now)) for p in job.parts)
+        return held < job.terms.least
+
+    def _expectation_of(self, route: Route) -> Expectation:
+        key = (route.name, *(share.service for share in route.shares))
+        known = self._expectations.get(key)
+        if known is None:
+            if len(self._expectations) >= MAX_EXPECTATIONS:
+                self._expectations.clear()
+            known = Expectation.for_target(route.target_s)
+            self._expectations[key] = known
+        return known
+
+    def _expectation(self, job: Job) -> Expectation:
+        return self._expectation_of(job.route)
+
+    def _leaf_head(self, request: Request) -> bytes:
+        dropped = _named_in_connection(request.headers) | CONNECTION_HEADERS
+        own = {
+            self._dialect.time_left.lower(),
+            self._dialect.target_leaf.lower(),
+        }
+        lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
+        lines.extend(
+            b"%s: %s" % pair
+            for pair in request.headers
+            if pair[0] not in dropped and pair[0] not in own
+        )
+        if request.body or request.method not in (b"GET", HEAD):
+            lines.append(b"content-length: %d" % len(request.body))
+        return b"\r\n".join(lines) + b"\r\n"
+
+    def _answer(self, job: Job, outcome: Outcome, now: float) -> Answer:
+        if outcome.verdict is Verdict.ANSWER:
+            if job.route.gather is not None:
+                return self._merged(job, outcome)
+            return self._forwarded(next(iter(outcome.replies.values())))
+        if not outcome.may_have_run:
+            return _refusal(503, "the leaves are full", RETRY_FULL_S)
+        if outcome.failure_reply is not None and job.route.gather is None:
+            return self._forwarded(outcome.failure_reply)
+        if now >= job.terms.give_up_at:
+            return _refusal(504, "no reply in time")
+        return _refusal(502, "the leaves failed")
+
+    def _merged(self, job: Job, outcome: Outcome) -> Answer:
+        assert job.route.gather is not None
+        name = self._dialect.signature.lower()
+        signatures = [r.get(name) or b"" for r in outcome.replies.values()]
+        body = greatest(
+            (reply.body for reply in outcome.replies.values()),
+            job.route.gather.top,
+        )
+        missing = len(job.parts) - len(outcome.replies)
+        return Answer(
+            200,
+            [
+                (self._dialect.request_id, job.request_id),
+                (self._dialect.signatures, b", ".join(signatures)),
+                (self._dialect.missing_parts, b"%d" % missing),
+                (b"Content-Type", b"application/octet-stream"),
+            ],
+            body,
+        )
+
+    def _forwarded(self, reply: Reply) -> Answer:
+        dropped = _named_in_connection(reply.headers) | CONNECTION_HEADERS
+        kept = [
+            pair
+            for pair in reply.headers
+            if pair[0] not in dropped and pair[0] not in _LEAF_ONLY
+        ]
+        return Answer(reply.status, kept, reply.body)
+
+    def _refuse(
+        self,
+        request: Request,
+        status: int,
+        reason: str,
+        retry_s: float | None = None,
+        route: Route | None = None,
+    ) -> Answer:
+        request_id = header(request.headers, self._dialect.request_id.lower())
+        name = route.name if route else "none"
+        telemetry.REQUESTS.labels(name, "refused").inc()
+        self._lines.write(
+            trio.current_time(),
+            "request_refused",
+            {
+                "request": (request_id or b"").decode("latin-1"),
+                "route": name,
+                "status": status,
+                "reason": reason,
+                **self._evidence(),
+            },
+        )
+        return _refusal(status, reason, retry_s)
+
+    def _report(
+        self,
+        request: Request,
+        job: Job,
+        outcome: Outcome,
+        answer: Answer,
+        now: float,
+        caller: Caller,
+    ) -> None:
+        route = job.route
+        elapsed_s = now - request.received_at
+        missing = len(job.parts) - len(outcome.replies)
+        result = _result(answer, missing, elapsed_s > route.target_s)
+        telemetry.REQUESTS.labels(route.name, result).inc()
+        telemetry.LATENCY.labels(route.name).observe(elapsed_s)
+        if outcome.verdict is Verdict.ANSWER:
+            telemetry.PARTS_MISSING.inc(missing)
+        self._lines.write(
+            now,
+            "request",
+            {
+                "request": job.request_id.decode("latin-1"),
+                "route": route.name,
+                "result": "caller left" if caller.is_gone else result,
+                "status": answer.status,
+                "parts": len(job.parts),
+                "missing": missing,
+                "hedges": outcome.hedges,
+                "retries": outcome.retries,
+                "failures": outcome.failures,
+                "elapsed_ms": round(elapsed_s * 1000, 1),
+                "answer_in_ms": round(
+                    (job.terms.answer_at - request.received_at) * 1000, 1
+                ),
+                **self._evidence(),
+            },
+        )
+
+    def _evidence(self) -> dict[str, object]:
+        belief = self._fleet.belief
+        configuration = belief.configuration
+        age_s = trio.current_time() - belief.learned_at
+        return {
+            "version": configuration.version if configuration else None,
+            "revision": belief.revision,
+            "learned_s_ago": round(age_s, 1),
+        }
+
+
+def _result(answer: Answer, missing: int, is_late: bool) -> str:
+    if not 200 <= answer.status < 300:
+        return "refused" if answer.status == 503 else "failed"
+    if missing:
+        return "incomplete"
+    return "late" if is_late else "good"
+
+
+def _named_in_connection(headers: Headers) -> frozenset[bytes]:
+    """Returns the headers that a Connection header declares private."""
+    value = header(headers, b"connection")
+    if value is None:
+        return frozenset()
+    return frozenset(name.strip().lower() for name in value.split(b","))
+
+
+def _refusal(status: int, reason: str, retry_s: float | None = None) -> Answer:
+    headers: Headers = [(b"Content-Type", b"text/plain")]
+    if retry_s is not None:
+        headers.append((b"Retry-After", b"%.3f" % retry_s))
+    return Answer(status, headers, reason.encode())
--- /dev/null
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -0,0 +1,192 @@
+"""Connections to the leaves, and calls waiting for one."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+from sapphire_core.choice import LeafLoad
+from sapphire_core.fanout import Failure
+from sapphire_core.leafset import LeafEntry
+
+from sapphire_gateway.calls import Call, CallEnd, judge
+from sapphire_gateway.connection import Connection
+from sapphire_gateway.dialect import Dialect
+from sapphire_gateway.messages import Reply
+
+# Part of a leaf's connections that this fleet uses; callers of other systems
+# and connections that are just being closed need the rest.
+CONNECTIONS_PART = 0.85
+SWEEP_S = 0.1
+# A request that can't be repeated is sent only on a connection that was used
+# this recently: a leaf may drop an idle connection without notice.
+FRESH_IDLE_S = 1.0
+# Time after its expiry at which a call without a reply ends its connection.
+EXPIRY_GRACE_S = 0.1
+DEFAULT_CONNECT_S = 0.005
+_CONNECT_WEIGHT = 0.2
+
+
+@dataclass(slots=True)
+class LeafLink:
+    """Connections to one incarnation of a leaf, and its load."""
+
+    entry: LeafEntry
+    load: LeafLoad
+    connections: list[Connection] = field(default_factory=list)
+    free: list[Connection] = field(default_factory=list)
+    queue: collections.deque[Call] = field(default_factory=collections.deque)
+    connect_s: float = DEFAULT_CONNECT_S
+
+    def free_for(self, call: Call, now: float) -> Connection | None:
+        """Takes the connection that was used last, or None."""
+        while self.free:
+            connection = self.free.pop()
+            limit = FRESH_IDLE_S if call.needs_fresh else float("inf")
+            if connection.is_free and connection.is_fresh(now, limit):
+                return connection
+            connection.close("idle for too long")
+        return None
+
+    @property
+    def expected_connect_s(self) -> float:
+        """Time until a call can be sent, if no connection is free."""
+        return 0.0 if self.free else self.connect_s
+
+
+class LeafPool:
+    """Links to all leaves that were called.
+
+    The pool's tasks run in the nursery of the daemon.
+    """
+
+    def __init__(self, nursery: trio.Nursery, dialect: Dialect) -> None:
+        self._nursery = nursery
+        self._dialect = dialect
+        self._links: dict[str, LeafLink] = {}
+        self._busy: set[Connection] = set()
+        self._opened = 0
+        self.connections_per_leaf: Callable[[LeafEntry], int] = lambda _: 2
+
+    @property
+    def opened(self) -> int:
+        """Connections opened since the start."""
+        return self._opened
+
+    def link(self, entry: LeafEntry) -> LeafLink:
+        """Returns the link to a leaf; a restarted leaf gets a new one."""
+        link = self._links.get(entry.leaf_id)
+        if link is not None and link.entry.incarnation == entry.incarnation:
+            link.entry = entry
+            return link
+        if link is not None:
+            self.drop(entry.leaf_id, "the leaf restarted")
+        link = LeafLink(entry, LeafLoad(max(1, entry.slots)))
+        self._links[entry.leaf_id] = link
+        return link
+
+    def drop(self, leaf_id: str, reason: str) -> None:
+        """Closes the idle connections of a leaf that is gone.
+
+        Running calls go on; their connections close with the reply.
+        """
+        link = self._links.pop(leaf_id, None)
+        if link is None:
+            return
+        for connection in list(link.connections):
+            if connection.call is None:
+                connection.close(reason)
+        while link.queue:
+            call = link.queue.popleft()
+            call.end(CallEnd(None, Failure.NOT_RUN, reason, was_sent=False))
+
+    def warm(self, entry: LeafEntry) -> None:
+        """Opens a connection to a leaf that has none."""
+        link = self.link(entry)
+        if not link.connections:
+            self._open(link, None)
+
+    def call(self, link: LeafLink, call: Call) -> None:
+        """Sends a call, or queues it for the next free connection."""
+        now = trio.current_time()
+        link.load.sent(call.number, now)
+        connection = link.free_for(call, now)
+        if connection is not None:
+            self._busy.add(connection)
+            connection.start(call)
+        elif len(link.connections) < self.connections_per_leaf(link.entry):
+            self._open(link, call)
+        else:
+            link.queue.append(call)
+
+    def close_idle(self, reason: str) -> None:
+        """Closes all free connections, for example after a long pause."""
+        for link in self._links.values():
+            for connection in list(link.free):
+                connection.close(reason)
+
+    async def sweep(self) -> None:
+        """Ends calls that nobody waits for any more, until cancelled."""
+        while True:
+            await trio.sleep(SWEEP_S)
+            self._sweep_once(trio.current_time())
+
+    def _sweep_once(self, now: float) -> None:
+        limit = now - EXPIRY_GRACE_S
+        for connection in list(self._busy):
+            call = connection.call
+            if call is not None and call.expires_at < limit:
+                connection.close("no reply in time")
+        for link in self._links.values():
+            while link.queue and link.queue[0].expires_at < limit:
+                late = link.queue.popleft()
+                late.end(
+                    CallEnd(None, Failure.NOT_RUN, "queued too long", False)
+                )
+
+    def _open(self, link: LeafLink, call: Call | None) -> None:
+        def judged(reply: Reply, answered: Call) -> CallEnd:
+            return judge(reply, answered, self._dialect)
+
+        def freed(connection: Connection) -> None:
+            self._freed(link, connection)
+
+        def closed(connection: Connection) -> None:
+            self._closed(link, connection)
+
+        connection = Connection(link.entry.address, judged, freed, closed)
+        link.connections.append(connection)
+        self._opened += 1
+        if call is not None:
+            self._busy.add(connection)
+            connection.start(call)
+        self._nursery.start_soon(connection.run)
+
+    def _freed(self, link: LeafLink, connection: Connection) -> None:
+        self._busy.discard(connection)
+        if connection.connect_s:
+            change = connection.connect_s - link.connect_s
+            link.connect_s += _CONNECT_WEIGHT * change
+            connection.connect_s = 0.0
+        while link.queue:
+            call = link.queue.popleft()
+            if not call.is_over:
+                self._busy.add(connection)
+                connection.start(call)
+                return
+        if self._links.get(link.entry.leaf_id) is not link:
+            connection.close("the leaf is gone")
+            return
+        link.free.append(connection)
+
+    def _closed(self, link: LeafLink, connection: Connection) -> None:
+        self._busy.discard(connection)
+        link.connections.remove(connection)
+        if connection in link.free:
+            link.free.remove(connection)
+        if not connection.is_connected:
+            link.load.unreachable(trio.current_time())
+        if link.queue and not link.connections:
+            self._open(link, link.queue.popleft())
--- /dev/null
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -0,0 +1,363 @@
+"""One request on its way over the leaves."""
+
+from __future__ import annotations
+
+import functools
+from dataclasses import dataclass, field
+
+import trio
+from sapphire_core.choice import Prospect, order
+from sapphire_core.fanout import Failure, FanOut, Terms, Verdict
+from sapphire_core.latency import RunningQuantile
+from sapphire_core.leafset import LeafEntry, RegisteredLeaf
+from sapphire_core.routing import Configuration, Route
+
+from sapphire_gateway import telemetry
+from sapphire_gateway.calls import Call, CallEnd, load_report
+from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.messages import Reply
+from sapphire_gateway.pool import LeafLink
+
+# Hedges leave this part of the budget to retries: a part without a retry is
+# missing, one without a hedge is only late.
+HEDGE_RESERVE = 0.3
+# Leaves that are tried for one part although they can't be reached.
+MAX_UNREACHED = 3
+# A caller that has left may be waited for this long, so that a short call
+# ends without costing its connection.
+CANCEL_AFTER_S = 0.1
+# A search gives its leaves this many times its target, since parts that come
+# later are of no use and hold a slot.
+PART_TIME_FACTOR = 2.0
+
+
+@dataclass(slots=True)
+class Expectation:
+    """Reply times of a route's calls to leaves."""
+
+    median: RunningQuantile
+    late: RunningQuantile
+
+    @classmethod
+    def for_target(cls, target_s: float) -> Expectation:
+        """Starts with guesses from the route's target."""
+        target_ms = target_s * 1000
+        return cls(
+            RunningQuantile(0.5, target_ms * 0.2),
+            RunningQuantile(0.95, target_ms * 0.4),
+        )
+
+    def add(self, elapsed_s: float) -> None:
+        """Counts a reply time."""
+        self.median.add(elapsed_s * 1000)
+        self.late.add(elapsed_s * 1000)
+
+    @property
+    def median_s(self) -> float:
+        """Median reply time in seconds."""
+        return self.median.value_ms / 1000
+
+    @property
+    def late_s(self) -> float:
+        """Reply time that 1 in 20 calls exceeds, in seconds."""
+        return self.late.value_ms / 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A request that passed all checks.
+
+    Attributes:
+        request_id: Identity of the caller's attempt.
+        head: Request line and headers for leaves, without the last ones.
+        body: Body for the leaves.
+        is_to_head: The method is HEAD.
+        route: Route in the pinned configuration.
+        configuration: The pinned configuration.
+        parts: Services that get the request.
+        terms: When it is repeated, answered and given up.
+    """
+
+    request_id: bytes
+    head: bytes
+    body: bytes
+    is_to_head: bool
+    route: Route
+    configuration: Configuration
+    parts: tuple[str, ...]
+    terms: Terms
+
+
+@dataclass(slots=True)
+class Outcome:
+    """How a request ended.
+
+    Attributes:
+        verdict: ANSWER or GIVE_UP.
+        replies: Good replies by service.
+        failure_reply: A leaf's own failure, if there is one.
+        may_have_run: Whether a leaf may have run the request.
+        was_sent: Whether a leaf was sent the request.
+        hedges: Calls to a second leaf while the first was running.
+        retries: Calls after a failure.
+        failures: First reasons of failed calls, for the log.
+    """
+
+    verdict: Verdict
+    replies: dict[str, Reply]
+    failure_reply: Reply | None
+    may_have_run: bool
+    was_sent: bool
+    hedges: int
+    retries: int
+    failures: list[str]
+
+
+MAX_LOGGED_FAILURES = 6
+
+
+@dataclass(slots=True)
+class _Tried:
+    leaf_ids: set[str] = field(default_factory=set)
+    unreached: int = 0
+
+
+class Run:
+    """Sends a request's calls and collects their replies."""
+
+    def __init__(self, job: Job, fleet: Fleet, expects: Expectation) -> None:
+        self._job = job
+        self._fleet = fleet
+        self._expects = expects
+        self._fanout = FanOut(job.parts, job.terms)
+        self._tried = {name: _Tried() for name in job.parts}
+        self._calls: list[Call] = []
+        self._replies: dict[str, Reply] = {}
+        self._failure_reply: Reply | None = None
+        self._failures: list[str] = []
+        self._hedges = 0
+        self._retries = 0
+        self._is_over = False
+        self._caller_left = False
+        self._wake = trio.Event()
+
+    def caller_left(self) -> None:
+        """Ends the request without an answer."""
+        self._caller_left = True
+        self._wake.set()
+
+    async def finish(self) -> Outcome:
+        """Runs the request to its verdict."""
+        now = trio.current_time()
+        for name in self._job.parts:
+            self._fleet.budget.request(name, now)
+            if not self._send(name, now, "first"):
+                self._note(f"{name}: no leaf")
+                self._fanout.abandon(name)
+        verdict = await self._decide()
+        self._is_over = True
+        if self._caller_left:
+            self._cancel_calls()
+        outcome = Outcome(
+            verdict,
+            self._replies,
+            self._failure_reply,
+            self._fanout.may_have_run,
+            self._fanout.was_sent,
+            self._hedges,
+            self._retries,
+            self._failures,
+        )
+        if verdict is Verdict.GIVE_UP:
+            self._drop_unsent()
+        return outcome
+
+    async def _decide(self) -> Verdict:
+        while True:
+            now = trio.current_time()
+            if self._caller_left:
+                return Verdict.GIVE_UP
+            verdict = self._fanout.verdict(now)
+            if verdict is not Verdict.WAIT:
+                return verdict
+            for name in self._fanout.to_hedge(now):
+                self._hedge(name, now)
+            self._wake = trio.Event()
+            with trio.move_on_at(self._fanout.next_time(now)):
+                await self._wake.wait()
+
+    def _hedge(self, name: str, now: float) -> None:
+        budget = self._fleet.budget
+        if budget.has_room(name, now, HEDGE_RESERVE):
+            self._hedges += self._send(name, now, "hedge")
+
+    def _send(self, name: str, now: float, purpose: str) -> bool:
+        """Sends a part to the best leaf left; False if there is none."""
+        chosen = self._choose(name, now, purpose)
+        if chosen is None:
+            return False
+        leaf, link = chosen
+        entry = leaf.entry
+        if leaf.is_cold(now):
+            self._fleet.cold_sent(entry, now)
+        if purpose != "first":
+            self._fleet.budget.spend(name, now)
+        self._tried[name].leaf_ids.add(entry.leaf_id)
+        call = self._call(name, entry, link, now)
+        self._calls.append(call)
+        self._fanout.sent(name)
+        telemetry.CALLS.labels(purpose).inc()
+        self._fleet.pool.call(link, call)
+        return True
+
+    def _choose(
+        self, name: str, now: float, purpose: str
+    ) -> tuple[RegisteredLeaf, LeafLink] | None:
+        tried = self._tried[name].leaf_ids
+        leaves = [
+            leaf
+            for leaf in self._fleet.belief.registry.candidates(name, now)
+            if leaf.entry.leaf_id not in tried
+            and self._fleet.may_send(leaf, now)
+        ]
+        if not leaves:
+            return None
+        links = [self._fleet.pool.link(leaf.entry) for leaf in leaves]
+        prospects = [
+            Prospect(
+                link.load,
+                leaf.entry.domain == self._fleet.domain,
+                leaf.is_cold(now),
+                link.expected_connect_s,
+            )
+            for leaf, link in zip(leaves, links, strict=True)
+        ]
+        best = order(prospects, self._expects.median_s, now)[0]
+        load = links[best].load
+        if load.is_down(now) and (purpose == "hedge" or load.waiting):
+            return None
+        return leaves[best], links[best]
+
+    def _call(
+        self, name: str, entry: LeafEntry, link: LeafLink, now: float
+    ) -> Call:
+        job = self._job
+        time_left = max(0.001, job.terms.give_up_at - now)
+        if job.route.gather is not None:
+            most = PART_TIME_FACTOR * job.route.target_s
+            time_left = min(time_left, most)
+        dialect = self._fleet.dialect
+        payload = b"%s%s: %s\r\n%s: %d\r\n\r\n%s" % (
+            job.head,
+            dialect.target_leaf,
+            entry.leaf_id.encode(),
+            dialect.time_left,
+            max(1, int(time_left * 1000)),
+            job.body,
+        )
+        return Call(
+            payload,
+            job.request_id,
+            job.is_to_head,
+            not job.terms.repeatable,
+            now + time_left,
+            functools.partial(self._ended, name, entry, link, len(self._calls)),
+            now,
+        )
+
+    def _ended(
+        self,
+        name: str,
+        entry: LeafEntry,
+        link: LeafLink,
+        index: int,
+        end: CallEnd,
+    ) -> None:
+        now = trio.current_time()
+        call = self._calls[index]
+        self._learn(call, entry, link, end, now)
+        if end.failure is None and end.reply is not None:
+            if self._fanout.arrived(name):
+                self._replies[name] = end.reply
+        elif self._is_over:
+            self._fanout.failed(name, end.failure or Failure.LOST)
+        else:
+            self._failed(name, entry, end, now)
+        self._wake.set()
+
+    def _failed(
+        self, name: str, entry: LeafEntry, end: CallEnd, now: float
+    ) -> None:
+        failure = end.failure or Failure.LOST
+        telemetry.FAILED_CALLS.labels(failure.value).inc()
+        self._note(f"{name}/{entry.leaf_id}: {end.detail}")
+        if failure is Failure.ANSWERED:
+            self._failure_reply = end.reply
+        if not end.was_sent:
+            self._unreached(name, now)
+            return
+        may_repeat = self._fanout.failed(name, failure)
+        if (
+            may_repeat
+            and self._fleet.budget.has_room(name, now)
+            and self._send(name, now, "retry")
+        ):
+            self._retries += 1
+            return
+        self._fanout.abandon(name)
+
+    def _unreached(self, name: str, now: float) -> None:
+        self._fanout.unsent(name)
+        tried = self._tried[name]
+        tried.unreached += 1
+        is_allowed = tried.unreached <= MAX_UNREACHED
+        if not (is_allowed and self._send(name, now, "retry")):
+            self._fanout.abandon(name)
+
+    def _learn(
+        self,
+        call: Call,
+        entry: LeafEntry,
+        link: LeafLink,
+        end: CallEnd,
+        now: float,
+    ) -> None:
+        load = link.load
+        if end.reply is not None:
+            report = load_report(end.reply, self._fleet.dialect)
+            if report is not None:
+                load.reported(report.running, report.queued, now)
+        if end.failure is None:
+            elapsed = now - (call.sent_at or call.created_at)
+            load.replied(call.number, elapsed, self._expects.median_s, now)
+            self._expects.add(elapsed)
+            return
+        if call.is_cancelled or not end.was_sent:
+            load.waiting.pop(call.number, None)
+            return
+        load.failed(call.number, now)
+        if end.is_silent:
+            load.unreachable(now)
+        if end.reply is not None and end.failure is Failure.NOT_RUN:
+            self._fleet.rejected(entry, end.reply)
+
+    def _note(self, text: str) -> None:
+        if len(self._failures) < MAX_LOGGED_FAILURES:
+            self._failures.append(text)
+
+    def _cancel_calls(self) -> None:
+        """Lets running calls end shortly; a submission runs on."""
+        if not self._job.terms.repeatable:
+            return
+        limit = trio.current_time() + CANCEL_AFTER_S
+        for call in self._calls:
+            call.is_cancelled = True
+            call.expires_at = min(call.expires_at, limit)
+        self._drop_unsent()
+
+    def _drop_unsent(self) -> None:
+        for call in self._calls:
+            if not call.sent_at and not call.is_over:
+                call.end(
+                    CallEnd(None, Failure.NOT_RUN, "given up", was_sent=False)
+                )
--- /dev/null
+++ b/libs/gateway/src/sapphire_gateway/store.py
@@ -0,0 +1,102 @@
+"""Interface of the platform's store, as the gateway uses it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import trio
+from sapphire_core.errors import SapphireError
+
+from sapphire_gateway.belief import Fact
+
+
+class StoreUnavailableError(SapphireError):
+    """The store did not answer, or refused the call."""
+
+    kind = "platform_unavailable"
+    default_remedy = "Check the store and the network; calls are repeated."
+
+
+class HistoryGoneError(SapphireError):
+    """The store no longer has the changes after a revision."""
+
+    kind = "history_gone"
+    default_remedy = "Read everything again."
+
+
+class LeaseGoneError(SapphireError):
+    """A lease has ended."""
+
+    kind = "lease_gone"
+    default_remedy = "Open a new lease."
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A key that was written or removed, and what it says.
+
+    Attributes:
+        key: The key.
+        revision: Revision of the change.
+        fact: What the value means.
+    """
+
+    key: str
+    revision: int
+    fact: Fact
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """Changes in order, and the revision up to which they are complete."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+class Store(Protocol):
+    """Calls to the store; each raises StoreUnavailableError on failure."""
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Sets the nursery in which connections run."""
+
+    async def read_all(self) -> Batch:
+        """Reads every key that concerns the fleet."""
+
+    async def watch_all(self, after: int, wait_s: float) -> Batch:
+        """Waits for changes after a revision.
+
+        Raises:
+            HistoryGoneError: The changes are no longer available.
+        """
+
+    async def open_lease(self, ttl_s: float) -> int:
+        """Opens a lease and returns its number."""
+
+    async def keep_lease(self, lease: int) -> None:
+        """Renews a lease.
+
+        Raises:
+            LeaseGoneError: The lease has ended.
+        """
+
+    async def put_member(self, value: MemberValue, lease: int) -> None:
+        """Writes this VM's entry, which ends with the lease.
+
+        Raises:
+            LeaseGoneError: The lease has ended.
+        """
+
+    def reconnect(self, reason: str) -> None:
+        """Closes all connections, so that the next call opens a new one."""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberValue:
+    """What a VM says of itself."""
+
+    name: str
+    address: str
+    domain: str
+    leaving: bool
