Learn the answer margin from planned answers, and prefer near leaves

One paused reply made a leaf 2 to 4 times slower for seconds, so half of the calls with a near leaf went to another failure domain.

Ruled out: the round trip can't be taken from accept to the first bytes (it measured 0.1 ms; the handshake ends with the data); the kernel's TCP_INFO says 2.4 ms.

--- a/libs/core/src/sapphire_core/choice.py
+++ b/libs/core/src/sapphire_core/choice.py
@@ -11,12 +11,17 @@
 # about this time, so that a former straggler gets a chance.
 SLOWNESS_MEMORY_S = 3.0
 MAX_SLOWNESS = 30.0
+# One reply counts at most as this multiple of the present slowness, so that
+# a single pause doesn't make a straggler, while a row of slow replies does.
+LARGEST_STEP = 2.5
 # A failed call counts like this much slowness, as a failure is repeated.
 FAILURE_SLOWNESS = 8.0
 # What a leaf reports of other callers' requests holds for about this time.
 REPORT_MEMORY_S = 0.2
-# A leaf in another failure domain costs as much as this part of a call.
-FAR_PART = 0.5
+# A leaf in another failure domain is charged this part of the time that the
+# whole request has: a reply that comes in time from near is worth more than
+# an earlier one from far.
+FAR_PART = 0.12
 # A cold leaf is slower than a warm one by about this factor.
 COLD_FACTOR = 2.0
 # A leaf that can't be reached is tried again after this time, doubled at each
@@ -96,8 +101,8 @@
         return max(0.0, now - oldest - usual)
 
     def _sample(self, ratio: float, now: float) -> None:
-        ratio = min(ratio, MAX_SLOWNESS)
         before = self.slowness_now(now)
+        ratio = min(ratio, MAX_SLOWNESS, LARGEST_STEP * max(1.0, before))
         self.slowness = before + SLOWNESS_WEIGHT * (ratio - before)
         self.slowness_at = now
 
@@ -119,14 +124,28 @@
     connect_s: float
 
 
-def expected_cost(prospect: Prospect, expected_s: float, now: float) -> float:
+@dataclass(frozen=True, slots=True)
+class Needs:
+    """What a call needs of its leaf.
+
+    Attributes:
+        expected_s: Median reply time of such calls.
+        target_s: Time that the whole request has.
+    """
+
+    expected_s: float
+    target_s: float
+
+
+def expected_cost(prospect: Prospect, needs: Needs, now: float) -> float:
     """Returns the expected reply time in seconds, with a charge for distance.
 
     Args:
         prospect: The leaf.
-        expected_s: Median reply time of such calls.
+        needs: What the call needs.
         now: Present time in seconds.
     """
+    expected_s = needs.expected_s
     load = prospect.load
     fading = math.exp(-max(0.0, now - load.others_at) / REPORT_MEMORY_S)
     ahead = len(load.waiting) + load.others * fading
@@ -136,13 +155,11 @@
     cost = run_s * max(1.0, (ahead + 1.0) / load.slots)
     cost += load.overdue_s(expected_s, now) + prospect.connect_s
     if not prospect.is_near:
-        cost += FAR_PART * expected_s
+        cost += FAR_PART * needs.target_s
     return cost
 
 
-def order(
-    prospects: list[Prospect], expected_s: float, now: float
-) -> list[int]:
+def order(prospects: list[Prospect], needs: Needs, now: float) -> list[int]:
     """Returns the indices of the prospects, best first.
 
     Leaves that can't be reached come last; the one to be tried next leads
@@ -153,6 +170,6 @@
         load = prospects[index].load
         if load.is_down(now):
             return True, load.down_until
-        return False, expected_cost(prospects[index], expected_s, now)
+        return False, expected_cost(prospects[index], needs, now)
 
     return sorted(range(len(prospects)), key=key)
--- a/libs/core/src/sapphire_core/margin.py
+++ b/libs/core/src/sapphire_core/margin.py
@@ -12,9 +12,9 @@
 DEFAULT_LATE_S = 0.003
 DEFAULT_ONE_WAY_S = 0.001
 _WEIGHT = 0.1
-# A caller that sends nothing for longer after connecting says nothing about
-# the way.
-LONGEST_ROUND_TRIP_S = 0.02
+# An answer that leaves later than this was held up by something else than the
+# usual work of this VM.
+LONGEST_LATE_S = 0.02
 
 
 class AnswerMargin:
@@ -40,14 +40,12 @@
         return self._late_s
 
     def connected(self, round_trip_s: float) -> None:
-        """Takes the time from accepting a connection to its first bytes."""
-        if round_trip_s <= LONGEST_ROUND_TRIP_S:
-            change = round_trip_s / 2 - self._one_way_s
-            self._one_way_s += _WEIGHT * change
+        """Takes the round-trip time of a new connection of a caller."""
+        self._one_way_s += _WEIGHT * (round_trip_s / 2 - self._one_way_s)
 
     def left(self, late_s: float) -> None:
         """Takes how long after the planned time an answer was sent."""
-        self._late.append(max(0.0, late_s))
+        self._late.append(min(max(0.0, late_s), LONGEST_LATE_S))
         ordered = sorted(self._late)
         index = min(len(ordered) - 1, int(QUANTILE * len(ordered)))
         self._late_s = ordered[index]
--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -4,6 +4,8 @@
 
 import collections
 import contextlib
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Iterator
 
 import trio
@@ -27,14 +29,24 @@
 # Requests of one connection that are read ahead.
 MAX_PIPELINED = 8
 BACKLOG = 512
+DEFAULT_ROUND_TRIP_S = 0.002
+# Place of tcpi_rtt in the kernel's struct tcp_info, in microseconds.
+TCP_INFO_BYTES = 104
+TCP_INFO_RTT_OFFSET = 68
+MICROSECONDS_PER_S = 1e6
 HEAD = b"HEAD"
 
 
 class Caller:
     """A caller's connection, as a running request sees it."""
 
-    def __init__(self, accepted_at: float) -> None:
-        self.accepted_at = accepted_at
+    def __init__(self, round_trip_s: float) -> None:
+        """Starts with a connection that was accepted.
+
+        Args:
+            round_trip_s: Time to the caller and back.
+        """
+        self.round_trip_s = round_trip_s
         self.is_gone = False
         self._on_gone: Callable[[], None] | None = None
 
@@ -81,7 +93,7 @@
         self._has_ended = False
         self._is_first = True
         self._started_at: float | None = None
-        self._caller = Caller(trio.current_time())
+        self._caller = Caller(_round_trip_s(stream.socket))
         self._is_answering = False
 
     @property
@@ -216,6 +228,18 @@
                 await self._arrived.wait()
 
 
+def _round_trip_s(sock: trio.socket.SocketType) -> float:
+    """Returns the round-trip time that the kernel measured at the start."""
+    try:
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+        (microseconds,) = struct.unpack_from("I", info, TCP_INFO_RTT_OFFSET)
+    except (OSError, struct.error):
+        return DEFAULT_ROUND_TRIP_S
+    return float(microseconds) / MICROSECONDS_PER_S
+
+
 class CallerServer:
     """Accepts callers on one address."""
 
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -44,7 +44,7 @@
     async def handle(self, request: Request, caller: Caller) -> Answer:
         """Answers one request."""
         if request.is_first:
-            self.margin.connected(request.received_at - caller.accepted_at)
+            self.margin.connected(caller.round_trip_s)
         configuration = self._fleet.belief.configuration
         if configuration is None:
             return self._refuse(
@@ -80,7 +80,7 @@
         ):
             outcome = await run.finish()
         now = trio.current_time()
-        if now >= job.terms.answer_at and outcome.verdict is Verdict.ANSWER:
+        if outcome.was_planned and outcome.verdict is Verdict.ANSWER:
             self._planned[id(request)] = job.terms.answer_at
         answer = self._answer(job, outcome, now)
         self._report(request, job, outcome, answer, now, caller)
--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 import trio
-from sapphire_core.choice import Prospect, order
+from sapphire_core.choice import Needs, Prospect, order
 from sapphire_core.fanout import Failure, FanOut, Terms, Verdict
 from sapphire_core.latency import RunningQuantile
 from sapphire_core.leafset import LeafEntry, RegisteredLeaf
@@ -101,6 +101,7 @@
         hedges: Calls to a second leaf while the first was running.
         retries: Calls after a failure.
         failures: First reasons of failed calls, for the log.
+        was_planned: The answer waited for missing parts up to its time.
     """
 
     verdict: Verdict
@@ -111,6 +112,7 @@
     hedges: int
     retries: int
     failures: list[str]
+    was_planned: bool
 
 
 MAX_LOGGED_FAILURES = 6
@@ -139,6 +141,7 @@
         self._retries = 0
         self._is_over = False
         self._caller_left = False
+        self._enough_at = float("inf")
         self._wake = trio.Event()
 
     def caller_left(self) -> None:
@@ -167,6 +170,7 @@
             self._hedges,
             self._retries,
             self._failures,
+            self._enough_at < self._job.terms.answer_at <= trio.current_time(),
         )
         if verdict is Verdict.GIVE_UP:
             self._drop_unsent()
@@ -232,7 +236,8 @@
             )
             for leaf, link in zip(leaves, links, strict=True)
         ]
-        best = order(prospects, self._expects.median_s, now)[0]
+        needs = Needs(self._expects.median_s, self._job.route.target_s)
+        best = order(prospects, needs, now)[0]
         load = links[best].load
         if load.is_down(now) and (purpose == "hedge" or load.waiting):
             return None
@@ -279,6 +284,8 @@
         if end.failure is None and end.reply is not None:
             if self._fanout.arrived(name):
                 self._replies[name] = end.reply
+                if self._fanout.parts_in == self._job.terms.least:
+                    self._enough_at = now
         elif self._is_over:
             self._fanout.failed(name, end.failure or Failure.LOST)
         else:
