--- /dev/null
+++ b/libs/core/tests/test_leafset.py
@@ -0,0 +1,113 @@
+"""Leaf registry: drained, vanished, forged and reused entries."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import pytest
+from sapphire_core.leafset import (
+    LAST_RESORT_S,
+    LeafEntry,
+    LeafRegistry,
+    LeafState,
+    Standing,
+)
+
+ENTRY = LeafEntry(
+    "i-1", "s", "10.0.0.1:80", "z1", 2, LeafState.READY, 0.0, 1000, 5
+)
+OTHER = dataclasses.replace(ENTRY, leaf_id="i-2", address="10.0.0.2:80")
+
+
+def names(registry, now, service="s"):
+    return [x.entry.leaf_id for x in registry.candidates(service, now)]
+
+
+@pytest.fixture
+def registry():
+    registry = LeafRegistry()
+    registry.put(ENTRY, 0.0)
+    registry.put(OTHER, 0.0)
+    return registry
+
+
+def test_a_draining_leaf_gets_nothing_while_another_serves(registry):
+    draining = dataclasses.replace(ENTRY, state=LeafState.DRAINING, sequence=6)
+    registry.put(draining, 1.0)
+    assert names(registry, 1.0) == ["i-2"]
+
+
+def test_the_last_leaf_of_a_service_serves_on_within_the_drain_time(registry):
+    registry.remove("i-1", 1.0)
+    registry.remove("i-2", 1.0)
+    assert names(registry, 1.0 + LAST_RESORT_S - 0.1) == ["i-1", "i-2"]
+    assert names(registry, 1.0 + LAST_RESORT_S) == []
+
+
+def test_an_entry_that_lapsed_in_an_outage_comes_back(registry):
+    registry.remove("i-1", 1.0)
+    registry.put(dataclasses.replace(ENTRY, sequence=9), 2.0)
+    assert "i-1" in names(registry, 10.0)
+
+
+def test_a_late_write_of_the_same_start_is_ignored(registry):
+    draining = dataclasses.replace(ENTRY, state=LeafState.DRAINING, sequence=8)
+    registry.put(draining, 1.0)
+    assert not registry.put(dataclasses.replace(ENTRY, sequence=7), 1.1)
+    assert names(registry, 1.1) == ["i-2"]
+
+
+def test_a_restart_counts_its_entries_anew(registry):
+    reborn = dataclasses.replace(ENTRY, born_ms=2000, sequence=1)
+    registry.remove("i-1", 1.0)
+    assert registry.put(reborn, 1.5)
+    assert names(registry, 9.0) == ["i-2", "i-1"]
+    assert not registry.put(dataclasses.replace(ENTRY, sequence=99), 1.6)
+
+
+def test_a_leaf_that_moves_to_another_service_leaves_the_former(registry):
+    moved = dataclasses.replace(ENTRY, service="t", born_ms=3000)
+    registry.put(moved, 1.0)
+    assert names(registry, 1.0) == ["i-2"]
+    assert names(registry, 1.0, "t") == ["i-1"]
+
+
+def test_a_leaf_whose_address_answers_for_another_is_not_used(registry):
+    registry.misdirected("i-1")
+    assert names(registry, 1.0) == ["i-2"]
+    registry.put(dataclasses.replace(ENTRY, sequence=6), 2.0)
+    assert "i-1" in names(registry, 2.0)
+
+
+def test_an_evacuated_domain_gets_nothing_not_even_as_last_resort(registry):
+    registry.set_evacuated({"z1"})
+    assert names(registry, 0.0) == []
+    registry.set_evacuated(())
+    assert names(registry, 0.0) == ["i-1", "i-2"]
+
+
+def test_a_full_listing_removes_what_it_does_not_contain(registry):
+    registry.retain({"i-2"}, 1.0)
+    assert registry.get("i-1").standing(1.0) is Standing.LAST_RESORT
+
+
+def test_gone_leaves_are_dropped_once(registry):
+    registry.remove("i-1", 1.0)
+    assert registry.forget_gone(1.5) == []
+    gone = registry.forget_gone(1.0 + LAST_RESORT_S)
+    assert [leaf.entry.leaf_id for leaf in gone] == ["i-1"]
+    assert len(registry) == 1
+
+
+def test_warm_up_time_runs_from_the_entry(registry):
+    cold = dataclasses.replace(ENTRY, warmup_left_s=3.0, sequence=6)
+    registry.put(cold, 10.0)
+    assert registry.get("i-1").is_cold(12.9)
+    assert not registry.get("i-1").is_cold(13.0)
+
+
+def test_domains_are_counted_without_leaving_and_evacuated_leaves(registry):
+    registry.remove("i-1", 0.0)
+    assert registry.domain_counts(["s"]) == {"z1": 1}
+    registry.set_evacuated({"z1"})
+    assert registry.domain_counts(["s"]) == {}
--- /dev/null
+++ b/libs/core/tests/test_margin.py
@@ -0,0 +1,34 @@
+"""Answer margin: late samples of another cause must not spoil it."""
+
+from __future__ import annotations
+
+from sapphire_core.margin import LONGEST_LATE_S, AnswerMargin
+
+
+def test_the_first_request_of_a_connection_has_spent_a_round_trip_more():
+    margin = AnswerMargin()
+    for _ in range(100):
+        margin.connected(0.006)
+    assert abs(margin.before_s(False) - 0.003) < 1e-4
+    assert abs(margin.before_s(True) - 0.009) < 3e-4
+
+
+def test_lateness_follows_the_latest_answers():
+    margin = AnswerMargin()
+    for _ in range(200):
+        margin.left(0.010)
+    assert margin.late_s == 0.010
+    for _ in range(200):
+        margin.left(0.001)
+    assert margin.late_s == 0.001
+
+
+def test_one_answer_held_up_for_long_does_not_make_all_early():
+    margin = AnswerMargin()
+    for _ in range(63):
+        margin.left(0.001)
+    margin.left(0.5)
+    assert margin.late_s == 0.001
+    for _ in range(64):
+        margin.left(0.5)
+    assert margin.late_s == LONGEST_LATE_S
--- /dev/null
+++ b/libs/core/tests/test_retrybudget.py
@@ -0,0 +1,75 @@
+"""Retry budget: the fleet's limit must hold without asking each other."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from sapphire_core.retrybudget import BudgetTerms, RetryBudget
+
+TERMS = BudgetTerms(ratio=0.2, slack=58.0, window_s=10.0)
+
+
+def spend_all(budget, now, service="s"):
+    spent = 0
+    while budget.has_room(service, now):
+        budget.spend(service, now)
+        spent += 1
+    return spent
+
+
+def test_without_requests_only_the_share_of_the_slack_is_spent():
+    budget = RetryBudget(TERMS, 0.0)
+    budget.set_vms(6)
+    assert spend_all(budget, 0.0) <= TERMS.slack / 6
+
+
+def test_spent_calls_return_when_their_window_has_passed():
+    budget = RetryBudget(TERMS, 0.0)
+    first = spend_all(budget, 0.0)
+    assert spend_all(budget, 9.9) == 0
+    assert spend_all(budget, 10.6) == first
+
+
+def test_a_reserve_is_left_for_retries():
+    budget = RetryBudget(TERMS, 0.0)
+    while budget.has_room("s", 0.0, reserve=0.5):
+        budget.spend("s", 0.0)
+    assert budget.has_room("s", 0.0)
+
+
+def test_services_have_budgets_of_their_own():
+    budget = RetryBudget(TERMS, 0.0)
+    spend_all(budget, 0.0, "s")
+    assert budget.has_room("t", 0.0)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_fleet_keeps_the_limit_over_restarts_and_uneven_load(seed):
+    """Every window of every phase, with VMs that lose their memory."""
+    chance = random.Random(seed)
+    vms = 8
+    fleet = [RetryBudget(TERMS, 0.0) for _ in range(vms)]
+    requests: list[float] = []
+    extras: list[float] = []
+    for step in range(6000):
+        now = step * 0.01
+        rate = 3 if 15 < now < 30 else 1
+        if chance.random() < 0.002:
+            fleet[chance.randrange(vms)] = RetryBudget(TERMS, now)
+        for budget in fleet:
+            budget.set_vms(vms)
+        for _ in range(rate):
+            budget = fleet[min(chance.randrange(vms), chance.randrange(vms))]
+            budget.request("s", now)
+            requests.append(now)
+            if budget.has_room("s", now):
+                budget.spend("s", now)
+                extras.append(now)
+    for start in range(0, 50):
+        counted = sum(start <= x < start + 10 for x in extras)
+        asked = max(
+            sum(s <= x < s + 10 for x in requests)
+            for s in (start, start - 5, start - 10)
+        )
+        assert counted <= TERMS.ratio * asked + TERMS.slack
