Refuse early what could only be late, and send no hedge into a queue

Hedges added to the queues.

Change: core.overload forecasts the time until enough parts are in from the chosen leaves; a request that has to queue and would be late is refused at once with a Retry-After by the excess, less urgent kinds first. A hedge goes only to a leaf with a free slot that can still answer in time.

Ruled out: refusing for slowness alone; late answers are worth more than none.

--- a/libs/core/src/sapphire_core/choice.py
+++ b/libs/core/src/sapphire_core/choice.py
@@ -137,39 +137,56 @@
     target_s: float
 
 
-def expected_cost(prospect: Prospect, needs: Needs, now: float) -> float:
-    """Returns the expected reply time in seconds, with a charge for distance.
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """Expected reply of a leaf.
+
+    Attributes:
+        time_s: Expected reply time, queueing included.
+        cost_s: The same with a charge for distance.
+        is_queued: The call would wait for a slot.
+    """
+
+    time_s: float
+    cost_s: float
+    is_queued: bool
+
+
+def estimate(prospect: Prospect, needs: Needs, now: float) -> Estimate:
+    """Returns what to expect of a leaf.
 
     Args:
         prospect: The leaf.
         needs: What the call needs.
         now: Present time in seconds.
     """
-    expected_s = needs.expected_s
     load = prospect.load
     fading = math.exp(-max(0.0, now - load.others_at) / REPORT_MEMORY_S)
     ahead = len(load.waiting) + load.others * fading
-    run_s = expected_s * load.slowness_now(now)
+    run_s = needs.expected_s * load.slowness_now(now)
     if prospect.is_cold:
         run_s *= COLD_FACTOR
-    cost = run_s * max(1.0, (ahead + 1.0) / load.slots)
-    cost += load.overdue_s(expected_s, now) + prospect.connect_s
-    if not prospect.is_near:
-        cost += FAR_PART * needs.target_s
-    return cost
+    time_s = run_s * max(1.0, (ahead + 1.0) / load.slots)
+    time_s += load.overdue_s(needs.expected_s, now) + prospect.connect_s
+    charge_s = 0.0 if prospect.is_near else FAR_PART * needs.target_s
+    return Estimate(time_s, time_s + charge_s, ahead >= load.slots)
 
 
-def order(prospects: list[Prospect], needs: Needs, now: float) -> list[int]:
-    """Returns the indices of the prospects, best first.
+def best(
+    prospects: list[Prospect], needs: Needs, now: float
+) -> tuple[int, Estimate]:
+    """Returns the index of the best prospect and its estimate.
 
-    Leaves that can't be reached come last; the one to be tried next leads
-    them.
+    Leaves that can't be reached are taken only if there is no other; the one
+    to be tried next leads them.
     """
+    estimates = [estimate(prospect, needs, now) for prospect in prospects]
 
     def key(index: int) -> tuple[bool, float]:
         load = prospects[index].load
         if load.is_down(now):
             return True, load.down_until
-        return False, expected_cost(prospects[index], needs, now)
+        return False, estimates[index].cost_s
 
-    return sorted(range(len(prospects)), key=key)
+    chosen = min(range(len(prospects)), key=key)
+    return chosen, estimates[chosen]
--- a/libs/core/tests/test_choice.py
+++ b/libs/core/tests/test_choice.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from sapphire_core.choice import LeafLoad, Needs, Prospect, order
+from sapphire_core import choice
+from sapphire_core.choice import LeafLoad, Needs, Prospect
 
 NEEDS = Needs(expected_s=0.010, target_s=0.100)
 
@@ -12,7 +13,7 @@
 
 
 def best(prospects, now=1.0):
-    return order(prospects, NEEDS, now)[0]
+    return choice.best(prospects, NEEDS, now)[0]
 
 
 def feed(load, ratio, count, now=1.0):
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import random
+
 import trio
 from sapphire_core.fanout import Terms, Verdict, least_parts
 from sapphire_core.margin import AnswerMargin
+from sapphire_core.overload import Forecast, forecast
 from sapphire_core.routing import Configuration, Kind, Route
 
 from sapphire_gateway import telemetry
@@ -39,6 +42,8 @@
         self._expectations: dict[tuple[str, ...], Expectation] = {}
         self._lines = telemetry.RequestLines()
         self._planned: dict[int, float] = {}
+        self._ranked: Configuration | None = None
+        self._priorities: list[int] = []
         self.margin = AnswerMargin()
 
     async def handle(self, request: Request, caller: Caller) -> Answer:
@@ -59,11 +64,29 @@
         if route is None:
             return self._refuse(request, 404, "no route")
         job = self._job(request, request_id, route, configuration)
-        if self._is_hopeless(job):
+        run = Run(job, self._fleet, self._expectation_of(route))
+        now = trio.current_time()
+        estimates = run.plan(now)
+        if len(estimates) < job.terms.least:
             return self._refuse(
                 request, 503, "too few leaves", RETRY_NO_LEAF_S, route
             )
-        return await self._run(request, job, caller)
+        outlook = forecast(
+            estimates,
+            job.terms.least,
+            max(job.terms.answer_at - now, 0.0),
+            self._steps_below(route, configuration),
+        )
+        if outlook.is_refused:
+            return self._refuse(
+                request,
+                503,
+                "overloaded",
+                outlook.return_after_s(random.random()),
+                route,
+                outlook,
+            )
+        return await self._run(request, job, run, caller)
 
     def sent(self, request: Request, now: float) -> None:
         """Learns how late an answer with parts missing left."""
@@ -71,9 +94,9 @@
         if planned is not None:
             self.margin.left(now - planned)
 
-    async def _run(self, request: Request, job: Job, caller: Caller) -> Answer:
-        expects = self._expectation(job)
-        run = Run(job, self._fleet, expects)
+    async def _run(
+        self, request: Request, job: Job, run: Run, caller: Caller
+    ) -> Answer:
         with (
             telemetry.RUNNING.track_inprogress(),
             caller.watched(run.caller_left),
@@ -133,11 +156,14 @@
             give_up_at,
         )
 
-    def _is_hopeless(self, job: Job) -> bool:
-        now = trio.current_time()
-        registry = self._fleet.belief.registry
-        held = sum(bool(registry.candidates(p, now)) for p in job.parts)
-        return held < job.terms.least
+    def _steps_below(self, route: Route, configuration: Configuration) -> int:
+        """Counts the priorities that are more urgent than the route's."""
+        if configuration is not self._ranked:
+            self._ranked = configuration
+            self._priorities = sorted(
+                {known.priority for known in configuration.routes}
+            )
+        return self._priorities.index(route.priority)
 
     def _expectation_of(self, route: Route) -> Expectation:
         key = (route.name, *(share.service for share in route.shares))
@@ -149,9 +175,6 @@
             self._expectations[key] = known
         return known
 
-    def _expectation(self, job: Job) -> Expectation:
-        return self._expectation_of(job.route)
-
     def _leaf_head(self, request: Request) -> bytes:
         dropped = _named_in_connection(request.headers) | CONNECTION_HEADERS
         own = {
@@ -217,6 +240,7 @@
         reason: str,
         retry_s: float | None = None,
         route: Route | None = None,
+        outlook: Forecast | None = None,
     ) -> Answer:
         request_id = header(request.headers, self._dialect.request_id.lower())
         name = route.name if route else "none"
@@ -229,6 +253,9 @@
                 "route": name,
                 "status": status,
                 "reason": reason,
+                "retry_after_s": retry_s,
+                "needed_ms": outlook and round(outlook.needed_s * 1000, 1),
+                "allowed_ms": outlook and round(outlook.allowed_s * 1000, 1),
                 **self._evidence(),
             },
         )
--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 
 import trio
-from sapphire_core.choice import Needs, Prospect, order
+from sapphire_core.choice import Estimate, Needs, Prospect, best
 from sapphire_core.fanout import Failure, FanOut, Terms, Verdict
 from sapphire_core.latency import RunningQuantile
-from sapphire_core.leafset import LeafEntry, RegisteredLeaf
+from sapphire_core.leafset import LeafEntry
 from sapphire_core.routing import Configuration, Route
 
 from sapphire_gateway import telemetry
@@ -118,6 +118,16 @@
 MAX_LOGGED_FAILURES = 6
 
 
+@dataclass(frozen=True, slots=True)
+class _Choice:
+    """The leaf that gets a call."""
+
+    entry: LeafEntry
+    link: LeafLink
+    estimate: Estimate
+    is_cold: bool
+
+
 @dataclass(slots=True)
 class _Tried:
     leaf_ids: set[str] = field(default_factory=set)
@@ -133,6 +143,7 @@
         self._expects = expects
         self._fanout = FanOut(job.parts, job.terms)
         self._tried = {name: _Tried() for name in job.parts}
+        self._planned: dict[str, _Choice] = {}
         self._calls: list[Call] = []
         self._replies: dict[str, Reply] = {}
         self._failure_reply: Reply | None = None
@@ -149,12 +160,27 @@
         self._caller_left = True
         self._wake.set()
 
+    def plan(self, now: float) -> list[Estimate]:
+        """Chooses the first leaf of each part.
+
+        Returns:
+            What to expect of each part that has a leaf.
+        """
+        for name in self._job.parts:
+            choice = self._choose(name, now)
+            if choice is not None:
+                self._planned[name] = choice
+        return [choice.estimate for choice in self._planned.values()]
+
     async def finish(self) -> Outcome:
-        """Runs the request to its verdict."""
+        """Sends what was planned and runs the request to its verdict."""
         now = trio.current_time()
         for name in self._job.parts:
             self._fleet.budget.request(name, now)
-            if not self._send(name, now, "first"):
+            choice = self._planned.get(name)
+            if choice is not None:
+                self._start(name, choice, now, "first")
+            else:
                 self._note(f"{name}: no leaf")
                 self._fanout.abandon(name)
         verdict = await self._decide()
@@ -191,57 +217,72 @@
                 await self._wake.wait()
 
     def _hedge(self, name: str, now: float) -> None:
-        budget = self._fleet.budget
-        if budget.has_room(name, now, HEDGE_RESERVE):
-            self._hedges += self._send(name, now, "hedge")
-
-    def _send(self, name: str, now: float, purpose: str) -> bool:
-        """Sends a part to the best leaf left; False if there is none."""
-        chosen = self._choose(name, now, purpose)
-        if chosen is None:
+        """Sends a part to a second leaf if that can still help."""
+        if not self._fleet.budget.has_room(name, now, HEDGE_RESERVE):
+            return
+        choice = self._choose(name, now)
+        if choice is None or choice.estimate.is_queued:
+            return
+        terms = self._job.terms
+        limit = terms.answer_at if now < terms.answer_at else terms.give_up_at
+        if now + choice.estimate.time_s < limit:
+            self._start(name, choice, now, "hedge")
+            self._hedges += 1
+
+    def _retry(self, name: str, now: float) -> bool:
+        choice = self._choose(name, now)
+        if choice is None:
             return False
-        leaf, link = chosen
-        entry = leaf.entry
-        if leaf.is_cold(now):
+        self._start(name, choice, now, "retry")
+        return True
+
+    def _start(
+        self, name: str, choice: _Choice, now: float, purpose: str
+    ) -> None:
+        entry = choice.entry
+        if choice.is_cold:
             self._fleet.cold_sent(entry, now)
         if purpose != "first":
             self._fleet.budget.spend(name, now)
         self._tried[name].leaf_ids.add(entry.leaf_id)
-        call = self._call(name, entry, link, now)
+        call = self._call(name, entry, choice.link, now)
         self._calls.append(call)
         self._fanout.sent(name)
         telemetry.CALLS.labels(purpose).inc()
-        self._fleet.pool.call(link, call)
-        return True
+        self._fleet.pool.call(choice.link, call)
 
-    def _choose(
-        self, name: str, now: float, purpose: str
-    ) -> tuple[RegisteredLeaf, LeafLink] | None:
+    def _choose(self, name: str, now: float) -> _Choice | None:
+        """Returns the best leaf that the part has not been sent to."""
         tried = self._tried[name].leaf_ids
+        fleet = self._fleet
         leaves = [
             leaf
-            for leaf in self._fleet.belief.registry.candidates(name, now)
-            if leaf.entry.leaf_id not in tried
-            and self._fleet.may_send(leaf, now)
+            for leaf in fleet.belief.registry.candidates(name, now)
+            if leaf.entry.leaf_id not in tried and fleet.may_send(leaf, now)
         ]
         if not leaves:
             return None
-        links = [self._fleet.pool.link(leaf.entry) for leaf in leaves]
+        links = [fleet.pool.link(leaf.entry) for leaf in leaves]
         prospects = [
             Prospect(
                 link.load,
-                leaf.entry.domain == self._fleet.domain,
+                leaf.entry.domain == fleet.domain,
                 leaf.is_cold(now),
                 link.expected_connect_s,
             )
             for leaf, link in zip(leaves, links, strict=True)
         ]
         needs = Needs(self._expects.median_s, self._job.route.target_s)
-        best = order(prospects, needs, now)[0]
-        load = links[best].load
-        if load.is_down(now) and (purpose == "hedge" or load.waiting):
+        index, estimate = best(prospects, needs, now)
+        load = links[index].load
+        if load.is_down(now) and load.waiting:
             return None
-        return leaves[best], links[best]
+        return _Choice(
+            leaves[index].entry,
+            links[index],
+            estimate,
+            prospects[index].is_cold,
+        )
 
     def _call(
         self, name: str, entry: LeafEntry, link: LeafLink, now: float
@@ -307,7 +348,7 @@
         if (
             may_repeat
             and self._fleet.budget.has_room(name, now)
-            and self._send(name, now, "retry")
+            and self._retry(name, now)
         ):
             self._retries += 1
             return
@@ -318,7 +359,7 @@
         tried = self._tried[name]
         tried.unreached += 1
         is_allowed = tried.unreached <= MAX_UNREACHED
-        if not (is_allowed and self._send(name, now, "retry")):
+        if not (is_allowed and self._retry(name, now)):
             self._fanout.abandon(name)
 
     def _learn(
