Test the gateway and the adapter against scripted leaves and stores

The adapter's tests lie outside platform/, since pytest would import that folder as a package that shadows the standard library's module.

--- a/Makefile
+++ b/Makefile
@@ -35,8 +35,8 @@
 # The tests with whole fleets run one after the other: each needs several
 # cores, and deadlines are missed when more fleets run than cores allow.
 unit: setup
-	$(BIN)/python -m pytest -n 4 libs platform
-	$(BIN)/python -m pytest tests
+	$(BIN)/python -m pytest -n 4 libs tests/adapter
+	$(BIN)/python -m pytest tests --ignore=tests/adapter
 
 model: setup
 	@if [ -f model/check ]; then sh model/check; fi
--- /dev/null
+++ b/libs/gateway/tests/conftest.py
@@ -0,0 +1,26 @@
+"""Fixtures of the gateway's tests."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from gateway_world import World
+
+
+@pytest.fixture
+def in_world():
+    """Runs an async test with a world that listens for callers."""
+
+    def run(test):
+        async def main():
+            with trio.fail_after(20):
+                async with trio.open_nursery() as nursery:
+                    world = World(nursery)
+                    nursery.start_soon(world.pool.sweep)
+                    await world.serve()
+                    await test(world)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    return run
--- /dev/null
+++ b/libs/gateway/tests/gateway_world.py
@@ -0,0 +1,223 @@
+"""A gateway in this process, with scripted leaves on loopback."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+
+import trio
+from sapphire_core.leafset import LeafEntry, LeafState
+from sapphire_core.retrybudget import BudgetTerms
+from sapphire_core.routing import (
+    Configuration,
+    Gather,
+    Kind,
+    Route,
+    ServiceSpec,
+    Share,
+)
+from sapphire_gateway.belief import Belief
+from sapphire_gateway.callers import CallerServer
+from sapphire_gateway.dialect import Dialect
+from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.gateway import Gateway
+from sapphire_gateway.pool import LeafPool
+
+DIALECT = Dialect(
+    b"X-Id",
+    b"X-Left",
+    b"X-Signature",
+    b"X-Target",
+    b"X-Leaf",
+    b"X-Load",
+    b"X-Not-Run",
+    b"X-Signatures",
+    b"X-Missing",
+)
+HOST = "a.example"
+DOMAIN = "z1"
+
+
+def reply(request, body=b"", status="200 OK", signature="s", extra=()):
+    """Returns a whole reply to a request's bytes."""
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *extra]
+    if signature:
+        lines.append(f"X-Signature: {signature}")
+    lines.append(f"X-Id: {field(request, 'x-id')}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def field(request, name):
+    """Returns a header of a request's bytes, or an empty text."""
+    for line in request.split(b"\r\n"):
+        key, _, value = line.partition(b":")
+        if key.strip().lower() == name.encode():
+            return value.strip().decode()
+    return ""
+
+
+class Leaf:
+    """Answers each request by a function of its bytes.
+
+    The function returns bytes to send, None to stay silent, or a tuple of
+    bytes after which the connection closes.
+    """
+
+    def __init__(self, answer) -> None:
+        self.answer = answer
+        self.requests = []
+        self.closed = 0
+        self.address = ""
+
+    async def serve(self, stream):
+        with contextlib.suppress(
+            trio.BrokenResourceError, trio.ClosedResourceError
+        ):
+            while True:
+                data = await stream.receive_some(65536)
+                if not data:
+                    break
+                self.requests.append(data)
+                await self._answer(stream, data)
+        self.closed += 1
+
+    async def _answer(self, stream, data):
+        result = self.answer(data)
+        if hasattr(result, "__await__"):
+            result = await result
+        if isinstance(result, tuple):
+            await stream.send_all(result[0])
+            await stream.aclose()
+        elif result is not None:
+            await stream.send_all(result)
+
+
+class World:
+    """The gateway under test and what surrounds it."""
+
+    def __init__(self, nursery) -> None:
+        self.nursery = nursery
+        self.belief = Belief("vm1")
+        self.pool = LeafPool(nursery, DIALECT)
+        self.fleet = Fleet(
+            self.belief,
+            self.pool,
+            DIALECT,
+            DOMAIN,
+            BudgetTerms(0.2, 50.0, 10.0),
+            trio.current_time(),
+        )
+        self.gateway = Gateway(self.fleet)
+        self.leaving = False
+        self.version = 0
+        self.address = ("127.0.0.1", 0)
+
+    async def leaf(self, service, answer, **more: object):
+        """Starts a leaf and registers it."""
+        leaf = Leaf(answer)
+        listeners = await self.nursery.start(
+            trio.serve_tcp, leaf.serve, 0,
+        )  # fmt: skip
+        port = listeners[0].socket.getsockname()[1]
+        leaf.address = f"127.0.0.1:{port}"
+        entry = LeafEntry(
+            f"i-{port}", service, leaf.address, DOMAIN, 2, LeafState.READY,
+            0.0, 1000, 1,
+        )  # fmt: skip
+        entry = dataclasses.replace(entry, **more)
+        self.belief.registry.put(entry, trio.current_time())
+        return leaf
+
+    def configure(self, *routes: Route):
+        """Puts a configuration with these routes in force."""
+        self.version += 1
+        services = {s for route in routes for s in route.services}
+        self.belief.adopt(
+            Configuration(
+                self.version,
+                routes,
+                {s: ServiceSpec(s, 20, 0.0) for s in services},
+            )
+        )
+
+    async def serve(self):
+        """Listens for callers."""
+        server = CallerServer(
+            self.gateway.handle,
+            lambda: self.belief.configuration.limits,
+            lambda: self.leaving,
+            self.gateway.sent,
+        )
+        with trio.socket.socket() as sock:
+            await sock.bind(("127.0.0.1", 0))
+            self.address = sock.getsockname()
+        host, port = self.address
+        await self.nursery.start(server.serve, f"{host}:{port}")
+
+    async def connect(self):
+        """Opens a caller's connection."""
+        return await trio.open_tcp_stream(*self.address)
+
+    async def ask(
+        self, path="/a/x", request_id="r1", method="GET", **more: object
+    ):
+        """Sends one request on a connection of its own."""
+        async with await self.connect() as stream:
+            await stream.send_all(ask_bytes(path, request_id, method, **more))
+            return await read_answer(stream)
+
+
+def ask_bytes(path="/a/x", request_id="r1", method="GET", left=2000, body=b""):
+    """Returns the bytes of a caller's request."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"X-Id: {request_id}",
+        f"X-Left: {left}",
+    ]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+
+async def read_answer(stream):
+    """Reads one answer with a length."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = await stream.receive_some(65536)
+        assert more, f"closed after {data!r}"
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head.decode().split("\r\n")
+    headers = {}
+    for line in lines:
+        key, _, value = line.partition(":")
+        headers[key.lower()] = value.strip()
+    while len(body) < int(headers["content-length"]):
+        body += await stream.receive_some(65536)
+    return Answer(int(first.split()[1]), headers, body)
+
+
+def one(service="s", kind=Kind.IDEMPOTENT, target_s=0.5, **more: object):
+    """Returns a route to one leaf."""
+    return Route(
+        "one", HOST, "/a/", kind, 1.5, target_s, 2, 1, (Share(service, 1.0),),
+        **more,
+    )  # fmt: skip
+
+
+def search(*shards: str, target_s=0.3, least=0.5, top=4):
+    """Returns a route over shards."""
+    return Route(
+        "search", HOST, "/a/", Kind.IDEMPOTENT, 1.5, target_s, 2, 1,
+        gather=Gather(shards, top, least),
+    )  # fmt: skip
--- /dev/null
+++ b/libs/gateway/tests/test_messages.py
@@ -0,0 +1,111 @@
+"""HTTP messages that arrive in pieces, too large or forged."""
+
+from __future__ import annotations
+
+import pytest
+from sapphire_gateway.messages import (
+    Answer,
+    MessageError,
+    ReplyReader,
+    RequestReader,
+    encode_answer,
+)
+
+REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+
+
+def test_a_request_in_single_bytes():
+    reader = RequestReader(1000, 1000)
+    for index in range(len(REQUEST)):
+        reader.feed(REQUEST[index : index + 1])
+    request = reader.complete[0]
+    assert (request.method, request.target) == (b"POST", b"/a")
+    assert request.headers[0] == (b"host", b"h")
+    assert request.body == b"abc"
+    assert reader.is_between_messages
+
+
+def test_a_chunked_body_is_joined():
+    reader = RequestReader(1000, 1000)
+    reader.feed(
+        b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+    )
+    assert reader.complete[0].body == b"abc"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"POST /a HTTP/1.1\r\nContent-Length: 3\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nBad Header: x\r\n\r\n",
+        b"\x16\x03\x01\x02\x00",
+    ],
+)
+def test_ambiguous_requests_are_rejected(data):
+    """A request that two readers frame differently smuggles another one."""
+    with pytest.raises(MessageError):
+        RequestReader(1000, 1000).feed(data)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /a HTTP/1.1\r\nX: " + b"y" * 200 + b"\r\n\r\n", 431),
+        (b"GET /" + b"y" * 200 + b" HTTP/1.1\r\n\r\n", 431),
+        (b"POST /a HTTP/1.1\r\nContent-Length: 150\r\n\r\n" + b"y" * 150, 413),
+    ],
+)
+def test_limits_name_the_status(data, status):
+    with pytest.raises(MessageError) as caught:
+        RequestReader(100, 100).feed(data)
+    assert caught.value.status == status
+
+
+def test_an_interim_reply_is_passed_over():
+    reader = ReplyReader()
+    reader.feed(b"HTTP/1.1 100 Continue\r\n\r\n")
+    assert reader.reply is None
+    reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+    assert reader.reply.body == b"x"
+
+
+def test_a_reply_without_length_is_open_until_the_end():
+    reader = ReplyReader()
+    reader.feed(b"HTTP/1.1 200 OK\r\n\r\nabc")
+    assert reader.reply is None
+    reader.finish()
+    assert reader.reply.body == b"abc"
+    assert not reader.reply.keeps_alive
+
+
+def test_a_cut_reply_with_length_is_never_whole():
+    reader = ReplyReader()
+    reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")
+    reader.finish()
+    assert reader.reply is None
+
+
+@pytest.mark.parametrize("more", [b"HTTP/1.1 200 OK\r\n", b"x", b"\x00\xff"])
+def test_bytes_beyond_a_reply_are_noted(more):
+    reader = ReplyReader()
+    reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\ny" + more)
+    assert reader.reply.body == b"y"
+    assert reader.has_extra
+
+
+def test_a_reply_to_head_has_no_body():
+    reader = ReplyReader(is_to_head=True)
+    reader.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")
+    assert reader.reply.body == b""
+
+
+def test_answers_state_length_and_close():
+    answer = Answer(200, [(b"A", b"1")], b"xy")
+    assert encode_answer(answer, True, False) == (
+        b"HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 2\r\n"
+        b"Connection: close\r\n\r\nxy"
+    )
+    assert encode_answer(answer, False, True).endswith(b"Length: 2\r\n\r\n")
--- /dev/null
+++ b/libs/gateway/tests/test_sync.py
@@ -0,0 +1,242 @@
+"""Sync with the store: outages, lost history, lapsed and revoked entries."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+import trio.testing
+from sapphire_core.leafset import LeafEntry, LeafState
+from sapphire_core.members import Member
+from sapphire_gateway.belief import (
+    Belief,
+    EvacuationFact,
+    LeafFact,
+    LeafGoneFact,
+    MemberFact,
+    MemberGoneFact,
+)
+from sapphire_gateway.store import (
+    Batch,
+    Change,
+    HistoryGoneError,
+    LeaseGoneError,
+    MemberValue,
+    StoreUnavailableError,
+)
+from sapphire_gateway.sync import LEASE_S, WATCH_WAIT_S, Sync
+
+ME = MemberValue("vm1", "10.0.0.1:80", "z1", False)
+LEAF = LeafEntry("i-1", "s", "10.0.1.1:80", "z1", 2, LeafState.READY, 0.0, 1, 1)
+
+
+class FakeStore:
+    """The store in memory, with faults that a test switches on."""
+
+    def __init__(self) -> None:
+        self.facts = {}
+        self.history = []
+        self.revision = 1
+        self.first = 0
+        self.is_down = False
+        self.is_silent = False
+        self.leases = {}
+        self.calls = []
+        self._changed = trio.Event()
+
+    def write(self, key, fact):
+        """Writes a key, or removes it if the fact says so."""
+        self.revision += 1
+        change = Change(key, self.revision, fact)
+        if isinstance(fact, LeafGoneFact | MemberGoneFact):
+            self.facts.pop(key, None)
+        else:
+            self.facts[key] = change
+        self.history.append(change)
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def forget_history(self):
+        """Makes watches from before fail."""
+        self.first = self.revision
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def start(self, nursery):
+        """Needs no tasks."""
+
+    def reconnect(self, reason):
+        """Counts as a call."""
+        self.calls.append("reconnect")
+
+    async def _called(self, name):
+        self.calls.append(name)
+        await trio.sleep(0.004)
+        if self.is_silent:
+            await trio.sleep(1.5)
+        if self.is_down or self.is_silent:
+            raise StoreUnavailableError("down.")
+
+    async def read_all(self):
+        await self._called("read_all")
+        return Batch(tuple(self.facts.values()), self.revision)
+
+    async def watch_all(self, after, wait_s):
+        await self._called("watch")
+        with trio.move_on_after(wait_s):
+            while self.revision <= after and self.first <= after:
+                await self._changed.wait()
+        if self.is_silent:
+            await trio.sleep_forever()
+        if after < self.first:
+            raise HistoryGoneError("gone.")
+        changes = tuple(c for c in self.history if c.revision > after)
+        return Batch(changes, self.revision)
+
+    async def open_lease(self, ttl_s):
+        await self._called("lease")
+        number = len(self.leases) + 1
+        self.leases[number] = trio.current_time() + ttl_s
+        return number
+
+    async def keep_lease(self, lease):
+        await self._called("keep")
+        if self.leases[lease] < trio.current_time():
+            raise LeaseGoneError("gone.")
+        self.leases[lease] = trio.current_time() + LEASE_S
+
+    async def put_member(self, value, lease):
+        await self._called("put")
+        if self.leases[lease] < trio.current_time():
+            raise LeaseGoneError("gone.")
+        member = Member(value.name, value.address, value.domain, value.leaving)
+        self.write(f"members/{value.name}", MemberFact(member))
+
+
+@pytest.fixture
+def played():
+    """Runs a test against a sync, on a clock that needs no waiting."""
+
+    def run(test):
+        async def main():
+            store = FakeStore()
+            belief = Belief("vm1")
+            sync = Sync(store, belief, ME, lambda: None)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(sync.run)
+                await trio.sleep(2)
+                await test(store, belief, sync)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    return run
+
+
+def test_a_calm_minute_costs_few_full_calls(played):
+    async def test(store, belief, sync):
+        store.calls.clear()
+        await trio.sleep(60)
+        assert store.calls.count("watch") <= 60 / WATCH_WAIT_S + 1
+        assert set(store.calls) <= {"watch", "keep"}
+
+    played(test)
+
+
+def test_changes_are_learned_within_a_second(played):
+    async def test(store, belief, sync):
+        for number in range(5):
+            store.write(f"servers/i-{number}", LeafFact(LEAF))
+            await trio.sleep(0.05)
+        await trio.sleep(1)
+        assert belief.revision == store.revision
+        assert belief.registry.candidates("s", trio.current_time())
+
+    played(test)
+
+
+def test_many_changes_are_fetched_together(played):
+    async def test(store, belief, sync):
+        store.calls.clear()
+        for number in range(100):
+            store.write(f"servers/i-{number}", LeafFact(LEAF))
+            await trio.sleep(0.02)
+        assert store.calls.count("watch") <= 7
+
+    played(test)
+
+
+def test_what_vanished_with_the_history_is_gone(played):
+    async def test(store, belief, sync):
+        store.write("servers/i-1", LeafFact(LEAF))
+        store.write("op/evacuate/z2", EvacuationFact("z2", True))
+        await trio.sleep(1)
+        assert belief.registry.evacuated == {"z2"}
+        store.facts.clear()
+        store.revision += 1
+        store.forget_history()
+        await trio.sleep(4)
+        assert not belief.registry.candidates("s", trio.current_time())
+        assert not belief.registry.evacuated
+
+    played(test)
+
+
+def test_an_entry_that_lapsed_is_written_again(played):
+    async def test(store, belief, sync):
+        store.leases.update(dict.fromkeys(store.leases, 0.0))
+        store.write("members/vm1", MemberGoneFact("vm1"))
+        await trio.sleep(2)
+        assert "members/vm1" in store.facts
+
+    played(test)
+
+
+def test_an_entry_that_was_taken_away_is_written_again(played):
+    """The lease still renews, so that no call shows the loss."""
+
+    async def test(store, belief, sync):
+        store.write("members/vm1", MemberGoneFact("vm1"))
+        await trio.sleep(1)
+        assert "members/vm1" in store.facts
+
+    played(test)
+
+
+def test_a_watch_that_hangs_is_repeated_when_the_store_is_back(played):
+    """A silent store drops waiting watches without closing connections."""
+
+    async def test(store, belief, sync):
+        store.is_silent = True
+        store.write("servers/i-1", LeafFact(LEAF))
+        await trio.sleep(6)
+        assert sync.contact_age_s > 4
+        store.is_silent = False
+        store.write("servers/i-2", LeafFact(LEAF))
+        await trio.sleep(3)
+        assert belief.revision == store.revision
+
+    played(test)
+
+
+def test_an_outage_is_probed_by_renewals(played):
+    async def test(store, belief, sync):
+        store.is_down = True
+        store.forget_history()
+        await trio.sleep(2)
+        store.calls.clear()
+        await trio.sleep(10)
+        assert store.calls.count("watch") <= 6
+        store.is_down = False
+        await trio.sleep(2)
+        assert belief.revision == store.revision
+
+    played(test)
+
+
+def test_leaving_is_told_at_once(played):
+    async def test(store, belief, sync):
+        await sync.leave()
+        await trio.sleep(0.1)
+        assert store.facts["members/vm1"].fact.member.leaving
+
+    played(test)
--- /dev/null
+++ b/tests/adapter/test_decode.py
@@ -0,0 +1,176 @@
+"""Values of the store: entries of other writers must name no leaf."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from adapter import decode
+from sapphire_core.leafset import LeafState
+from sapphire_core.members import Member
+from sapphire_core.routing import Kind
+from sapphire_gateway.belief import (
+    ConfigurationFact,
+    EvacuationFact,
+    LeafFact,
+    LeafGoneFact,
+    MemberFact,
+    MemberGoneFact,
+    UnreadableFact,
+)
+
+LEAF = {
+    "Service": "s",
+    "Address": "10.0.0.9:8080",
+    "Zone": "z1",
+    "Version": "v1",
+    "Slots": 2,
+    "State": "ready",
+    "WarmupLeftMs": 1500,
+    "Sequence": 4,
+    "born": 1791105842648,
+}
+ROUTE = {
+    "Name": "r",
+    "Host": "a.example",
+    "Prefix": "/a/",
+    "Kind": "non_idempotent",
+    "TimeoutMs": 4000,
+    "TargetLatencyMs": 346,
+    "Priority": 2,
+    "Service": "s",
+    "MaxAttempts": 2,
+}
+CONFIG = {
+    "Version": 7,
+    "Routes": [ROUTE],
+    "Services": [
+        {
+            "Name": "s",
+            "HealthPath": "/health",
+            "MaxConnections": 26,
+            "Protocol": "h1",
+            "Tls": False,
+            "WarmupS": 3.0,
+            "WarmupPerS": 4.5,
+        }
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 1000,
+        "MaxBodyBytes": 2000,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 4000,
+    },
+}
+
+
+def leaf(**more: object):
+    value = {k: v for k, v in {**LEAF, **more}.items() if v != "absent"}
+    return decode.written("servers/i-1", json.dumps(value).encode())
+
+
+def config(**more: object):
+    value = json.dumps({**CONFIG, **more}).encode()
+    return decode.written("op/config", value)
+
+
+def test_a_leafs_entry():
+    entry = leaf().entry
+    assert (entry.leaf_id, entry.service) == ("i-1", "s")
+    assert entry.state is LeafState.READY
+    assert entry.warmup_left_s == 1.5
+    assert (entry.born_ms, entry.sequence) == (1791105842648, 4)
+    assert leaf(State="draining").entry.state is LeafState.DRAINING
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"Service": 7},
+        {"Service": "absent"},
+        {"Address": "10.0.0.9"},
+        {"Address": "leaf:80"},
+        {"Address": "10.0.0.9:99999"},
+        {"Address": None},
+        {"Zone": ["z1"]},
+        {"Slots": "2"},
+        {"Slots": 0},
+        {"Slots": True},
+        {"State": "starting"},
+        {"State": "absent"},
+        {"WarmupLeftMs": -1},
+        {"Sequence": "4"},
+        {"born": "now"},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_leaf(wrong):
+    assert isinstance(leaf(**wrong), LeafGoneFact)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"null", b"{"])
+def test_bytes_that_are_no_entry_name_no_leaf(value):
+    assert isinstance(decode.written("servers/i-1", value), LeafGoneFact)
+
+
+def test_a_configuration():
+    read = config().configuration
+    assert read.version == 7
+    route = read.routes[0]
+    assert route.kind is Kind.AT_MOST_ONCE
+    assert (route.timeout_s, route.target_s) == (4.0, 0.346)
+    assert read.services["s"].cold_rate == 4.5
+    assert read.limits.idle_timeout_s == 4.0
+
+
+def test_a_gather_is_idempotent_and_has_no_shares():
+    route = {**ROUTE, "Gather": ["p", "q"], "TopK": 5, "MinShardShare": 0.75}
+    del route["Service"]
+    read = config(Routes=[route]).configuration.routes[0]
+    assert read.kind is Kind.IDEMPOTENT
+    assert read.gather.shards == ("p", "q")
+    assert read.shares == ()
+
+
+def test_a_split_keeps_its_weights():
+    split = [{"Service": "p", "Weight": 3}, {"Service": "q", "Weight": 1}]
+    route = {**ROUTE, "TrafficSplit": split}
+    del route["Service"]
+    read = config(Routes=[route]).configuration.routes[0]
+    assert [(s.service, s.weight) for s in read.shares] == [
+        ("p", 3.0),
+        ("q", 1.0),
+    ]
+
+
+def test_an_unknown_kind_is_not_repeated():
+    read = config(Routes=[{**ROUTE, "Kind": "other"}]).configuration
+    assert read.routes[0].kind is Kind.AT_MOST_ONCE
+
+
+@pytest.mark.parametrize(
+    "wrong", [{"Version": "7"}, {"Routes": [{"Host": "a"}]}, {"Routes": {}}]
+)
+def test_an_unreadable_configuration_changes_nothing(wrong):
+    assert isinstance(config(**wrong), UnreadableFact)
+
+
+def test_other_keys():
+    assert decode.written("op/config/x", b"{}") is None
+    assert decode.written("other", b"{}") is None
+    out = decode.written("op/evacuate/z1", b"{}")
+    assert out == EvacuationFact("z1", True)
+    assert decode.removed("op/evacuate/z1") == EvacuationFact("z1", False)
+    assert decode.removed("members/vm1") == MemberGoneFact("vm1")
+    assert decode.removed("op/config") is None
+    assert isinstance(decode.removed("servers/i-1"), LeafGoneFact)
+
+
+def test_a_members_entry_is_read_as_written():
+    member = Member("vm1", "10.0.0.1:80", "z1", leaving=True)
+    value = decode.encode_member(member)
+    assert decode.written("members/vm1", value) == MemberFact(member)
+
+
+def test_facts_have_their_types():
+    assert isinstance(leaf(), LeafFact)
+    assert isinstance(config(), ConfigurationFact)
