Serve callers by as many VMs as can hold connections to each leaf

Idle entries have no warm connections.

Change: members publish their processor time; the strongest of each failure domain serve callers, as many as can hold two connections to each leaf; only these connect ahead, and the connections of a leaf are shared by them.

--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -28,12 +28,14 @@
         address: Where callers connect.
         domain: Failure domain.
         leaving: It is being stopped and must not be named.
+        cores: Processor time that it has, as a number of cores.
     """
 
     name: str
     address: str
     domain: str
     leaving: bool = False
+    cores: float = 1.0
 
 
 @dataclass(slots=True)
@@ -109,20 +111,42 @@
     }
 
 
-def named_to(
-    caller_domain: str, live: list[Member], leaf_counts: Mapping[str, int]
+def active(
+    live: list[Member], leaf_counts: Mapping[str, int], most: int
 ) -> list[Member]:
-    """Returns the members that a caller of a failure domain should use.
+    """Returns the members that serve callers; the others are spare.
+
+    Few entries keep warm connections to all leaves, while many would exceed
+    the number that a leaf accepts. All VMs choose alike: the strongest of each
+    failure domain that holds leaves, and of all domains if these have too few.
 
     Args:
-        caller_domain: The caller's failure domain.
         live: Members that may be named.
         leaf_counts: Usable leaves of sharded services by failure domain.
+        most: Number of members that can hold enough connections.
     """
     domains = serving_domains(leaf_counts)
-    near = [m for m in live if m.domain in domains] or live
-    own = [m for m in near if m.domain == caller_domain]
-    chosen = own if len(own) >= LEAST_NAMED else near
-    if len(chosen) < LEAST_NAMED:
-        chosen = live
+    near = [m for m in live if m.domain in domains]
+    if len(near) < LEAST_NAMED:
+        near = live
+    by_domain: dict[str, list[Member]] = {}
+    for member in near:
+        by_domain.setdefault(member.domain, []).append(member)
+    quota = max(LEAST_NAMED, most // max(1, len(by_domain)))
+    return [
+        member
+        for members in by_domain.values()
+        for member in sorted(members, key=lambda m: (-m.cores, m.name))[:quota]
+    ]
+
+
+def named_to(caller_domain: str, serving: list[Member]) -> list[Member]:
+    """Returns the members that a caller of a failure domain should use.
+
+    Args:
+        caller_domain: The caller's failure domain.
+        serving: Members that serve callers.
+    """
+    own = [m for m in serving if m.domain == caller_domain]
+    chosen = own if len(own) >= LEAST_NAMED else serving
     return sorted(chosen, key=lambda m: m.name)[:MOST_NAMED]
--- a/libs/core/tests/test_members.py
+++ b/libs/core/tests/test_members.py
@@ -7,6 +7,7 @@
     VANISHED_GRACE_S,
     Member,
     Members,
+    active,
     named_to,
 )
 
@@ -56,19 +57,45 @@
     assert fleet(B1).names(0.0) == ["a1", "b1"]
 
 
+def named(domain, live, leaf_counts, most=99):
+    return named_to(domain, active(live, leaf_counts, most))
+
+
 def test_callers_are_sent_to_their_own_domain_if_it_has_two_members():
     live = [A1, A2, B1, B2]
-    assert named_to("a", live, {"a": 5, "b": 5}) == [A1, A2]
+    assert named("a", live, {"a": 5, "b": 5}) == [A1, A2]
 
 
 def test_callers_of_a_domain_without_leaves_are_sent_to_the_leaves():
     live = [A1, A2, B1, B2, C1, Member("c2", "10.0.2.2:80", "c")]
-    assert named_to("c", live, {"a": 5, "b": 5}) == [A1, A2, B1, B2]
+    assert named("c", live, {"a": 5, "b": 5}) == [A1, A2, B1, B2]
 
 
 def test_one_member_alone_is_not_enough():
-    assert named_to("c", [A1, B1, C1], {"c": 5}) == [A1, B1, C1]
+    assert named("c", [A1, B1, C1], {"c": 5}) == [A1, B1, C1]
 
 
 def test_without_known_leaves_all_members_are_named():
-    assert named_to("z", [A1, B1], {}) == [A1, B1]
+    assert named("z", [A1, B1], {}) == [A1, B1]
+
+
+def test_a_large_fleet_names_the_strongest_of_each_domain():
+    """Connections of all VMs together exceeded what a leaf accepts."""
+    live = [
+        Member(f"{d}{i}", f"10.0.0.{i}:80", d, cores=0.5 + (i % 3))
+        for d in "ab"
+        for i in range(20)
+    ]
+    serving = active(live, {"a": 5, "b": 5}, most=8)
+    assert len(serving) == 8
+    assert {m.cores for m in serving} == {2.5}
+    reversed_order = active(live[::-1], {"a": 5, "b": 5}, most=8)
+    assert set(serving) == set(reversed_order)
+
+
+def test_a_lost_member_is_replaced_by_the_next():
+    live = [Member(f"a{i}", f"10.0.0.{i}:80", "a") for i in range(6)]
+    before = {m.name for m in active(live, {"a": 5}, most=2)}
+    after = {m.name for m in active(live[1:], {"a": 5}, most=2)}
+    assert before == {"a0", "a1"}
+    assert after == {"a1", "a2"}
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -37,6 +37,7 @@
     Attributes:
         name: Name of the VM.
         domain: Failure domain of the VM.
+        cores: Processor time of the VM, as a number of cores.
         callers_address: Where callers connect.
         budget: Limit of extra calls over all VMs.
         grace_s: Time from SIGTERM to SIGKILL.
@@ -47,6 +48,7 @@
 
     name: str
     domain: str
+    cores: float
     callers_address: str
     budget: BudgetTerms
     grace_s: float
@@ -160,6 +162,7 @@
             self._settings.callers_address,
             self._settings.domain,
             False,
+            self._settings.cores,
         )
         sync = Sync(self._store, self._belief, me, self._believed)
         nursery.start_soon(sync.run)
@@ -210,8 +213,9 @@
 
     def _believed(self) -> None:
         assert self._fleet is not None
-        self._fleet.changed(trio.current_time())
-        self._fleet.warm()
+        now = trio.current_time()
+        self._fleet.changed(now)
+        self._fleet.warm(now)
 
     async def _tick(self, sync: Sync, pool: LeafPool) -> None:
         assert self._fleet is not None
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -4,7 +4,7 @@
 
 from sapphire_core.coldshare import ColdShare
 from sapphire_core.leafset import LeafEntry, RegisteredLeaf
-from sapphire_core.members import Member, named_to, serving_domains
+from sapphire_core.members import Member, active, named_to
 from sapphire_core.retrybudget import BudgetTerms, RetryBudget
 
 from sapphire_gateway import telemetry
@@ -16,6 +16,9 @@
 
 DEFAULT_CONNECTIONS = 8
 LEAST_CONNECTIONS = 1
+# Callers are served by so many VMs that each can hold this many connections
+# to each leaf.
+WANTED_CONNECTIONS = 2
 
 
 class Fleet:
@@ -36,14 +39,13 @@
         self.domain = domain
         self.budget = RetryBudget(terms, now)
         self._cold = ColdShare(belief.self_name)
-        self._vms = 1
+        self._sharers = 1
         pool.connections_per_leaf = self._connections_per_leaf
 
     def changed(self, now: float) -> None:
         """Adapts this VM's shares after the belief has changed."""
         members = self.belief.members
-        self._vms = members.count(now)
-        self.budget.set_vms(self._vms)
+        self.budget.set_vms(members.count(now))
         self._cold.set_members(members.names(now))
         telemetry.LEAVES.set(len(self.belief.registry))
         telemetry.MEMBERS.set(len(members.names(now)))
@@ -54,12 +56,13 @@
             self.pool.drop(leaf.entry.leaf_id, "the leaf is gone")
             self._cold.forget(leaf.entry.leaf_id)
 
-    def warm(self) -> None:
+    def warm(self, now: float) -> None:
         """Opens a connection to each leaf, if callers are sent here."""
-        registry = self.belief.registry
-        if self.domain not in serving_domains(self.leaf_counts()):
+        serving = self._serving(now)
+        self._sharers = max(1, len(serving))
+        if not any(m.name == self.belief.self_name for m in serving):
             return
-        for leaf in registry.leaves:
+        for leaf in self.belief.registry.leaves:
             if leaf.leaving_since is None:
                 self.pool.warm(leaf.entry)
 
@@ -75,8 +78,19 @@
 
     def named_to(self, caller_domain: str, now: float) -> list[Member]:
         """Returns the members that a caller should connect to."""
+        return named_to(caller_domain, self._serving(now))
+
+    def _serving(self, now: float) -> list[Member]:
+        configuration = self.belief.configuration
+        accepted = [DEFAULT_CONNECTIONS]
+        if configuration is not None and configuration.services:
+            accepted = [
+                service.max_connections
+                for service in configuration.services.values()
+            ]
+        most = int(min(accepted) * CONNECTIONS_PART / WANTED_CONNECTIONS)
         live = self.belief.members.live(now)
-        return named_to(caller_domain, live, self.leaf_counts())
+        return active(live, self.leaf_counts(), most)
 
     def may_send(self, leaf: RegisteredLeaf, now: float) -> bool:
         """Returns whether a cold leaf may get a request; a warm one may."""
@@ -116,5 +130,5 @@
             service = configuration.services.get(entry.service)
             if service is not None:
                 limit = service.max_connections
-        share = int(limit * CONNECTIONS_PART / self._vms)
+        share = int(limit * CONNECTIONS_PART / self._sharers)
         return max(LEAST_CONNECTIONS, share)
--- a/libs/gateway/src/sapphire_gateway/store.py
+++ b/libs/gateway/src/sapphire_gateway/store.py
@@ -100,3 +100,4 @@
     address: str
     domain: str
     leaving: bool
+    cores: float
--- a/libs/gateway/tests/test_sync.py
+++ b/libs/gateway/tests/test_sync.py
@@ -25,7 +25,7 @@
 )
 from sapphire_gateway.sync import LEASE_S, WATCH_WAIT_S, Sync
 
-ME = MemberValue("vm1", "10.0.0.1:80", "z1", False)
+ME = MemberValue("vm1", "10.0.0.1:80", "z1", False, 1.0)
 LEAF = LeafEntry("i-1", "s", "10.0.1.1:80", "z1", 2, LeafState.READY, 0.0, 1, 1)
 
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -17,7 +17,7 @@
     StoreUnavailableError,
 )
 
-ME = MemberValue("vm1", "10.0.0.1:80", "z1", False)
+ME = MemberValue("vm1", "10.0.0.1:80", "z1", False, 1.0)
 
 
 def answer(fields, status="200 OK"):
