Let few VMs serve a large fleet's callers, and don't refuse by a guess

Now so many VMs serve as can hold 4 connections to each leaf, and the slack is divided by the serving VMs.

A guess refuses nothing now. The test failed before.

--- a/libs/core/src/sapphire_core/latency.py
+++ b/libs/core/src/sapphire_core/latency.py
@@ -47,6 +47,11 @@
             self._refresh()
         return self._value
 
+    @property
+    def is_learned(self) -> bool:
+        """Whether the estimate rests on samples."""
+        return self._total >= MIN_SAMPLES
+
     def add(self, elapsed_ms: float, samples: int = 1) -> None:
         """Counts samples of one latency."""
         index = int((math.log(max(elapsed_ms, SMALLEST_MS)) - _OFFSET) * _SCALE)
--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -8,8 +8,8 @@
 # A member whose entry vanished is still named for this time: after an outage
 # of the store all entries vanish and are written again.
 VANISHED_GRACE_S = 1.5
-# The number of members is the largest of this last time, so that the shares
-# of limits don't grow when entries vanish for a moment.
+# Limits are divided by the largest number of members of this last time, so
+# that the shares don't grow when entries vanish for a moment.
 COUNT_MEMORY_S = 30.0
 # A failure domain whose leaves number less than this part of the largest
 # one's is not named to callers while others are.
@@ -50,8 +50,6 @@
     def __init__(self, self_name: str) -> None:
         self._self_name = self_name
         self._known: dict[str, _Known] = {}
-        self._peak = 1
-        self._peak_at = 0.0
 
     def put(self, member: Member) -> None:
         """Takes a member's entry."""
@@ -82,11 +80,18 @@
         """Returns the names of the live members and of this VM."""
         return sorted({m.name for m in self.live(now)} | {self._self_name})
 
-    def count(self, now: float) -> int:
-        """Returns the largest number of members in the last 30 s."""
-        present = len(self.names(now))
-        if present >= self._peak or now - self._peak_at > COUNT_MEMORY_S:
-            self._peak = present
+
+class RecentPeak:
+    """Largest value of a count in the last 30 s."""
+
+    def __init__(self) -> None:
+        self._peak = 0
+        self._peak_at = 0.0
+
+    def update(self, count: int, now: float) -> int:
+        """Takes the present count and returns the recent peak."""
+        if count >= self._peak or now - self._peak_at > COUNT_MEMORY_S:
+            self._peak = count
             self._peak_at = now
         return self._peak
 
--- a/libs/core/src/sapphire_core/retrybudget.py
+++ b/libs/core/src/sapphire_core/retrybudget.py
@@ -53,19 +53,22 @@
 class RetryBudget:
     """Allows extra calls to a service within this VM's share of the limit."""
 
-    def __init__(self, terms: BudgetTerms, now: float) -> None:
+    def __init__(self, terms: BudgetTerms) -> None:
+        """Starts without a part of the slack."""
         self._terms = terms
         self._windows: dict[str, _Window] = {}
-        self._vms = 1
-        self._slack_from = now
+        self._share = 0.0
 
     def set_terms(self, terms: BudgetTerms) -> None:
         """Adopts another limit."""
         self._terms = terms
 
-    def set_vms(self, vms: int) -> None:
-        """Sets how many VMs share the slack, the present one included."""
-        self._vms = max(1, vms)
+    def set_share(self, share: float) -> None:
+        """Sets this VM's part of the slack, 0 to 1.
+
+        The parts of the VMs that serve callers add up to 1; others have none.
+        """
+        self._share = share
 
     def request(self, service: str, now: float) -> None:
         """Counts the first call of a request to a service."""
@@ -82,7 +85,7 @@
             reserve: Part of the allowance left untouched, 0 to 1.
         """
         window, _ = self._at(service, now)
-        slack = self._terms.slack * INCARNATION_PART / self._vms
+        slack = self._terms.slack * INCARNATION_PART * self._share
         allowance = SAFETY * (self._terms.ratio * window.requests + slack)
         return window.extras + 1 <= allowance * (1.0 - reserve)
 
--- a/libs/core/tests/test_members.py
+++ b/libs/core/tests/test_members.py
@@ -7,6 +7,7 @@
     VANISHED_GRACE_S,
     Member,
     Members,
+    RecentPeak,
     active,
     named_to,
 )
@@ -45,12 +46,12 @@
     assert A2 in known.live(100.0)
 
 
-def test_the_count_does_not_shrink_when_entries_vanish_for_a_moment():
-    known = fleet(A1, A2, B1)
-    assert known.count(0.0) == 3
-    known.retain({"a1"}, 1.0)
-    assert known.count(10.0) == 3
-    assert known.count(COUNT_MEMORY_S + 1.0) == 1
+def test_the_peak_does_not_shrink_when_entries_vanish_for_a_moment():
+    peak = RecentPeak()
+    assert peak.update(3, 0.0) == 3
+    assert peak.update(1, 10.0) == 3
+    assert peak.update(4, 12.0) == 4
+    assert peak.update(1, 12.5 + COUNT_MEMORY_S) == 1
 
 
 def test_this_vm_counts_before_its_entry_is_read():
--- a/libs/core/tests/test_retrybudget.py
+++ b/libs/core/tests/test_retrybudget.py
@@ -10,6 +10,16 @@
 TERMS = BudgetTerms(ratio=0.2, slack=58.0, window_s=10.0)
 
 
+def new_budget(share=1.0):
+    budget = RetryBudget(TERMS)
+    budget.set_share(share)
+    return budget
+
+
+def test_a_spare_vm_has_only_its_own_requests():
+    assert spend_all(RetryBudget(TERMS), 0.0) == 0
+
+
 def spend_all(budget, now, service="s"):
     spent = 0
     while budget.has_room(service, now):
@@ -19,27 +29,26 @@
 
 
 def test_without_requests_only_the_share_of_the_slack_is_spent():
-    budget = RetryBudget(TERMS, 0.0)
-    budget.set_vms(6)
+    budget = new_budget(1 / 6)
     assert spend_all(budget, 0.0) <= TERMS.slack / 6
 
 
 def test_spent_calls_return_when_their_window_has_passed():
-    budget = RetryBudget(TERMS, 0.0)
+    budget = new_budget()
     first = spend_all(budget, 0.0)
     assert spend_all(budget, 9.9) == 0
     assert spend_all(budget, 10.6) == first
 
 
 def test_a_reserve_is_left_for_retries():
-    budget = RetryBudget(TERMS, 0.0)
+    budget = new_budget()
     while budget.has_room("s", 0.0, reserve=0.5):
         budget.spend("s", 0.0)
     assert budget.has_room("s", 0.0)
 
 
 def test_services_have_budgets_of_their_own():
-    budget = RetryBudget(TERMS, 0.0)
+    budget = new_budget()
     spend_all(budget, 0.0, "s")
     assert budget.has_room("t", 0.0)
 
@@ -49,16 +58,14 @@
     """Every window of every phase, with VMs that lose their memory."""
     chance = random.Random(seed)
     vms = 8
-    fleet = [RetryBudget(TERMS, 0.0) for _ in range(vms)]
+    fleet = [new_budget(1 / vms) for _ in range(vms)]
     requests: list[float] = []
     extras: list[float] = []
     for step in range(6000):
         now = step * 0.01
         rate = 3 if 15 < now < 30 else 1
         if chance.random() < 0.002:
-            fleet[chance.randrange(vms)] = RetryBudget(TERMS, now)
-        for budget in fleet:
-            budget.set_vms(vms)
+            fleet[chance.randrange(vms)] = new_budget(1 / vms)
         for _ in range(rate):
             budget = fleet[min(chance.randrange(vms), chance.randrange(vms))]
             budget.request("s", now)
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -141,7 +141,6 @@
             self._dialect,
             self._settings.domain,
             self._settings.budget,
-            trio.current_time(),
         )
         gateway = Gateway(fleet)
         self._fleet = fleet
@@ -215,7 +214,7 @@
         assert self._fleet is not None
         now = trio.current_time()
         self._fleet.changed(now)
-        self._fleet.warm(now)
+        self._fleet.warm()
 
     async def _tick(self, sync: Sync, pool: LeafPool) -> None:
         assert self._fleet is not None
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -4,7 +4,7 @@
 
 from sapphire_core.coldshare import ColdShare
 from sapphire_core.leafset import LeafEntry, RegisteredLeaf
-from sapphire_core.members import Member, active, named_to
+from sapphire_core.members import Member, RecentPeak, active, named_to
 from sapphire_core.retrybudget import BudgetTerms, RetryBudget
 
 from sapphire_gateway import telemetry
@@ -18,7 +18,7 @@
 LEAST_CONNECTIONS = 1
 # Callers are served by so many VMs that each can hold this many connections
 # to each leaf.
-WANTED_CONNECTIONS = 2
+WANTED_CONNECTIONS = 4
 
 
 class Fleet:
@@ -31,22 +31,29 @@
         dialect: Dialect,
         domain: str,
         terms: BudgetTerms,
-        now: float,
     ) -> None:
         self.belief = belief
         self.pool = pool
         self.dialect = dialect
         self.domain = domain
-        self.budget = RetryBudget(terms, now)
+        self.budget = RetryBudget(terms)
         self._cold = ColdShare(belief.self_name)
         self._sharers = 1
+        self._is_serving = False
+        self._peak = RecentPeak()
         pool.connections_per_leaf = self._connections_per_leaf
 
     def changed(self, now: float) -> None:
         """Adapts this VM's shares after the belief has changed."""
         members = self.belief.members
-        self.budget.set_vms(members.count(now))
         self._cold.set_members(members.names(now))
+        serving = self._serving(now)
+        self._is_serving = any(
+            member.name == self.belief.self_name for member in serving
+        )
+        self._sharers = max(1, self._peak.update(len(serving), now))
+        share = 1.0 / self._sharers if self._is_serving else 0.0
+        self.budget.set_share(share)
         telemetry.LEAVES.set(len(self.belief.registry))
         telemetry.MEMBERS.set(len(members.names(now)))
 
@@ -56,11 +63,9 @@
             self.pool.drop(leaf.entry.leaf_id, "the leaf is gone")
             self._cold.forget(leaf.entry.leaf_id)
 
-    def warm(self, now: float) -> None:
+    def warm(self) -> None:
         """Opens a connection to each leaf, if callers are sent here."""
-        serving = self._serving(now)
-        self._sharers = max(1, len(serving))
-        if not any(m.name == self.belief.self_name for m in serving):
+        if not self._is_serving:
             return
         for leaf in self.belief.registry.leaves:
             if leaf.leaving_since is None:
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -64,7 +64,8 @@
         if route is None:
             return self._refuse(request, 404, "no route")
         job = self._job(request, request_id, route, configuration)
-        run = Run(job, self._fleet, self._expectation_of(route))
+        expects = self._expectation_of(route)
+        run = Run(job, self._fleet, expects)
         now = trio.current_time()
         estimates = run.plan(now)
         if len(estimates) < job.terms.least:
@@ -77,7 +78,7 @@
             max(job.terms.answer_at - now, 0.0),
             self._steps_below(route, configuration),
         )
-        if outlook.is_refused:
+        if outlook.is_refused and expects.is_learned:
             return self._refuse(
                 request,
                 503,
--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -52,6 +52,11 @@
         self.median.add(elapsed_s * 1000)
         self.late.add(elapsed_s * 1000)
 
+    @property
+    def is_learned(self) -> bool:
+        """Whether the times rest on replies and not on guesses."""
+        return self.median.is_learned
+
     @property
     def median_s(self) -> float:
         """Median reply time in seconds."""
--- a/libs/gateway/tests/gateway_world.py
+++ b/libs/gateway/tests/gateway_world.py
@@ -105,8 +105,8 @@
             DIALECT,
             DOMAIN,
             BudgetTerms(0.2, 50.0, 10.0),
-            trio.current_time(),
         )
+        self.fleet.budget.set_share(1.0)
         self.gateway = Gateway(self.fleet)
         self.leaving = False
         self.version = 0
--- a/libs/gateway/tests/test_gateway.py
+++ b/libs/gateway/tests/test_gateway.py
@@ -285,3 +285,27 @@
         assert leaf.requests == []
 
     in_world(test)
+
+
+def test_a_new_process_does_not_refuse_by_a_guess(in_world):
+    """After a restart all callers came at once and were refused (inc-6a8a)."""
+
+    async def test(world):
+        async def answer(request):
+            await trio.sleep(0.005)
+            return reply(request, A)
+
+        await world.leaf("s", answer)
+        world.configure(one(target_s=0.5))
+        statuses = []
+
+        async def ask(number):
+            got = await world.ask(request_id=f"r{number}")
+            statuses.append(got.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(30):
+                nursery.start_soon(ask, number)
+        assert statuses == [200] * 30
+
+    in_world(test)
