--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -7,7 +7,7 @@
 
 # A member whose entry vanished is still named for this time: after an outage
 # of the store all entries vanish and are written again.
-VANISHED_GRACE_S = 1.5
+VANISHED_GRACE_S = 1.2
 # Limits are divided by the largest number of members of this last time, so
 # that the shares don't grow when entries vanish for a moment.
 COUNT_MEMORY_S = 30.0
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -163,7 +163,13 @@
             False,
             self._settings.cores,
         )
-        sync = Sync(self._store, self._belief, me, self._believed)
+        sync = Sync(
+            self._store,
+            self._belief,
+            me,
+            self._believed,
+            lambda: not fleet.is_serving,
+        )
         nursery.start_soon(sync.run)
         nursery.start_soon(pool.sweep)
         nursery.start_soon(self._tick, sync, pool)
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -43,6 +43,11 @@
         self._peak = RecentPeak()
         pool.connections_per_leaf = self._connections_per_leaf
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether callers are sent to this VM."""
+        return self._is_serving
+
     def changed(self, now: float) -> None:
         """Adapts this VM's shares after the belief has changed."""
         members = self.belief.members
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -29,8 +29,10 @@
 # One watch carries all keys. Its calls are priced, so it waits long; a store
 # that falls silent is noticed by the renewals of the lease.
 WATCH_WAIT_S = 25.0
-# Changes of this time are fetched by one call.
+# Changes of this time are fetched by one call; a VM that serves no callers is
+# in less of a hurry.
 WATCH_GAP_S = 0.4
+SPARE_WATCH_GAP_S = 1.0
 # An entry lapses this long after the last renewal of its VM.
 LEASE_S = 4.5
 # Renewals cost a tenth of other calls.
@@ -53,11 +55,13 @@
         belief: Belief,
         me: MemberValue,
         on_change: Callable[[], None],
+        is_spare: Callable[[], bool],
     ) -> None:
         self._store = store
         self._belief = belief
         self._me = me
         self._on_change = on_change
+        self._is_spare = is_spare
         self._cursor: int | None = None
         self._watch_scope = trio.CancelScope()
         self._lease: int | None = None
@@ -119,7 +123,8 @@
         self._answered()
         self._take(batch)
         if batch.changes:
-            await trio.sleep(WATCH_GAP_S)
+            spare = self._is_spare()
+            await trio.sleep(SPARE_WATCH_GAP_S if spare else WATCH_GAP_S)
 
     def _take_all(self, batch: Batch) -> None:
         now = trio.current_time()
--- a/libs/gateway/tests/test_sync.py
+++ b/libs/gateway/tests/test_sync.py
@@ -120,7 +120,7 @@
         async def main():
             store = FakeStore()
             belief = Belief("vm1")
-            sync = Sync(store, belief, ME, lambda: None)
+            sync = Sync(store, belief, ME, lambda: None, lambda: False)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(sync.run)
                 await trio.sleep(2)
