Close idle connections first at the end of a stop

Cause: found by reading: at the end of its time to stop a VM cancelled all connections at once; a request read in that moment would be cut. Change: the listener and idle connections close first, connections with a request close after its answer. Test added; it needs the new call and could not be seen failing before.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -95,6 +95,7 @@
         self._started_at: float | None = None
         self._caller = Caller(_round_trip_s(stream.socket))
         self._is_answering = False
+        self._scope = trio.CancelScope()
 
     @property
     def is_idle(self) -> bool:
@@ -105,13 +106,19 @@
             or not self._reader.is_between_messages
         )
 
+    def stop_if_idle(self) -> None:
+        """Closes the connection unless a request is on its way."""
+        if self.is_idle:
+            self._scope.cancel()
+
     async def run(self) -> None:
         """Serves the connection, then closes it."""
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._read)
-                await self._serve()
-                nursery.cancel_scope.cancel()
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._read)
+                    await self._serve()
+                    nursery.cancel_scope.cancel()
         finally:
             await trio.aclose_forcefully(self._stream)
 
@@ -255,6 +262,7 @@
         self._is_leaving = is_leaving
         self._on_sent = on_sent
         self._connections: set[CallerConnection] = set()
+        self._listening = trio.CancelScope()
 
     @property
     def connections(self) -> int:
@@ -277,7 +285,20 @@
             int(port), host=host, backlog=BACKLOG
         )
         task_status.started()
-        await trio.serve_listeners(self._accepted, listeners)
+        async with trio.open_nursery() as handlers:
+            with self._listening:
+                await trio.serve_listeners(
+                    self._accepted, listeners, handler_nursery=handlers
+                )
+
+    def stop(self) -> None:
+        """Accepts no further connection and closes the idle ones.
+
+        Connections with a request close after its answer.
+        """
+        self._listening.cancel()
+        for connection in self._connections:
+            connection.stop_if_idle()
 
     async def _accepted(self, stream: trio.SocketStream) -> None:
         connection = CallerConnection(
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -204,6 +204,7 @@
         telemetry.event("leaving", connections=server.connections)
         end = began + self._settings.grace_s - STOP_MARGIN_S
         await trio.sleep_until(end)
+        server.stop()
         with trio.move_on_after(STOP_MARGIN_S / 2):
             while server.busy:
                 await trio.sleep(0.02)
--- a/libs/gateway/tests/gateway_world.py
+++ b/libs/gateway/tests/gateway_world.py
@@ -142,7 +142,7 @@
 
     async def serve(self):
         """Listens for callers."""
-        server = CallerServer(
+        self.server = CallerServer(
             self.gateway.handle,
             lambda: self.belief.configuration.limits,
             lambda: self.leaving,
@@ -152,7 +152,7 @@
             await sock.bind(("127.0.0.1", 0))
             self.address = sock.getsockname()
         host, port = self.address
-        await self.nursery.start(server.serve, f"{host}:{port}")
+        await self.nursery.start(self.server.serve, f"{host}:{port}")
 
     async def connect(self):
         """Opens a caller's connection."""
--- a/libs/gateway/tests/test_gateway.py
+++ b/libs/gateway/tests/test_gateway.py
@@ -309,3 +309,27 @@
         assert statuses == [200] * 30
 
     in_world(test)
+
+
+def test_the_end_of_a_stop_cuts_no_request(in_world):
+    """Idle connections close; one with a request closes after its answer."""
+
+    async def test(world):
+        async def answer(request):
+            await trio.sleep(0.2)
+            return reply(request, A)
+
+        await world.leaf("s", answer)
+        world.configure(one())
+        async with await world.connect() as idle, await world.connect() as busy:
+            await busy.send_all(ask_bytes())
+            await trio.sleep(0.05)
+            world.leaving = True
+            world.server.stop()
+            assert await idle.receive_some(1) == b""
+            assert (await read_answer(busy)).body == A
+            assert await busy.receive_some(1) == b""
+            with pytest.raises(OSError, match="connect"):
+                await world.connect()
+
+    in_world(test)
