Share the start of daemons, and notice settings that change without signal

The entry's and the aggregator's command lines were alike but for names; they share sapphire_config.program now.

--- a/libs/entry/src/sapphire_entry/cmdline.py
+++ b/libs/entry/src/sapphire_entry/cmdline.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import sys
-
 import fire
+from sapphire_config import program
 from sapphire_config.settings import EntrySettings, read_settings
-from sapphire_core.errors import SapphireError
 
 from sapphire_entry import daemon
 
-EXIT_BAD_SETTINGS = 2
-
 
 def run(settings: str) -> None:
     """Runs an entry daemon until SIGTERM.
@@ -19,11 +15,11 @@
     Args:
         settings: Path of the JSON settings file.
     """
-    try:
-        daemon.main(read_settings(EntrySettings, settings))
-    except SapphireError as error:
-        print(f"sapphirecross-entry: {error}", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
+    program.run(
+        "sapphirecross-entry",
+        lambda: read_settings(EntrySettings, settings),
+        daemon.main,
+    )
 
 
 def main() -> None:
--- a/libs/entry/tests/test_cmdline.py
+++ b/libs/entry/tests/test_cmdline.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+from sapphire_config import program
 from sapphire_entry import cmdline
 
 _SETTINGS = {
@@ -36,7 +37,7 @@
     path.write_text(json.dumps(fields))
     with pytest.raises(SystemExit) as caught:
         cmdline.run(str(path))
-    assert caught.value.code == cmdline.EXIT_BAD_SETTINGS
+    assert caught.value.code == program.EXIT_BAD_SETTINGS
     error = capsys.readouterr().err.strip()
     assert len(error.splitlines()) == 1
     assert named in error
@@ -47,5 +48,5 @@
     """Guards against a traceback for a wrong path."""
     with pytest.raises(SystemExit) as caught:
         cmdline.run("/nowhere/settings.json")
-    assert caught.value.code == cmdline.EXIT_BAD_SETTINGS
+    assert caught.value.code == program.EXIT_BAD_SETTINGS
     assert "/nowhere/settings.json" in capsys.readouterr().err
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import itertools
 import signal
 import time
 from collections.abc import AsyncIterator, Callable
@@ -24,6 +25,8 @@
 from sapphire_gateway.sync import Sync
 
 TICK_S = 0.25
+# Ticks between two looks at the settings file.
+RELOAD_TICKS = 8
 # A tick that is later than this means that the VM stood still.
 PAUSE_S = 1.0
 # Left of the time to stop when the last requests get a final answer.
@@ -63,7 +66,6 @@
 class ExtraListener:
     """A further address of the process, answered without leaves."""
 
-    name: str
     address: str
     handler: ExtraHandler
 
@@ -77,8 +79,18 @@
         dialect: Dialect,
         store: Store,
         extras: list[ExtraListener],
-        reload_settings: Callable[[], None],
+        reload_settings: Callable[[bool], None],
     ) -> None:
+        """Prepares a process.
+
+        Args:
+            settings: Settings at the start.
+            dialect: Header names.
+            store: The platform's store.
+            extras: Further addresses to serve.
+            reload_settings: Reads the settings again; with False only if the
+                file has changed, since no signal announces each change.
+        """
         self._settings = settings
         self._dialect = dialect
         self._store = store
@@ -87,18 +99,12 @@
         self._belief = Belief(settings.name)
         self._is_leaving = False
         self._fleet: Fleet | None = None
-        self._gateway: Gateway | None = None
 
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
         return not self._is_leaving and self._belief.configuration is not None
 
-    @property
-    def is_leaving(self) -> bool:
-        """Whether the process is being stopped."""
-        return self._is_leaving
-
     @property
     def addresses_keep_s(self) -> float:
         """How long callers may keep addresses, in seconds."""
@@ -144,7 +150,6 @@
         )
         gateway = Gateway(fleet)
         self._fleet = fleet
-        self._gateway = gateway
         server = CallerServer(
             gateway.handle, self._limits, self._closes, gateway.sent
         )
@@ -152,9 +157,7 @@
         for extra in self._extras:
             await self._listen(nursery, extra)
         if self._settings.metrics_address is not None:
-            metrics = ExtraListener(
-                "metrics", self._settings.metrics_address, _metrics
-            )
+            metrics = ExtraListener(self._settings.metrics_address, _metrics)
             await self._listen(nursery, metrics)
         me = MemberValue(
             self._settings.name,
@@ -178,8 +181,7 @@
             if number == signal.SIGTERM:
                 await self._leave(sync, server)
                 return
-            telemetry.event("reload", reason="SIGHUP")
-            self._reload_settings()
+            self._reload_settings(True)
 
     async def _listen(
         self, nursery: trio.Nursery, extra: ExtraListener
@@ -226,8 +228,10 @@
     async def _tick(self, sync: Sync, pool: LeafPool) -> None:
         assert self._fleet is not None
         before = _clocks()
-        while True:
+        for tick in itertools.count(1):
             await trio.sleep(TICK_S)
+            if tick % RELOAD_TICKS == 0:
+                self._reload_settings(False)
             now = _clocks()
             if max(n - b for n, b in zip(now, before, strict=True)) > PAUSE_S:
                 telemetry.event("paused", clocks=now, before=before)
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -29,8 +29,6 @@
 # The final answer leaves this long before the caller gives up.
 FINAL_MARGIN_S = 0.01
 MAX_EXPECTATIONS = 4096
-# Headers of leaves that are not forwarded besides those of a connection.
-_LEAF_ONLY = frozenset({b"content-length"})
 
 
 class Gateway:
@@ -227,11 +225,7 @@
 
     def _forwarded(self, reply: Reply) -> Answer:
         dropped = _named_in_connection(reply.headers) | CONNECTION_HEADERS
-        kept = [
-            pair
-            for pair in reply.headers
-            if pair[0] not in dropped and pair[0] not in _LEAF_ONLY
-        ]
+        kept = [pair for pair in reply.headers if pair[0] not in dropped]
         return Answer(reply.status, kept, reply.body)
 
     def _refuse(
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -64,3 +64,15 @@
 def test_the_variable_names_the_file(monkeypatch):
     monkeypatch.setenv(settings.PATH_VARIABLE, "/x/y.toml")
     assert settings.path() == "/x/y.toml"
+
+
+def test_a_change_without_signal_is_noticed_once(tmp_path):
+    path = tmp_path / "local.toml"
+    path.write_text(TEXT)
+    file = settings.SettingsFile(str(path))
+    assert not file.has_changed()
+    path.write_text(TEXT + "# more\n")
+    assert file.has_changed()
+    assert not file.has_changed()
+    path.unlink()
+    assert file.has_changed()
