Keep the planned time of an answer with its request

Cause: found by reading: planned times were kept by object id and stayed if sending failed. That happens only when the connection breaks between the verdict and the write; a test of callers that leave early passed before the change too, so it's not kept.

--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -39,7 +39,6 @@
         self._dialect = fleet.dialect
         self._expectations: dict[tuple[str, ...], Expectation] = {}
         self._lines = telemetry.RequestLines()
-        self._planned: dict[int, float] = {}
         self._ranked: Configuration | None = None
         self._priorities: list[int] = []
         self.margin = AnswerMargin()
@@ -89,9 +88,8 @@
 
     def sent(self, request: Request, now: float) -> None:
         """Learns how late an answer with parts missing left."""
-        planned = self._planned.pop(id(request), None)
-        if planned is not None:
-            self.margin.left(now - planned)
+        if request.planned_at is not None:
+            self.margin.left(now - request.planned_at)
 
     async def _run(
         self, request: Request, job: Job, run: Run, caller: Caller
@@ -103,7 +101,7 @@
             outcome = await run.finish()
         now = trio.current_time()
         if outcome.was_planned and outcome.verdict is Verdict.ANSWER:
-            self._planned[id(request)] = job.terms.answer_at
+            request.planned_at = job.terms.answer_at
         answer = self._answer(job, outcome, now)
         self._report(request, job, outcome, answer, now, caller)
         return answer
--- a/libs/gateway/src/sapphire_gateway/messages.py
+++ b/libs/gateway/src/sapphire_gateway/messages.py
@@ -38,7 +38,14 @@
 
 @dataclass(slots=True)
 class Request:
-    """A whole request of a caller; header names are in lower case."""
+    """A whole request of a caller; header names are in lower case.
+
+    Attributes:
+        keeps_alive: The caller may send another request afterwards.
+        received_at: Time at which it was whole.
+        is_first: It is the first one of its connection.
+        planned_at: Time at which its answer was due with parts missing.
+    """
 
     method: bytes
     target: bytes
@@ -47,6 +54,7 @@
     keeps_alive: bool
     received_at: float = 0.0
     is_first: bool = False
+    planned_at: float | None = None
 
 
 @dataclass(slots=True)
