Remove members of the gateway that nothing reads

Found by reading the change: Sync.is_loaded, Outcome.was_sent and Job.configuration had no reader; nor had three properties of FanOut. No behaviour changes.

--- a/libs/core/src/sapphire_core/fanout.py
+++ b/libs/core/src/sapphire_core/fanout.py
@@ -83,16 +83,6 @@
         self._in = 0
         self._abandoned = 0
 
-    @property
-    def terms(self) -> Terms:
-        """When the request is repeated, answered and given up."""
-        return self._terms
-
-    @property
-    def total(self) -> int:
-        """Number of parts."""
-        return len(self._parts)
-
     @property
     def parts_in(self) -> int:
         """Parts with a good reply."""
@@ -106,11 +96,6 @@
             for part in self._parts.values()
         )
 
-    @property
-    def was_sent(self) -> bool:
-        """Whether any leaf was sent the request."""
-        return any(part.sent for part in self._parts.values())
-
     def sent(self, name: str) -> None:
         """Counts a call for a part."""
         part = self._parts[name]
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -60,7 +60,7 @@
         route = self._fleet.belief.table.match(host.decode("latin-1"), target)
         if route is None:
             return self._refuse(request, 404, "no route")
-        job = self._job(request, request_id, route, configuration)
+        job = self._job(request, request_id, route)
         expects = self._expectation_of(route)
         run = Run(job, self._fleet, expects)
         now = trio.current_time()
@@ -111,7 +111,6 @@
         request: Request,
         request_id: bytes,
         route: Route,
-        configuration: Configuration,
     ) -> Job:
         if route.gather is not None:
             parts = route.gather.shards
@@ -126,7 +125,6 @@
             request.body,
             request.method == HEAD,
             route,
-            configuration,
             parts,
             terms,
         )
--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -10,7 +10,7 @@
 from sapphire_core.fanout import Failure, FanOut, Terms, Verdict
 from sapphire_core.latency import RunningQuantile
 from sapphire_core.leafset import LeafEntry
-from sapphire_core.routing import Configuration, Route
+from sapphire_core.routing import Route
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallEnd, load_report
@@ -77,8 +77,7 @@
         head: Request line and headers for leaves, without the last ones.
         body: Body for the leaves.
         is_to_head: The method is HEAD.
-        route: Route in the pinned configuration.
-        configuration: The pinned configuration.
+        route: Route of the configuration in force when it arrived.
         parts: Services that get the request.
         terms: When it is repeated, answered and given up.
     """
@@ -88,7 +87,6 @@
     body: bytes
     is_to_head: bool
     route: Route
-    configuration: Configuration
     parts: tuple[str, ...]
     terms: Terms
 
@@ -102,7 +100,6 @@
         replies: Good replies by service.
         failure_reply: A leaf's own failure, if there is one.
         may_have_run: Whether a leaf may have run the request.
-        was_sent: Whether a leaf was sent the request.
         hedges: Calls to a second leaf while the first was running.
         retries: Calls after a failure.
         failures: First reasons of failed calls, for the log.
@@ -113,7 +110,6 @@
     replies: dict[str, Reply]
     failure_reply: Reply | None
     may_have_run: bool
-    was_sent: bool
     hedges: int
     retries: int
     failures: list[str]
@@ -197,7 +193,6 @@
             self._replies,
             self._failure_reply,
             self._fanout.may_have_run,
-            self._fanout.was_sent,
             self._hedges,
             self._retries,
             self._failures,
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -76,11 +76,6 @@
         """Seconds since the store last answered."""
         return trio.current_time() - self._last_contact
 
-    @property
-    def is_loaded(self) -> bool:
-        """Whether everything was read at least once."""
-        return self._belief.revision > 0
-
     async def run(self) -> None:
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
