Refuse requests that crash leaves at all VMs, and write what changed during a write

Cause: attempts and the budget bound one attempt of a request; its caller sends it again at any VM, and each time it reached fresh leaves. Besides, a change of the member's entry that came while the entry was being written was taken as written, so that a stop could stay unknown. Ruled out: a key of its own for each suspect, since each crash of many leaves would cost a store call for each running request. Change: a call whose connection the leaf ended makes its request a suspect; if the leaf then refuses connections or restarts, it has crashed. The counts travel in the members' entries.

--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from sapphire_core.quarantine import Record
+
 # A member whose entry vanished is still named for this time: after an outage
 # of the store all entries vanish and are written again.
 VANISHED_GRACE_S = 1.2
@@ -29,6 +31,7 @@
         domain: Failure domain.
         leaving: It is being stopped and must not be named.
         cores: Processor time that it has, as a number of cores.
+        suspects: Requests that were running when leaves crashed.
     """
 
     name: str
@@ -36,6 +39,7 @@
     domain: str
     leaving: bool = False
     cores: float = 1.0
+    suspects: tuple[Record, ...] = ()
 
 
 @dataclass(slots=True)
--- a/libs/gateway/src/sapphire_gateway/belief.py
+++ b/libs/gateway/src/sapphire_gateway/belief.py
@@ -10,6 +10,7 @@
 from sapphire_core.routing import Configuration, RouteTable, SplitChooser
 
 from sapphire_gateway import telemetry
+from sapphire_gateway.crashes import CrashWatch
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +83,7 @@
         self.registry = LeafRegistry()
         self.members = Members(self_name)
         self.splits = SplitChooser()
+        self.crashes = CrashWatch()
         self._configuration: Configuration | None = None
         self._table = RouteTable(())
         self.revision = 0
@@ -182,11 +184,14 @@
     belief.members.put(fact.member)
     if fact.member.name == belief.self_name:
         belief.self_vanished = False
+    else:
+        belief.crashes.learn(fact.member.suspects, now)
     telemetry.event(
         "member",
         member=fact.member.name,
         domain=fact.member.domain,
         leaving=fact.member.leaving,
+        suspects=len(fact.member.suspects),
         revision=belief.revision,
     )
 
--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -40,12 +40,14 @@
 class Caller:
     """A caller's connection, as a running request sees it."""
 
-    def __init__(self, round_trip_s: float) -> None:
+    def __init__(self, host: str, round_trip_s: float) -> None:
         """Starts with a connection that was accepted.
 
         Args:
+            host: Address of the caller, without its port.
             round_trip_s: Time to the caller and back.
         """
+        self.host = host
         self.round_trip_s = round_trip_s
         self.is_gone = False
         self._on_gone: Callable[[], None] | None = None
@@ -93,7 +95,9 @@
         self._has_ended = False
         self._is_first = True
         self._started_at: float | None = None
-        self._caller = Caller(_round_trip_s(stream.socket))
+        self._caller = Caller(
+            _peer_host(stream.socket), _round_trip_s(stream.socket)
+        )
         self._is_answering = False
         self._scope = trio.CancelScope()
 
@@ -235,6 +239,14 @@
                 await self._arrived.wait()
 
 
+def _peer_host(sock: trio.socket.SocketType) -> str:
+    try:
+        return str(sock.getpeername()[0])
+    except OSError:
+        # The caller has closed the connection already.
+        return ""
+
+
 def _round_trip_s(sock: trio.socket.SocketType) -> float:
     """Returns the round-trip time that the kernel measured at the start."""
     try:
--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -25,6 +25,7 @@
         detail: Reason for the log.
         was_sent: Whether a byte of the request may have reached the leaf.
         is_silent: Whether nothing at all came back.
+        is_abrupt: Whether the leaf ended the connection while it ran.
     """
 
     reply: Reply | None
@@ -32,6 +33,7 @@
     detail: str = ""
     was_sent: bool = True
     is_silent: bool = False
+    is_abrupt: bool = False
 
 
 @dataclass(slots=True)
@@ -50,6 +52,8 @@
         sent_at: Time of the first byte, or 0.
         is_cancelled: The caller has left, so that the outcome says nothing
             about the leaf.
+        fingerprint: Equal for equal requests of one caller; empty for calls
+            that are no request.
     """
 
     payload: bytes
@@ -59,6 +63,7 @@
     expires_at: float
     on_end: Callable[[CallEnd], None]
     created_at: float
+    fingerprint: str = ""
     sent_at: float = 0.0
     is_over: bool = False
     is_cancelled: bool = False
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -102,8 +102,13 @@
         finally:
             self.close("connection closed")
 
-    def close(self, reason: str) -> None:
-        """Ends the connection; a running call is lost."""
+    def close(self, reason: str, is_abrupt: bool = False) -> None:
+        """Ends the connection; a running call is lost.
+
+        Args:
+            reason: Text for the log.
+            is_abrupt: The server has ended it.
+        """
         if self._is_closed:
             return
         self._is_closed = True
@@ -113,14 +118,20 @@
             self._socket.close()
         call, self._call = self._call, None
         if call is not None:
-            call.end(self._lost(call, reason))
+            call.end(self._lost(call, reason, is_abrupt))
         self._on_closed(self)
 
-    def _lost(self, call: Call, reason: str) -> CallEnd:
+    def _lost(self, call: Call, reason: str, is_abrupt: bool) -> CallEnd:
         if not call.sent_at:
             return CallEnd(None, Failure.NOT_RUN, reason, was_sent=False)
         silent = not self._has_received
-        return CallEnd(None, Failure.LOST, reason, is_silent=silent)
+        return CallEnd(
+            None,
+            Failure.LOST,
+            reason,
+            is_silent=silent,
+            is_abrupt=is_abrupt,
+        )
 
     async def _connect(self) -> bool:
         started = trio.current_time()
@@ -158,7 +169,7 @@
         except BlockingIOError:
             sent = 0
         except OSError as error:
-            self.close(f"sending failed: {error.strerror}")
+            self.close(f"sending failed: {error.strerror}", is_abrupt=True)
             return
         self._unsent = call.payload[sent:]
 
@@ -176,7 +187,7 @@
             except BlockingIOError:
                 continue
             except OSError as error:
-                self.close(f"connection lost: {error.strerror}")
+                self.close(f"connection lost: {error.strerror}", is_abrupt=True)
                 return
             if data:
                 self._received(data)
@@ -221,7 +232,7 @@
             if self._reader.reply is not None:
                 self._finish(self._reader.reply, has_extra=True)
                 return
-        self.close("closed by the server")
+        self.close("closed by the server", is_abrupt=True)
 
     def _finish(self, reply: Reply, has_extra: bool) -> None:
         call, self._call = self._call, None
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 import trio
+from sapphire_core.members import Member
 from sapphire_core.retrybudget import BudgetTerms
 from sapphire_core.routing import ClientLimits
 
@@ -21,7 +22,7 @@
 from sapphire_gateway.gateway import Gateway
 from sapphire_gateway.messages import Answer, Request
 from sapphire_gateway.pool import LeafPool
-from sapphire_gateway.store import MemberValue, Store
+from sapphire_gateway.store import Store
 from sapphire_gateway.sync import Sync
 
 TICK_S = 0.25
@@ -159,12 +160,11 @@
         if self._settings.metrics_address is not None:
             metrics = ExtraListener(self._settings.metrics_address, _metrics)
             await self._listen(nursery, metrics)
-        me = MemberValue(
+        me = Member(
             self._settings.name,
             self._settings.callers_address,
             self._settings.domain,
-            False,
-            self._settings.cores,
+            cores=self._settings.cores,
         )
         sync = Sync(
             self._store,
@@ -202,7 +202,7 @@
         """
         began = trio.current_time()
         self._is_leaving = True
-        await sync.leave()
+        sync.leave()
         telemetry.event("leaving", connections=server.connections)
         end = began + self._settings.grace_s - STOP_MARGIN_S
         await trio.sleep_until(end)
@@ -238,9 +238,15 @@
                 pool.close_idle("the VM stood still")
                 sync.resync("the VM stood still")
             before = now
+            self._share_suspects(sync, trio.current_time())
             self._fleet.tidy(trio.current_time())
             telemetry.CONNECTIONS.set(pool.opened)
 
+    def _share_suspects(self, sync: Sync, now: float) -> None:
+        suspects = self._belief.crashes.news(now)
+        if suspects is not None:
+            sync.share(suspects)
+
 
 def _clocks() -> tuple[float, float]:
     """Returns the steady clock and the one that counts a suspended VM."""
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import trio
 from sapphire_core.coldshare import ColdShare
 from sapphire_core.leafset import LeafEntry, RegisteredLeaf
 from sapphire_core.members import Member, RecentPeak, active, named_to
@@ -42,6 +43,7 @@
         self._is_serving = False
         self._peak = RecentPeak()
         pool.connections_per_leaf = self._connections_per_leaf
+        pool.on_crash = self._leaf_crashed
 
     @property
     def is_serving(self) -> bool:
@@ -126,6 +128,18 @@
                 "leaf_misdirected", leaf=entry.leaf_id, address=entry.address
             )
 
+    def _leaf_crashed(self, entry: LeafEntry, suspects: set[str]) -> None:
+        now = trio.current_time()
+        for suspect in suspects:
+            verdict = self.belief.crashes.crashed(suspect, now)
+            telemetry.event(
+                "leaf_crashed",
+                leaf=entry.leaf_id,
+                service=entry.service,
+                fingerprint=suspect,
+                verdict=verdict.value,
+            )
+
     def _cold_rate(self, entry: LeafEntry) -> float:
         configuration = self.belief.configuration
         if configuration is None:
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -12,6 +12,7 @@
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.callers import HEAD, Caller
+from sapphire_gateway.crashes import QUARANTINE_S, fingerprint
 from sapphire_gateway.dialect import CONNECTION_HEADERS
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.messages import Answer, Headers, Reply, Request, header
@@ -22,6 +23,7 @@
 RETRY_UNCONFIGURED_S = 0.3
 RETRY_NO_LEAF_S = 0.5
 RETRY_FULL_S = 0.1
+RETRY_QUARANTINED_S = QUARANTINE_S
 # A hedge is sent when a call takes longer than 19 of 20 do, but within these
 # parts of the route's target.
 EARLIEST_HEDGE_PART = 0.15
@@ -60,7 +62,13 @@
         route = self._fleet.belief.table.match(host.decode("latin-1"), target)
         if route is None:
             return self._refuse(request, 404, "no route")
-        job = self._job(request, request_id, route)
+        job = self._job(request, request_id, route, caller.host)
+        if self._fleet.belief.crashes.is_refused(
+            job.fingerprint, trio.current_time()
+        ):
+            return self._refuse(
+                request, 503, "crashes leaves", RETRY_QUARANTINED_S, route
+            )
         expects = self._expectation_of(route)
         run = Run(job, self._fleet, expects)
         now = trio.current_time()
@@ -111,6 +119,7 @@
         request: Request,
         request_id: bytes,
         route: Route,
+        caller_host: str,
     ) -> Job:
         if route.gather is not None:
             parts = route.gather.shards
@@ -124,6 +133,9 @@
             self._leaf_head(request),
             request.body,
             request.method == HEAD,
+            fingerprint(
+                request.method, request.target, request.body, caller_host
+            ),
             route,
             parts,
             terms,
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -31,13 +31,25 @@
 
 @dataclass(slots=True)
 class LeafLink:
-    """Connections to one incarnation of a leaf, and its load."""
+    """Connections to one incarnation of a leaf, and its load.
+
+    Attributes:
+        entry: Newest entry of the leaf.
+        load: What calls have shown of it.
+        connections: All that are open or being opened.
+        free: Connected ones without a call, the one used last at the end.
+        queue: Calls that wait for a connection.
+        suspects: Fingerprints of requests whose connection was lost, until it
+            is known whether the leaf lives.
+        connect_s: Usual time to connect, in seconds.
+    """
 
     entry: LeafEntry
     load: LeafLoad
     connections: list[Connection] = field(default_factory=list)
     free: list[Connection] = field(default_factory=list)
     queue: collections.deque[Call] = field(default_factory=collections.deque)
+    suspects: set[str] = field(default_factory=set)
     connect_s: float = DEFAULT_CONNECT_S
 
     def free_for(self, call: Call, now: float) -> Connection | None:
@@ -69,6 +81,9 @@
         self._busy: set[Connection] = set()
         self._opened = 0
         self.connections_per_leaf: Callable[[LeafEntry], int] = lambda _: 2
+        self.on_crash: Callable[[LeafEntry, set[str]], None] = (
+            lambda _entry, _suspects: None
+        )
 
     @property
     def opened(self) -> int:
@@ -95,6 +110,7 @@
         link = self._links.pop(leaf_id, None)
         if link is None:
             return
+        self._crashed(link)
         for connection in list(link.connections):
             if connection.call is None:
                 connection.close(reason)
@@ -139,13 +155,28 @@
             call = connection.call
             if call is not None and call.expires_at < limit:
                 connection.close("no reply in time")
-        for link in self._links.values():
+        for link in list(self._links.values()):
+            if link.suspects:
+                self._probe(link)
             while link.queue and link.queue[0].expires_at < limit:
                 late = link.queue.popleft()
                 late.end(
                     CallEnd(None, Failure.NOT_RUN, "queued too long", False)
                 )
 
+    def _probe(self, link: LeafLink) -> None:
+        """Finds out whether a leaf that lost requests is still alive."""
+        if any(connection.is_connected for connection in link.connections):
+            link.suspects.clear()
+        elif not link.connections:
+            self._open(link, None)
+
+    def _crashed(self, link: LeafLink) -> None:
+        """Blames the requests that were running, if there were any."""
+        if link.suspects:
+            suspects, link.suspects = link.suspects, set()
+            self.on_crash(link.entry, suspects)
+
     def _open(self, link: LeafLink, call: Call | None) -> None:
         def judged(reply: Reply, answered: Call) -> CallEnd:
             return judge(reply, answered, self._dialect)
@@ -188,5 +219,6 @@
             link.free.remove(connection)
         if not connection.is_connected:
             link.load.unreachable(trio.current_time())
+            self._crashed(link)
         if link.queue and not link.connections:
             self._open(link, link.queue.popleft())
--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -77,6 +77,7 @@
         head: Request line and headers for leaves, without the last ones.
         body: Body for the leaves.
         is_to_head: The method is HEAD.
+        fingerprint: Equal for equal requests of one caller.
         route: Route of the configuration in force when it arrived.
         parts: Services that get the request.
         terms: When it is repeated, answered and given up.
@@ -86,6 +87,7 @@
     head: bytes
     body: bytes
     is_to_head: bool
+    fingerprint: str
     route: Route
     parts: tuple[str, ...]
     terms: Terms
@@ -309,6 +311,7 @@
             now + time_left,
             functools.partial(self._ended, name, entry, link, len(self._calls)),
             now,
+            job.fingerprint,
         )
 
     def _ended(
@@ -384,6 +387,8 @@
             load.waiting.pop(call.number, None)
             return
         load.failed(call.number, now)
+        if end.failure is Failure.LOST and end.is_abrupt:
+            link.suspects.add(call.fingerprint)
         if end.is_silent:
             load.unreachable(now)
         if end.reply is not None and end.failure is Failure.NOT_RUN:
--- a/libs/gateway/src/sapphire_gateway/store.py
+++ b/libs/gateway/src/sapphire_gateway/store.py
@@ -7,6 +7,7 @@
 
 import trio
 from sapphire_core.errors import SapphireError
+from sapphire_core.members import Member
 
 from sapphire_gateway.belief import Fact
 
@@ -81,7 +82,7 @@
             LeaseGoneError: The lease has ended.
         """
 
-    async def put_member(self, value: MemberValue, lease: int) -> None:
+    async def put_member(self, member: Member, lease: int) -> None:
         """Writes this VM's entry, which ends with the lease.
 
         Raises:
@@ -90,14 +91,3 @@
 
     def reconnect(self, reason: str) -> None:
         """Closes all connections, so that the next call opens a new one."""
-
-
-@dataclass(frozen=True, slots=True)
-class MemberValue:
-    """What a VM says of itself."""
-
-    name: str
-    address: str
-    domain: str
-    leaving: bool
-    cores: float
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -8,6 +8,8 @@
 
 import trio
 from sapphire_core.errors import SapphireError
+from sapphire_core.members import Member
+from sapphire_core.quarantine import Record
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.belief import (
@@ -21,7 +23,6 @@
     Batch,
     HistoryGoneError,
     LeaseGoneError,
-    MemberValue,
     Store,
     StoreUnavailableError,
 )
@@ -53,7 +54,7 @@
         self,
         store: Store,
         belief: Belief,
-        me: MemberValue,
+        me: Member,
         on_change: Callable[[], None],
         is_spare: Callable[[], bool],
     ) -> None:
@@ -89,9 +90,16 @@
         self._watch_scope.cancel()
         self._wake.set()
 
-    async def leave(self) -> None:
+    def leave(self) -> None:
         """Tells the other members that this VM is being stopped."""
-        self._me = replace(self._me, leaving=True)
+        self._rewrite(replace(self._me, leaving=True))
+
+    def share(self, suspects: tuple[Record, ...]) -> None:
+        """Tells the other members which requests may crash leaves."""
+        self._rewrite(replace(self._me, suspects=suspects))
+
+    def _rewrite(self, me: Member) -> None:
+        self._me = me
         self._is_written = False
         self._wake.set()
 
@@ -185,8 +193,10 @@
         elif self._is_written:
             await self._store.keep_lease(self._lease)
         if not self._is_written:
-            await self._store.put_member(self._me, self._lease)
-            self._is_written = True
+            me = self._me
+            await self._store.put_member(me, self._lease)
+            # What was changed meanwhile is written by the next round.
+            self._is_written = me is self._me
             self._belief.self_vanished = False
 
     def _lost(self, what: str, error: SapphireError) -> None:
--- a/libs/gateway/tests/gateway_world.py
+++ b/libs/gateway/tests/gateway_world.py
@@ -68,6 +68,7 @@
         self.requests = []
         self.closed = 0
         self.address = ""
+        self._running = trio.CancelScope()
 
     async def serve(self, stream):
         with contextlib.suppress(
@@ -81,6 +82,15 @@
                 await self._answer(stream, data)
         self.closed += 1
 
+    async def run(self, task_status):
+        """Listens until it crashes."""
+        with self._running:
+            await trio.serve_tcp(self.serve, 0, task_status=task_status)
+
+    def crash(self):
+        """Closes all connections; connecting is refused afterwards."""
+        self._running.cancel()
+
     async def _answer(self, stream, data):
         result = self.answer(data)
         if hasattr(result, "__await__"):
@@ -115,9 +125,7 @@
     async def leaf(self, service, answer, **more: object):
         """Starts a leaf and registers it."""
         leaf = Leaf(answer)
-        listeners = await self.nursery.start(
-            trio.serve_tcp, leaf.serve, 0,
-        )  # fmt: skip
+        listeners = await self.nursery.start(leaf.run)
         port = listeners[0].socket.getsockname()[1]
         leaf.address = f"127.0.0.1:{port}"
         entry = LeafEntry(
@@ -207,11 +215,17 @@
     return Answer(int(first.split()[1]), headers, body)
 
 
-def one(service="s", kind=Kind.IDEMPOTENT, target_s=0.5, **more: object):
+def one(
+    service="s",
+    kind=Kind.IDEMPOTENT,
+    target_s=0.5,
+    max_attempts=2,
+    **more: object,
+):
     """Returns a route to one leaf."""
     return Route(
-        "one", HOST, "/a/", kind, 1.5, target_s, 2, 1, (Share(service, 1.0),),
-        **more,
+        "one", HOST, "/a/", kind, 1.5, target_s, max_attempts, 1,
+        (Share(service, 1.0),), **more,
     )  # fmt: skip
 
 
--- a/libs/gateway/tests/test_sync.py
+++ b/libs/gateway/tests/test_sync.py
@@ -20,12 +20,11 @@
     Change,
     HistoryGoneError,
     LeaseGoneError,
-    MemberValue,
     StoreUnavailableError,
 )
 from sapphire_gateway.sync import LEASE_S, WATCH_WAIT_S, Sync
 
-ME = MemberValue("vm1", "10.0.0.1:80", "z1", False, 1.0)
+ME = Member("vm1", "10.0.0.1:80", "z1")
 LEAF = LeafEntry("i-1", "s", "10.0.1.1:80", "z1", 2, LeafState.READY, 0.0, 1, 1)
 
 
@@ -104,12 +103,11 @@
             raise LeaseGoneError("gone.")
         self.leases[lease] = trio.current_time() + LEASE_S
 
-    async def put_member(self, value, lease):
+    async def put_member(self, member, lease):
         await self._called("put")
         if self.leases[lease] < trio.current_time():
             raise LeaseGoneError("gone.")
-        member = Member(value.name, value.address, value.domain, value.leaving)
-        self.write(f"members/{value.name}", MemberFact(member))
+        self.write(f"members/{member.name}", MemberFact(member))
 
 
 @pytest.fixture
@@ -235,7 +233,21 @@
 
 def test_leaving_is_told_at_once(played):
     async def test(store, belief, sync):
-        await sync.leave()
+        sync.leave()
+        await trio.sleep(0.1)
+        assert store.facts["members/vm1"].fact.member.leaving
+
+    played(test)
+
+
+def test_a_change_during_a_write_is_written_too(played):
+    """Guards against a stop that no other VM learns of."""
+
+    async def test(store, belief, sync):
+        sync.share(())
+        await trio.sleep(0.002)
+        assert store.calls[-1] == "put"
+        sync.leave()
         await trio.sleep(0.1)
         assert store.facts["members/vm1"].fact.member.leaving
 
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -8,6 +8,7 @@
 from adapter import decode
 from sapphire_core.leafset import LeafState
 from sapphire_core.members import Member
+from sapphire_core.quarantine import Record
 from sapphire_core.routing import Kind
 from sapphire_gateway.belief import (
     ConfigurationFact,
@@ -166,7 +167,8 @@
 
 
 def test_a_members_entry_is_read_as_written():
-    member = Member("vm1", "10.0.0.1:80", "z1", leaving=True)
+    suspects = (Record("f1", 2, 59.5),)
+    member = Member("vm1", "10.0.0.1:80", "z1", leaving=True, suspects=suspects)
     value = decode.encode_member(member)
     assert decode.written("members/vm1", value) == MemberFact(member)
 
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -9,15 +9,15 @@
 import trio
 from adapter.store import StoreClient
 from gateway_world import Leaf
+from sapphire_core.members import Member
 from sapphire_gateway.belief import EvacuationFact
 from sapphire_gateway.store import (
     HistoryGoneError,
     LeaseGoneError,
-    MemberValue,
     StoreUnavailableError,
 )
 
-ME = MemberValue("vm1", "10.0.0.1:80", "z1", False, 1.0)
+ME = Member("vm1", "10.0.0.1:80", "z1")
 
 
 def answer(fields, status="200 OK"):
