Serve callers by the strong VMs of an unequal fleet

Cause: a fleet of 62 VMs, six with 2.15 cores and the rest with 0.52, named two strong and one weak VM a failure domain. Ruled out: bytes of the store between failure domains: reading everything three times at the start left them as they were (trial). Change: members with less than half of the strongest one's cores serve only if the strong ones hold less than a tenth of all cores. Tests: test_members.py, seen failing without the change.

--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -16,6 +16,12 @@
 # A failure domain whose leaves number less than this part of the largest
 # one's is not named to callers while others are.
 LEAF_DOMAIN_PART = 0.5
+# VMs with less than this part of the strongest one's processor time need so
+# much longer for a wide search that they serve only if they have to.
+STRONG_PART = 0.5
+# The strong VMs serve alone if they have this part of all processor time;
+# fewer could be overloaded.
+STRONG_CORES_PART = 0.1
 # Fewest VMs named to a caller, so that the loss of one leaves another.
 LEAST_NAMED = 2
 MOST_NAMED = 64
@@ -128,6 +134,7 @@
     Few entries keep warm connections to all leaves, while many would exceed
     the number that a leaf accepts. All VMs choose alike: the strongest of each
     failure domain that holds leaves, and of all domains if these have too few.
+    Much weaker VMs serve only if the strong ones are too few.
 
     Args:
         live: Members that may be named.
@@ -138,6 +145,7 @@
     near = [m for m in live if m.domain in domains]
     if len(near) < LEAST_NAMED:
         near = live
+    near = strong_members(near)
     by_domain: dict[str, list[Member]] = {}
     for member in near:
         by_domain.setdefault(member.domain, []).append(member)
@@ -149,6 +157,17 @@
     ]
 
 
+def strong_members(members: list[Member]) -> list[Member]:
+    """Returns the members without those that are much weaker than others."""
+    strongest = max((m.cores for m in members), default=0.0)
+    strong = [m for m in members if m.cores >= STRONG_PART * strongest]
+    strong_cores = sum(m.cores for m in strong)
+    is_enough = strong_cores >= STRONG_CORES_PART * sum(
+        m.cores for m in members
+    )
+    return strong if is_enough and len(strong) >= LEAST_NAMED else members
+
+
 def named_to(caller_domain: str, serving: list[Member]) -> list[Member]:
     """Returns the members that a caller of a failure domain should use.
 
--- a/libs/core/tests/test_members.py
+++ b/libs/core/tests/test_members.py
@@ -94,6 +94,36 @@
     assert set(serving) == set(reversed_order)
 
 
+def _unequal(strong, weak):
+    """Returns strong and weak members in two failure domains."""
+    return [
+        Member(f"{d}{kind}{i}", f"10.0.{i}.1:80", d, cores=cores)
+        for d in "ab"
+        for kind, cores, count in (("s", 2.0, strong), ("w", 0.5, weak))
+        for i in range(count)
+    ]
+
+
+def test_weak_members_do_not_serve_beside_strong_ones():
+    """A wide search took four times as long at every third entry."""
+    serving = active(_unequal(2, 18), {"a": 5, "b": 5}, most=6)
+    assert {m.cores for m in serving} == {2.0}
+    assert len(serving) == 4
+
+
+def test_strong_members_of_another_domain_come_before_weak_ones():
+    live = [m for m in _unequal(2, 18) if not m.name.startswith("as")]
+    assert {m.name for m in named("a", live, {"a": 5, "b": 5}, most=6)} == {
+        "bs0",
+        "bs1",
+    }
+
+
+def test_too_few_strong_members_do_not_serve_alone():
+    live = [m for m in _unequal(1, 40) if m.domain == "a"]
+    assert len(active(live, {"a": 5}, most=6)) == 6
+
+
 def test_a_lost_member_is_replaced_by_the_next():
     live = [Member(f"a{i}", f"10.0.0.{i}:80", "a") for i in range(6)]
     before = {m.name for m in active(live, {"a": 5}, most=2)}
