Choose leaves with less processor time

Cause: a search of 90 parts costs its entry 15 ms, of which the choice of leaves and looking up counters by label are a quarter (profile). Change: the choice skips terms that are zero and the sort key's closure; short-lived values are plain data classes; counters are looked up once.

--- a/libs/core/src/sapphire_core/choice.py
+++ b/libs/core/src/sapphire_core/choice.py
@@ -107,7 +107,7 @@
         self.slowness_at = now
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Prospect:
     """A leaf that may get a call, as seen at the time of the choice.
 
@@ -137,7 +137,7 @@
     target_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Estimate:
     """Expected reply of a leaf.
 
@@ -161,13 +161,18 @@
         now: Present time in seconds.
     """
     load = prospect.load
-    fading = math.exp(-max(0.0, now - load.others_at) / REPORT_MEMORY_S)
-    ahead = len(load.waiting) + load.others * fading
+    ahead = float(len(load.waiting))
+    if load.others:
+        age_s = max(0.0, now - load.others_at)
+        ahead += load.others * math.exp(-age_s / REPORT_MEMORY_S)
     run_s = needs.expected_s * load.slowness_now(now)
     if prospect.is_cold:
         run_s *= COLD_FACTOR
-    time_s = run_s * max(1.0, (ahead + 1.0) / load.slots)
-    time_s += load.overdue_s(needs.expected_s, now) + prospect.connect_s
+    time_s = run_s + prospect.connect_s
+    if ahead + 1.0 > load.slots:
+        time_s += run_s * ((ahead + 1.0) / load.slots - 1.0)
+    if load.waiting:
+        time_s += load.overdue_s(needs.expected_s, now)
     charge_s = 0.0 if prospect.is_near else FAR_PART * needs.target_s
     return Estimate(time_s, time_s + charge_s, ahead >= load.slots)
 
@@ -180,13 +185,19 @@
     Leaves that can't be reached are taken only if there is no other; the one
     to be tried next leads them.
     """
-    estimates = [estimate(prospect, needs, now) for prospect in prospects]
-
-    def key(index: int) -> tuple[bool, float]:
-        load = prospects[index].load
-        if load.is_down(now):
-            return True, load.down_until
-        return False, estimates[index].cost_s
-
-    chosen = min(range(len(prospects)), key=key)
-    return chosen, estimates[chosen]
+    reachable = [
+        index
+        for index, prospect in enumerate(prospects)
+        if now >= prospect.load.down_until
+    ]
+    if not reachable:
+        loads = [prospect.load.down_until for prospect in prospects]
+        first = loads.index(min(loads))
+        return first, estimate(prospects[first], needs, now)
+    estimates = [(estimate(prospects[i], needs, now), i) for i in reachable]
+    lowest, chosen = min(estimates, key=_cost_s)
+    return chosen, lowest
+
+
+def _cost_s(item: tuple[Estimate, int]) -> float:
+    return item[0].cost_s
--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -15,7 +15,7 @@
 _NUMBERS = itertools.count(1)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class CallEnd:
     """How a call ended.
 
@@ -76,7 +76,7 @@
             self.on_end(end)
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class LoadReport:
     """Load that a leaf reports."""
 
--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -121,7 +121,7 @@
 MAX_LOGGED_FAILURES = 6
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _Choice:
     """The leaf that gets a call."""
 
@@ -250,7 +250,7 @@
         call = self._call(name, entry, choice.link, now)
         self._calls.append(call)
         self._fanout.sent(name)
-        telemetry.CALLS.labels(purpose).inc()
+        telemetry.CALLS_BY_PURPOSE[purpose].inc()
         self._fleet.pool.call(choice.link, call)
 
     def _choose(self, name: str, now: float) -> _Choice | None:
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -43,6 +43,10 @@
     ["purpose"],
     registry=REGISTRY,
 )
+# Looking up a child by its label takes longer than counting.
+CALLS_BY_PURPOSE = {
+    purpose: CALLS.labels(purpose) for purpose in ("first", "hedge", "retry")
+}
 FAILED_CALLS = Counter(
     "sapphirecross_leaf_calls_failed_total",
     "Calls to leaves without a good reply, by kind of failure.",
