Pass the store's changes on from VM to VM

Ruled out: stale reads for everything, since their revision may be newer than their items. Change: VMs that serve callers read the store; the others ask one of them, of their own failure domain if possible, for the changes after a revision. Answers to watches that may have been cut are followed by the next one at once.

--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass
 
 from sapphire_core.quarantine import Record
+from sapphire_core.rendezvous import ranking
 
 # A member whose entry vanished is still named for this time: after an outage
 # of the store all entries vanish and are written again.
@@ -38,6 +39,7 @@
         leaving: It is being stopped and must not be named.
         cores: Processor time that it has, as a number of cores.
         suspects: Requests that were running when leaves crashed.
+        feed_address: Where other VMs ask for changes; empty if nowhere.
     """
 
     name: str
@@ -46,6 +48,7 @@
     leaving: bool = False
     cores: float = 1.0
     suspects: tuple[Record, ...] = ()
+    feed_address: str = ""
 
 
 @dataclass(slots=True)
@@ -168,6 +171,32 @@
     return strong if is_enough and len(strong) >= LEAST_NAMED else members
 
 
+def feeding(
+    me: Member, serving: list[Member], avoided: Container[str]
+) -> Member | None:
+    """Returns the member that a VM should ask for changes of the store.
+
+    Args:
+        me: The VM.
+        serving: Members that serve callers; they read the store themselves.
+        avoided: Names of members that did not answer.
+
+    Returns:
+        A member, if possible of the same failure domain; each one gets about
+        as many VMs. None if the VM should ask the store.
+    """
+    if any(member.name == me.name for member in serving):
+        return None
+    usable = {
+        member.name: member
+        for member in serving
+        if member.feed_address and member.name not in avoided
+    }
+    near = [name for name, m in usable.items() if m.domain == me.domain]
+    names = near or list(usable)
+    return usable[ranking(me.name, names)[0]] if names else None
+
+
 def named_to(caller_domain: str, serving: list[Member]) -> list[Member]:
     """Returns the members that a caller of a failure domain should use.
 
--- a/libs/core/tests/test_members.py
+++ b/libs/core/tests/test_members.py
@@ -9,6 +9,7 @@
     Members,
     RecentPeak,
     active,
+    feeding,
     named_to,
 )
 
@@ -124,6 +125,44 @@
     assert len(active(live, {"a": 5}, most=6)) == 6
 
 
+def _feeds(domain, count):
+    return [
+        Member(f"{domain}{i}", "10.0.0.1:80", domain, feed_address=f"{i}")
+        for i in range(count)
+    ]
+
+
+def test_a_vm_is_fed_from_its_own_domain_if_possible():
+    serving = [*_feeds("a", 2), *_feeds("b", 2)]
+    fed = Member("x", "10.0.0.9:80", "b")
+    first = feeding(fed, serving, ())
+    assert first is not None
+    assert first.domain == "b"
+    second = feeding(fed, serving, {first.name})
+    assert second is not None
+    assert (second.domain, second != first) == ("b", True)
+    far = feeding(fed, serving, {"b0", "b1"})
+    assert far is not None
+    assert far.domain == "a"
+
+
+def test_serving_vms_ask_the_store():
+    """Guards against two VMs that feed each other."""
+    serving = _feeds("a", 2)
+    assert feeding(serving[0], serving, ()) is None
+    assert feeding(Member("x", "", "a"), [], ()) is None
+
+
+def test_feeding_is_spread():
+    serving = _feeds("a", 4)
+    chosen = {
+        f.name
+        for i in range(40)
+        if (f := feeding(Member(f"x{i}", "", "a"), serving, ()))
+    }
+    assert len(chosen) == 4
+
+
 def test_a_lost_member_is_replaced_by_the_next():
     live = [Member(f"a{i}", f"10.0.0.{i}:80", "a") for i in range(6)]
     before = {m.name for m in active(live, {"a": 5}, most=2)}
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -6,7 +6,7 @@
 import itertools
 import signal
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
@@ -18,6 +18,7 @@
 from sapphire_gateway.belief import Belief
 from sapphire_gateway.callers import Caller, CallerServer
 from sapphire_gateway.dialect import Dialect
+from sapphire_gateway.feed import FeedClient, FeedServer
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.gateway import Gateway
 from sapphire_gateway.messages import Answer, Request
@@ -43,6 +44,7 @@
         domain: Failure domain of the VM.
         cores: Processor time of the VM, as a number of cores.
         callers_address: Where callers connect.
+        feed_address: Where other VMs ask for changes of the store.
         budget: Limit of extra calls over all VMs.
         grace_s: Time from SIGTERM to SIGKILL.
         addresses_keep_s: How long callers may keep the addresses they were
@@ -54,6 +56,7 @@
     domain: str
     cores: float
     callers_address: str
+    feed_address: str
     budget: BudgetTerms
     grace_s: float
     addresses_keep_s: float
@@ -155,24 +158,34 @@
             gateway.handle, self._limits, self._closes, gateway.sent
         )
         await nursery.start(server.serve, self._settings.callers_address)
-        for extra in self._extras:
-            await self._listen(nursery, extra)
+        extras = list(self._extras)
         if self._settings.metrics_address is not None:
-            metrics = ExtraListener(self._settings.metrics_address, _metrics)
-            await self._listen(nursery, metrics)
+            extras.append(
+                ExtraListener(self._settings.metrics_address, _metrics)
+            )
+        for extra in extras:
+            await self._listen(
+                nursery, extra.address, functools.partial(self._extra, extra)
+            )
         me = Member(
             self._settings.name,
             self._settings.callers_address,
             self._settings.domain,
             cores=self._settings.cores,
+            feed_address=self._settings.feed_address,
         )
         sync = Sync(
             self._store,
             self._belief,
             me,
             self._believed,
-            lambda: not fleet.is_serving,
+            lambda me, avoided: fleet.feed_for(
+                me, avoided, trio.current_time()
+            ),
+            lambda address: FeedClient(address, nursery, self._store.decode),
         )
+        feed = FeedServer(sync.mirror, lambda: sync.feeding_age_s)
+        await self._listen(nursery, self._settings.feed_address, feed.answer)
         nursery.start_soon(sync.run)
         nursery.start_soon(pool.sweep)
         nursery.start_soon(self._tick, sync, pool)
@@ -183,16 +196,22 @@
                 return
             self._reload_settings(True)
 
+    async def _extra(self, extra: ExtraListener, request: Request) -> Answer:
+        return extra.handler(self, request)
+
     async def _listen(
-        self, nursery: trio.Nursery, extra: ExtraListener
+        self,
+        nursery: trio.Nursery,
+        address: str,
+        answer: Callable[[Request], Awaitable[Answer]],
     ) -> None:
         async def handle(request: Request, caller: Caller) -> Answer:
-            return extra.handler(self, request)
+            return await answer(request)
 
         server = CallerServer(
             handle, ClientLimits, self._closes, lambda _request, _now: None
         )
-        await nursery.start(server.serve, extra.address)
+        await nursery.start(server.serve, address)
 
     async def _leave(self, sync: Sync, server: CallerServer) -> None:
         """Stops: leaves the addresses, then waits for callers to go.
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
+
 import trio
 from sapphire_core.coldshare import ColdShare
 from sapphire_core.leafset import LeafEntry, RegisteredLeaf
-from sapphire_core.members import Member, RecentPeak, active, named_to
+from sapphire_core.members import (
+    Member,
+    RecentPeak,
+    active,
+    feeding,
+    named_to,
+)
 from sapphire_core.retrybudget import BudgetTerms, RetryBudget
 
 from sapphire_gateway import telemetry
@@ -88,11 +96,23 @@
         )
         return self.belief.registry.domain_counts(services)
 
+    def feed_for(
+        self, me: Member, avoided: Container[str], now: float
+    ) -> Member | None:
+        """Returns the member to ask for changes; None to ask the store."""
+        live = self.belief.members.live(now)
+        if all(member.name != me.name for member in live):
+            live.append(me)
+        return feeding(me, self._serving_of(live), avoided)
+
     def named_to(self, caller_domain: str, now: float) -> list[Member]:
         """Returns the members that a caller should connect to."""
         return named_to(caller_domain, self._serving(now))
 
     def _serving(self, now: float) -> list[Member]:
+        return self._serving_of(self.belief.members.live(now))
+
+    def _serving_of(self, live: list[Member]) -> list[Member]:
         configuration = self.belief.configuration
         accepted = [DEFAULT_CONNECTIONS]
         if configuration is not None and configuration.services:
@@ -101,7 +121,6 @@
                 for service in configuration.services.values()
             ]
         most = int(min(accepted) * CONNECTIONS_PART / WANTED_CONNECTIONS)
-        live = self.belief.members.live(now)
         return active(live, self.leaf_counts(), most)
 
     def may_send(self, leaf: RegisteredLeaf, now: float) -> bool:
--- a/libs/gateway/src/sapphire_gateway/store.py
+++ b/libs/gateway/src/sapphire_gateway/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -41,19 +42,36 @@
         key: The key.
         revision: Revision of the change.
         fact: What the value means.
+        value: The value as it is stored; None if the key was removed.
     """
 
     key: str
     revision: int
     fact: Fact
+    value: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """Changes in order, and the revision up to which they are complete."""
+    """Changes in order, and the revision up to which they are complete.
+
+    Attributes:
+        changes: What was written or removed.
+        revision: Later changes are still to come.
+        is_cut: So much was answered that more may be waiting.
+        is_whole: The changes are all keys that exist.
+        age_s: Seconds since the store has answered.
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    is_cut: bool = False
+    is_whole: bool = False
+    age_s: float = 0.0
+
+
+# Returns what a key's value says, or its removal if it is None.
+Decode = Callable[[str, bytes | None], Fact | None]
 
 
 class Store(Protocol):
@@ -62,9 +80,15 @@
     def start(self, nursery: trio.Nursery) -> None:
         """Sets the nursery in which connections run."""
 
+    def decode(self, key: str, value: bytes | None) -> Fact | None:
+        """Returns what a key's value says; None for keys of no interest."""
+
     async def read_all(self) -> Batch:
         """Reads every key that concerns the fleet."""
 
+    async def read_members(self) -> list[Change]:
+        """Reads the members' entries, which may be seconds old."""
+
     async def watch_all(self, after: int, wait_s: float) -> Batch:
         """Waits for changes after a revision.
 
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Callable, Iterator
+import math
+from collections.abc import Callable, Container, Iterator
 from dataclasses import replace
+from typing import Protocol
 
 import trio
 from sapphire_core.errors import SapphireError
@@ -19,6 +21,7 @@
     MemberFact,
     apply,
 )
+from sapphire_gateway.feed import WAIT_S, Mirror
 from sapphire_gateway.store import (
     Batch,
     HistoryGoneError,
@@ -30,10 +33,8 @@
 # One watch carries all keys. Its calls are priced, so it waits long; a store
 # that falls silent is noticed by the renewals of the lease.
 WATCH_WAIT_S = 25.0
-# Changes of this time are fetched by one call; a VM that serves no callers is
-# in less of a hurry.
+# Changes of this time are fetched by one call.
 WATCH_GAP_S = 0.4
-SPARE_WATCH_GAP_S = 1.0
 # An entry lapses this long after the last renewal of its VM.
 LEASE_S = 4.5
 # Renewals cost a tenth of other calls.
@@ -45,10 +46,31 @@
 # A watch that keeps failing is repeated at this pace, or when a renewal
 # succeeds.
 WATCH_RETRY_S = 2.0
+# A VM that failed to feed this one is not asked again for this time.
+AVOID_S = 5.0
+
+
+# Returns the member to ask for changes, without the named ones; None to ask
+# the store.
+ChooseFeed = Callable[[Member, Container[str]], Member | None]
+
+
+class Feed(Protocol):
+    """Another VM that passes changes on."""
+
+    async def changes(self, after: int | None) -> Batch:
+        """Waits a short time for changes after a revision."""
+
+    def close(self) -> None:
+        """Closes the connections."""
 
 
 class Sync:
-    """Two loops: one watches the store, one renews this VM's lease."""
+    """Two loops: one follows the store's changes, one renews the lease.
+
+    The changes come from the store or, for a VM that serves no callers, from
+    one that does.
+    """
 
     def __init__(
         self,
@@ -56,13 +78,29 @@
         belief: Belief,
         me: Member,
         on_change: Callable[[], None],
-        is_spare: Callable[[], bool],
+        choose_feed: ChooseFeed,
+        connect_feed: Callable[[str], Feed],
     ) -> None:
+        """Prepares the loops.
+
+        Args:
+            store: The platform's store.
+            belief: What is kept current.
+            me: This VM's entry.
+            on_change: Called after the belief has changed.
+            choose_feed: Decides whom to ask for changes.
+            connect_feed: Returns a client of the VM at an address.
+        """
         self._store = store
         self._belief = belief
         self._me = me
         self._on_change = on_change
-        self._is_spare = is_spare
+        self._choose_feed = choose_feed
+        self._connect_feed = connect_feed
+        self._feed: tuple[Member, Feed] | None = None
+        self._avoided: dict[str, float] = {}
+        self._is_history_gone = False
+        self.mirror = Mirror()
         self._cursor: int | None = None
         self._watch_scope = trio.CancelScope()
         self._lease: int | None = None
@@ -77,6 +115,11 @@
         """Seconds since the store last answered."""
         return trio.current_time() - self._last_contact
 
+    @property
+    def feeding_age_s(self) -> float:
+        """The same; infinity if this VM has its changes from another one."""
+        return math.inf if self._feed is not None else self.contact_age_s
+
     async def run(self) -> None:
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -110,7 +153,7 @@
                     await self._watch_once()
                 except HistoryGoneError as error:
                     telemetry.event("history_gone", error=str(error))
-                    self._cursor = None
+                    self._is_history_gone = True
                 except StoreUnavailableError as error:
                     was_in_contact = self._in_contact
                     self._lost("watch", error)
@@ -118,16 +161,73 @@
 
     async def _watch_once(self) -> None:
         if self._cursor is None:
-            batch = await self._store.read_all()
-            self._answered()
-            self._take_all(batch)
+            await self._meet_members()
+        feed = self._current_feed()
+        if feed is not None:
+            self._take_batch(await self._fed(feed))
             return
-        batch = await self._store.watch_all(self._cursor, WATCH_WAIT_S)
+        if self._cursor is None or self._is_history_gone:
+            batch = await self._store.read_all()
+            self._is_history_gone = False
+        else:
+            batch = await self._store.watch_all(self._cursor, WATCH_WAIT_S)
         self._answered()
-        self._take(batch)
-        if batch.changes:
-            spare = self._is_spare()
-            await trio.sleep(SPARE_WATCH_GAP_S if spare else WATCH_GAP_S)
+        self._take_batch(batch)
+        if batch.changes and not batch.is_cut and not batch.is_whole:
+            await trio.sleep(WATCH_GAP_S)
+
+    async def _meet_members(self) -> None:
+        """Learns whom to ask, before anything else is known."""
+        for change in await self._store.read_members():
+            apply(change.fact, self._belief, trio.current_time())
+        self._answered()
+
+    def _current_feed(self) -> Feed | None:
+        """Returns the VM to ask for changes, or None for the store."""
+        now = trio.current_time()
+        self._avoided = {
+            name: until for name, until in self._avoided.items() if now < until
+        }
+        chosen = self._choose_feed(self._me, self._avoided)
+        present = self._feed
+        if present is not None and not _is_same(present[0], chosen):
+            present[1].close()
+            self._feed = None
+        if chosen is not None and self._feed is None:
+            self._feed = chosen, self._connect_feed(chosen.feed_address)
+            telemetry.event("feed", member=chosen.name)
+        return self._feed[1] if self._feed is not None else None
+
+    async def _fed(self, feed: Feed) -> Batch:
+        """Returns changes from another VM, or from the store if it fails."""
+        try:
+            batch = await feed.changes(self._cursor)
+        except StoreUnavailableError as error:
+            self._drop_feed(error)
+        else:
+            self._is_history_gone = False
+            return batch
+        if self._cursor is None:
+            batch = await self._store.read_all()
+        else:
+            batch = await self._store.watch_all(self._cursor, WAIT_S)
+        self._answered()
+        return batch
+
+    def _drop_feed(self, error: SapphireError) -> None:
+        assert self._feed is not None
+        member, feed = self._feed
+        feed.close()
+        self._feed = None
+        self._avoided[member.name] = trio.current_time() + AVOID_S
+        telemetry.event("feed_lost", member=member.name, error=str(error))
+
+    def _take_batch(self, batch: Batch) -> None:
+        self.mirror.take(batch)
+        if batch.is_whole:
+            self._take_all(batch)
+        else:
+            self._take(batch)
 
     def _take_all(self, batch: Batch) -> None:
         now = trio.current_time()
@@ -161,7 +261,7 @@
             apply(change.fact, self._belief, now)
         self._cursor = batch.revision
         self._belief.revision = batch.revision
-        self._belief.learned_at = now
+        self._belief.learned_at = now - batch.age_s
         if self._belief.self_vanished and not self._me.leaving:
             self._is_written = False
             self._wake.set()
@@ -226,6 +326,13 @@
             await self._contact.wait()
 
 
+def _is_same(present: Member, chosen: Member | None) -> bool:
+    return chosen is not None and (present.name, present.feed_address) == (
+        chosen.name,
+        chosen.feed_address,
+    )
+
+
 @contextlib.contextmanager
 def counted(operation: str) -> Iterator[None]:
     """Counts a call to the store by its result."""
--- a/libs/gateway/tests/test_sync.py
+++ b/libs/gateway/tests/test_sync.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
+
 import pytest
 import trio
 import trio.testing
@@ -15,6 +17,7 @@
     MemberFact,
     MemberGoneFact,
 )
+from sapphire_gateway.feed import SILENCE_S, WAIT_S
 from sapphire_gateway.store import (
     Batch,
     Change,
@@ -24,6 +27,8 @@
 )
 from sapphire_gateway.sync import LEASE_S, WATCH_WAIT_S, Sync
 
+# Changes that one watch returns.
+MOST_CHANGES = 500
 ME = Member("vm1", "10.0.0.1:80", "z1")
 LEAF = LeafEntry("i-1", "s", "10.0.1.1:80", "z1", 2, LeafState.READY, 0.0, 1, 1)
 
@@ -40,7 +45,7 @@
         self.is_silent = False
         self.leases = {}
         self.calls = []
-        self._changed = trio.Event()
+        self.changed = trio.Event()
 
     def write(self, key, fact):
         """Writes a key, or removes it if the fact says so."""
@@ -51,14 +56,14 @@
         else:
             self.facts[key] = change
         self.history.append(change)
-        self._changed.set()
-        self._changed = trio.Event()
+        self.changed.set()
+        self.changed = trio.Event()
 
     def forget_history(self):
         """Makes watches from before fail."""
         self.first = self.revision
-        self._changed.set()
-        self._changed = trio.Event()
+        self.changed.set()
+        self.changed = trio.Event()
 
     def start(self, nursery):
         """Needs no tasks."""
@@ -77,19 +82,30 @@
 
     async def read_all(self):
         await self._called("read_all")
-        return Batch(tuple(self.facts.values()), self.revision)
+        return Batch(tuple(self.facts.values()), self.revision, is_whole=True)
+
+    async def read_members(self):
+        await self._called("read_members")
+        return [
+            change
+            for change in self.facts.values()
+            if isinstance(change.fact, MemberFact)
+        ]
 
     async def watch_all(self, after, wait_s):
         await self._called("watch")
         with trio.move_on_after(wait_s):
             while self.revision <= after and self.first <= after:
-                await self._changed.wait()
+                await self.changed.wait()
         if self.is_silent:
             await trio.sleep_forever()
         if after < self.first:
             raise HistoryGoneError("gone.")
         changes = tuple(c for c in self.history if c.revision > after)
-        return Batch(changes, self.revision)
+        if len(changes) <= MOST_CHANGES:
+            return Batch(changes, self.revision)
+        changes = changes[:MOST_CHANGES]
+        return Batch(changes, changes[-1].revision, is_cut=True)
 
     async def open_lease(self, ttl_s):
         await self._called("lease")
@@ -110,15 +126,55 @@
         self.write(f"members/{member.name}", MemberFact(member))
 
 
+class FakeFeed:
+    """Another VM that passes on what the store has."""
+
+    broken: ClassVar[set[str]] = set()
+    asked: ClassVar[list[str]] = []
+
+    def __init__(self, address, store) -> None:
+        self._address = address
+        self._store = store
+
+    def close(self):
+        """Needs nothing."""
+
+    async def changes(self, after):
+        """Answers like the feed of another VM, or is silent."""
+        FakeFeed.asked.append(self._address)
+        if self._address in FakeFeed.broken:
+            await trio.sleep(WAIT_S + SILENCE_S)
+            raise StoreUnavailableError("silent.")
+        if after is None:
+            return Batch(
+                tuple(self._store.facts.values()),
+                self._store.revision,
+                is_whole=True,
+            )
+        with trio.move_on_after(WAIT_S):
+            while self._store.revision <= after:
+                await self._store.changed.wait()
+        changes = [c for c in self._store.history if c.revision > after]
+        return Batch(tuple(changes), self._store.revision)
+
+
 @pytest.fixture
 def played():
     """Runs a test against a sync, on a clock that needs no waiting."""
 
-    def run(test):
+    def run(test, feeds=()):
         async def main():
             store = FakeStore()
             belief = Belief("vm1")
-            sync = Sync(store, belief, ME, lambda: None, lambda: False)
+
+            def choose(me, avoided):
+                left = [f for f in feeds if f.name not in avoided]
+                return left[0] if left else None
+
+            def connect(address):
+                return FakeFeed(address, store)
+
+            sync = Sync(store, belief, ME, lambda: None, choose, connect)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(sync.run)
                 await trio.sleep(2)
@@ -252,3 +308,73 @@
         assert store.facts["members/vm1"].fact.member.leaving
 
     played(test)
+
+
+def test_many_changes_after_an_outage_are_read_without_pauses(played):
+    """Guards against a leaf that left seconds ago and still gets requests.
+
+    After an outage with 3,500 changes, a VM that paused after each 500 of
+    them knew the last ones 7 s later.
+    """
+
+    async def test(store, belief, sync):
+        store.is_silent = True
+        await trio.sleep(6)
+        for number in range(3500):
+            store.write(f"servers/i-{number % 400}", LeafFact(LEAF))
+        store.is_silent = False
+        while sync.contact_age_s > 1:
+            await trio.sleep(0.1)
+        await trio.sleep(1)
+        assert belief.revision == store.revision
+
+    played(test)
+
+
+NEAR = Member("vm2", "10.0.0.2:80", "z1", feed_address="near")
+FAR = Member("vm3", "10.0.0.3:80", "z2", feed_address="far")
+
+
+def test_a_fed_vm_asks_the_store_only_for_its_lease(played):
+    """Guards against calls to the store that grow with the fleet."""
+
+    async def test(store, belief, sync):
+        store.calls.clear()
+        for number in range(20):
+            store.write(f"servers/i-{number}", LeafFact(LEAF))
+            await trio.sleep(0.5)
+            assert belief.revision == store.revision
+        assert set(store.calls) == {"keep"}
+
+    FakeFeed.broken = set()
+    played(test, feeds=(NEAR, FAR))
+
+
+def test_a_silent_feed_is_replaced_within_the_bounds(played):
+    """Guards against a VM that believes a feed which has stopped."""
+
+    async def test(store, belief, sync):
+        FakeFeed.broken = {"near"}
+        store.write("servers/i-1", LeafFact(LEAF))
+        await trio.sleep(WAIT_S + SILENCE_S + 0.2)
+        assert belief.revision == store.revision
+        FakeFeed.asked.clear()
+        await trio.sleep(3)
+        assert set(FakeFeed.asked) == {"far"}
+
+    FakeFeed.broken = set()
+    played(test, feeds=(NEAR, FAR))
+
+
+def test_without_a_feed_the_store_is_asked(played):
+    """Guards against a VM that nobody feeds."""
+
+    async def test(store, belief, sync):
+        FakeFeed.broken = {"near", "far"}
+        for number in range(5):
+            store.write(f"servers/i-{number}", LeafFact(LEAF))
+            await trio.sleep(2.0)
+            assert belief.revision == store.revision
+
+    FakeFeed.broken = set()
+    played(test, feeds=(NEAR, FAR))
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -10,6 +10,7 @@
 Node = "vm1"
 Ip = "10.1.0.9"
 Zone = "z1"
+InternalPortRange = [7380, 7395]
 New = { field = 1 }
 [ListenAddrs]
 Front = "10.1.0.9:8104"
