Add a randomized soak of real gateway processes

Nine gateways in three failure domains run as processes; the store, the leaves and the callers are stand-ins in the driver, reached through loopback proxies.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 LIBS := $(wildcard libs/*)
 
-.PHONY: setup format lint types unit model test demo fleet bench lock clean
+.PHONY: setup format lint types unit model test soak demo fleet bench lock clean
 
 setup: $(VENV)/.installed
 
@@ -43,6 +43,11 @@
 
 test: lint types unit model
 
+# Randomized faults on real gateway processes, for example
+# make soak SOAK_ARGS="--first 1 --count 50 --jobs 2".
+soak: setup
+	cd tests && ../$(BIN)/python -m soak $(SOAK_ARGS)
+
 demo: setup
 	@$(BIN)/python -m sapphire_bench.demo --fault=$(or $(FAULT),none)
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized runs of real gateway processes under faults from outside."""
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,163 @@
+"""Callers: they ask for addresses, keep connections and note each answer."""
+
+from __future__ import annotations
+
+import itertools
+import json
+from dataclasses import dataclass
+from random import Random
+
+import trio
+from sapphire_gateway.calls import Call, CallEnd
+from sapphire_gateway.connection import Connection
+from sapphire_gateway.httpclient import HttpClient
+from sapphire_gateway.messages import Reply
+from sapphire_gateway.store import StoreUnavailableError
+
+from soak.operator import HOST, Operator, SoakRoute
+from soak.processes import DIRECTORY_PORT, Gateway
+
+DEADLINE_S = 2.0
+LOOK_UP_S = 1.0
+KEEP_S = 2.0
+THINK_S = 0.05
+_IDS = itertools.count(1)
+
+
+@dataclass
+class Attempt:
+    """One request as its caller saw it.
+
+    Attributes:
+        request_id: Its own id.
+        route: The route that it was sent to.
+        version: Configuration that was acknowledged last when it was sent.
+        gateway: Where it was sent.
+        sent_at: Time of the first byte.
+        ended_at: Time of the answer or of the loss.
+        reply: The whole answer, or None.
+        was_refused_connection: Nothing of it can have been read.
+    """
+
+    request_id: str
+    route: SoakRoute
+    version: int
+    gateway: Gateway
+    sent_at: float
+    ended_at: float
+    reply: Reply | None
+    was_refused_connection: bool
+
+
+class Caller:
+    """Sends one request after the other until cancelled."""
+
+    def __init__(
+        self,
+        gateways: list[Gateway],
+        operator: Operator,
+        attempts: list[Attempt],
+        nursery: trio.Nursery,
+        rng: Random,
+    ) -> None:
+        self._gateways = {g.callers_address: g for g in gateways}
+        self._operator = operator
+        self._attempts = attempts
+        self._nursery = nursery
+        self._rng = rng
+        self._addresses: list[str] = []
+        self._looked_up_at = -KEEP_S
+        self._connection: Connection | None = None
+        self._address = ""
+
+    async def run(self) -> None:
+        """Sends requests until cancelled."""
+        while True:
+            await trio.sleep(THINK_S * self._rng.uniform(0.5, 1.5))
+            if trio.current_time() - self._looked_up_at >= KEEP_S:
+                await self._look_up()
+            if self._addresses:
+                await self._send_one()
+
+    async def _look_up(self) -> None:
+        gateway = self._rng.choice(list(self._gateways.values()))
+        client = HttpClient(f"{gateway.host}:{DIRECTORY_PORT}")
+        client.start(self._nursery)
+        try:
+            target = f"/resolve?Name={HOST}&Zone={gateway.domain}"
+            reply = await client.ask("GET", target, LOOK_UP_S)
+        except StoreUnavailableError:
+            return
+        finally:
+            client.reconnect("one question a connection")
+        if reply.status == 200:
+            self._addresses = json.loads(reply.body)["addrs"]
+            self._looked_up_at = trio.current_time()
+
+    def _connected(self) -> Connection:
+        """Returns the kept connection, or a new one to a named address."""
+        known = self._connection
+        if (
+            known is not None
+            and known.is_free
+            and self._address in self._addresses
+        ):
+            return known
+        if known is not None:
+            known.close("the address is no longer named")
+        self._address = self._rng.choice(self._addresses)
+        self._connection = Connection(
+            self._address, _accept, lambda _: None, lambda _: None
+        )
+        return self._connection
+
+    async def _send_one(self) -> None:
+        route = self._rng.choice(self._operator.routes_to_ask())
+        request_id = f"{next(_IDS):08x}"
+        body = b"proposal" if route.method == "POST" else b""
+        lines = [
+            f"{route.method} {route.prefix}x HTTP/1.1",
+            f"Host: {HOST}",
+            f"Request-Id: {request_id}",
+            f"Deadline-Ms: {int(DEADLINE_S * 1000)}",
+            f"Content-Length: {len(body)}",
+        ]
+        payload = "\r\n".join([*lines, "", ""]).encode() + body
+        ended = trio.Event()
+        ends: list[CallEnd] = []
+
+        def on_end(end: CallEnd) -> None:
+            ends.append(end)
+            ended.set()
+
+        now = trio.current_time()
+        call = Call(payload, b"", False, False, now + DEADLINE_S, on_end, now)
+        connection = self._connected()
+        gateway = self._gateways[self._address]
+        version = self._operator.version
+        connection.start(call)
+        if not connection.is_connected:
+            self._nursery.start_soon(connection.run)
+        with trio.move_on_after(DEADLINE_S + 1.0):
+            await ended.wait()
+        was_sent = bool(call.sent_at)
+        if not ended.is_set():
+            connection.close("no answer")
+        if connection.is_closed:
+            self._connection = None
+        self._attempts.append(
+            Attempt(
+                request_id,
+                route,
+                version,
+                gateway,
+                now,
+                trio.current_time(),
+                ends[0].reply,
+                not was_sent,
+            )
+        )
+
+
+def _accept(reply: Reply, call: Call) -> CallEnd:
+    return CallEnd(reply, None)
--- /dev/null
+++ b/tests/soak/leaves.py
@@ -0,0 +1,155 @@
+"""Stand-ins of leaves, in the driver's process."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+from sapphire_gateway.callers import Caller
+from sapphire_gateway.messages import Answer, Request, header
+
+from soak.store import Store
+
+RECORD_BYTES = 16
+RECORDS = 6
+SLOTS = 4
+_STARTS = itertools.count(1_700_000_000_000)
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that a leaf began to work on."""
+
+    request_id: str
+    service: str
+    leaf_id: str
+    at: float
+
+
+@dataclass
+class Ledger:
+    """What all leaves have seen and signed."""
+
+    arrivals: list[Arrival] = field(default_factory=list)
+    # The records behind each signature, with its request and service.
+    signed: dict[str, tuple[str, str, list[bytes]]] = field(
+        default_factory=dict
+    )
+
+
+class Leaf:
+    """One leaf: answers requests and keeps its entry in the store."""
+
+    def __init__(
+        self,
+        service: str,
+        number: int,
+        domain: str,
+        address: str,
+        store: Store,
+        ledger: Ledger,
+        rng: Random,
+    ) -> None:
+        """Prepares a leaf.
+
+        Args:
+            service: The service that it runs.
+            number: Distinguishes the leaves of a service.
+            domain: Failure domain.
+            address: Where gateways reach it.
+            store: Gets the leaf's entry.
+            ledger: Gets what the leaf runs.
+            rng: Source of work times and faults.
+        """
+        self.service = service
+        self.domain = domain
+        self.address = address
+        self._number = number
+        self._store = store
+        self._ledger = ledger
+        self._rng = rng
+        self._running = 0
+        self.work_s = 0.01
+        self.broken_share = 0.0
+        self.restart()
+
+    def restart(self) -> None:
+        """Starts a new incarnation and registers it."""
+        born = next(_STARTS)
+        self.leaf_id = f"i-{self.service}-{self._number}-{born % 100_000}"
+        self._born = born
+        self._sequence = 0
+        self.state = "ready"
+        self.register()
+
+    def register(self) -> None:
+        """Writes the leaf's entry."""
+        self._sequence += 1
+        self._store.write(
+            f"servers/{self.leaf_id}",
+            {
+                "Service": self.service,
+                "Address": self.address,
+                "Zone": self.domain,
+                "Version": "1",
+                "Slots": SLOTS,
+                "State": self.state,
+                "WarmupLeftMs": 0,
+                "Sequence": self._sequence,
+                "born": self._born,
+            },
+        )
+
+    def drain(self) -> None:
+        """Tells that the leaf accepts no new work."""
+        self.state = "draining"
+        self.register()
+
+    def end(self) -> None:
+        """Removes the entry."""
+        self._store.remove(f"servers/{self.leaf_id}")
+
+    async def answer(self, request: Request, caller: Caller) -> Answer:
+        """Runs one request."""
+        wanted = header(request.headers, b"target-instance")
+        if wanted is None or wanted.decode() != self.leaf_id:
+            return Answer(421, [(b"Not-Executed", b"1")])
+        if self._running >= 2 * SLOTS:
+            return Answer(503, [(b"Not-Executed", b"1")])
+        request_id = (header(request.headers, b"request-id") or b"").decode()
+        self._ledger.arrivals.append(
+            Arrival(request_id, self.service, self.leaf_id, trio.current_time())
+        )
+        self._running += 1
+        try:
+            await trio.sleep(self.work_s * self._rng.uniform(0.5, 1.5))
+        finally:
+            self._running -= 1
+        return self._reply(request_id)
+
+    def _reply(self, request_id: str) -> Answer:
+        run = len(self._ledger.signed)
+        records = [
+            hashlib.blake2b(
+                f"{request_id} {self.service} {n}".encode(),
+                digest_size=RECORD_BYTES,
+            ).digest()
+            for n in range(RECORDS)
+        ]
+        signature = f"{run:x}.{self.leaf_id}"
+        self._ledger.signed[signature] = (request_id, self.service, records)
+        status = 200
+        if self._rng.random() < self.broken_share:
+            status = 500
+        echoed = request_id
+        if self._rng.random() < self.broken_share:
+            echoed = "late-" + request_id
+        headers = [
+            (b"Response-Stamp", signature.encode()),
+            (b"Request-Id", echoed.encode()),
+            (b"Server-Load", b"%d,0,%d" % (self._running, SLOTS)),
+        ]
+        return Answer(status, headers, b"".join(records))
--- /dev/null
+++ b/tests/soak/operator.py
@@ -0,0 +1,97 @@
+"""The operator: writes configurations and takes domains out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import trio
+
+from soak.store import Store
+
+HOST = "soak.example"
+SHARDS = ("s0", "s1", "s2", "s3", "s4", "s5")
+SINGLE = "single"
+LEAST_SHARE = 0.5
+TOP = 5
+TARGET_MS = 300
+TIMEOUT_MS = 1500
+
+
+@dataclass(frozen=True)
+class SoakRoute:
+    """A route that callers ask, and from which version to which it exists."""
+
+    prefix: str
+    method: str
+    shards: tuple[str, ...]
+    kind: str
+
+    def encode(self) -> dict[str, object]:
+        """Returns the route's fields in the configuration."""
+        fields: dict[str, object] = {
+            "Name": self.prefix.strip("/"),
+            "Host": HOST,
+            "Prefix": self.prefix,
+            "Kind": self.kind,
+            "TimeoutMs": TIMEOUT_MS,
+            "TargetLatencyMs": TARGET_MS,
+            "MaxAttempts": 2,
+            "Priority": 1,
+        }
+        if len(self.shards) > 1:
+            gather = {"TopK": TOP, "MinShardShare": LEAST_SHARE}
+            return {**fields, "Gather": list(self.shards), **gather}
+        return {**fields, "Service": self.shards[0]}
+
+
+SEARCH = SoakRoute("/search/", "GET", SHARDS, "idempotent")
+FETCH = SoakRoute("/fetch/", "GET", (SINGLE,), "idempotent")
+SUBMIT = SoakRoute("/submit/", "POST", (SINGLE,), "non_idempotent")
+PERMANENT = (SEARCH, FETCH, SUBMIT)
+
+
+class Operator:
+    """Changes the configuration and remembers what was acknowledged when."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self.version = 0
+        self.acknowledged: dict[int, float] = {}
+        self.passing: dict[int, SoakRoute] = {}
+
+    def change(self) -> None:
+        """Replaces the route that each version has for itself."""
+        self.version += 1
+        prefix = f"/v{self.version}/"
+        route = SoakRoute(prefix, "GET", (SINGLE,), "idempotent")
+        self.passing[self.version] = route
+        routes = (*PERMANENT, route)
+        services = (*SHARDS, SINGLE)
+        self._store.write(
+            "op/config",
+            {
+                "Version": self.version,
+                "Routes": [r.encode() for r in routes],
+                "Services": [
+                    {"Name": name, "MaxConnections": 60} for name in services
+                ],
+                "Limits": {"IdleTimeoutMs": 20_000},
+            },
+        )
+        self.acknowledged[self.version] = trio.current_time()
+
+    def take_out(self, domain: str) -> None:
+        """Takes a failure domain out of service."""
+        self._store.write(f"op/evacuate/{domain}", {})
+
+    def put_back(self, domain: str) -> None:
+        """Puts a failure domain back."""
+        self._store.remove(f"op/evacuate/{domain}")
+
+    def routes_to_ask(self) -> list[SoakRoute]:
+        """Returns the routes of callers: two of three are searches."""
+        asked = [SEARCH, SEARCH, SEARCH, FETCH, SUBMIT]
+        asked.append(self.passing[self.version])
+        if self.version > 1:
+            asked.append(self.passing[self.version - 1])
+        return asked
