--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -3,20 +3,25 @@
 from __future__ import annotations
 
 import functools
+import math
 from dataclasses import dataclass, field
 
 import trio
-from sapphire_core.choice import Estimate, Needs, Prospect, best
+from sapphire_core.choice import Estimate
 from sapphire_core.fanout import Failure, FanOut, Terms, Verdict
-from sapphire_core.latency import RunningQuantile
 from sapphire_core.leafset import LeafEntry
 from sapphire_core.routing import Route
 
 from sapphire_gateway import telemetry
-from sapphire_gateway.calls import Call, CallEnd, load_report
+from sapphire_gateway.calls import Call, CallEnd
 from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.leafcalls import (
+    CallTerms,
+    Choice,
+    Expectation,
+    LeafCaller,
+)
 from sapphire_gateway.messages import Reply
-from sapphire_gateway.pool import LeafLink
 
 # Hedges leave this part of the budget to retries: a part without a retry is
 # missing, one without a hedge is only late.
@@ -31,43 +36,6 @@
 PART_TIME_FACTOR = 2.0
 
 
-@dataclass(slots=True)
-class Expectation:
-    """Reply times of a route's calls to leaves."""
-
-    median: RunningQuantile
-    late: RunningQuantile
-
-    @classmethod
-    def for_target(cls, target_s: float) -> Expectation:
-        """Starts with guesses from the route's target."""
-        target_ms = target_s * 1000
-        return cls(
-            RunningQuantile(0.5, target_ms * 0.2),
-            RunningQuantile(0.95, target_ms * 0.4),
-        )
-
-    def add(self, elapsed_s: float) -> None:
-        """Counts a reply time."""
-        self.median.add(elapsed_s * 1000)
-        self.late.add(elapsed_s * 1000)
-
-    @property
-    def is_learned(self) -> bool:
-        """Whether the times rest on replies and not on guesses."""
-        return self.median.is_learned
-
-    @property
-    def median_s(self) -> float:
-        """Median reply time in seconds."""
-        return self.median.value_ms / 1000
-
-    @property
-    def late_s(self) -> float:
-        """Reply time that 1 in 20 calls exceeds, in seconds."""
-        return self.late.value_ms / 1000
-
-
 @dataclass(frozen=True, slots=True)
 class Job:
     """A request that passed all checks.
@@ -121,16 +89,6 @@
 MAX_LOGGED_FAILURES = 6
 
 
-@dataclass(slots=True)
-class _Choice:
-    """The leaf that gets a call."""
-
-    entry: LeafEntry
-    link: LeafLink
-    estimate: Estimate
-    is_cold: bool
-
-
 @dataclass(slots=True)
 class _Tried:
     leaf_ids: set[str] = field(default_factory=set)
@@ -143,10 +101,10 @@
     def __init__(self, job: Job, fleet: Fleet, expects: Expectation) -> None:
         self._job = job
         self._fleet = fleet
-        self._expects = expects
+        self._caller = LeafCaller(fleet, _call_terms(job), expects)
         self._fanout = FanOut(job.parts, job.terms)
         self._tried = {name: _Tried() for name in job.parts}
-        self._planned: dict[str, _Choice] = {}
+        self._planned: dict[str, Choice] = {}
         self._calls: list[Call] = []
         self._replies: dict[str, Reply] = {}
         self._failure_reply: Reply | None = None
@@ -239,92 +197,23 @@
         return True
 
     def _start(
-        self, name: str, choice: _Choice, now: float, purpose: str
+        self, name: str, choice: Choice, now: float, purpose: str
     ) -> None:
         entry = choice.entry
-        if choice.is_cold:
-            self._fleet.cold_sent(entry, now)
         if purpose != "first":
             self._fleet.budget.spend(name, now)
         self._tried[name].leaf_ids.add(entry.leaf_id)
-        call = self._call(name, entry, choice.link, now)
-        self._calls.append(call)
         self._fanout.sent(name)
         telemetry.CALLS_BY_PURPOSE[purpose].inc()
-        self._fleet.pool.call(choice.link, call)
+        on_end = functools.partial(self._ended, name, entry)
+        self._calls.append(self._caller.send(choice, on_end, now))
 
-    def _choose(self, name: str, now: float) -> _Choice | None:
+    def _choose(self, name: str, now: float) -> Choice | None:
         """Returns the best leaf that the part has not been sent to."""
-        tried = self._tried[name].leaf_ids
-        fleet = self._fleet
-        leaves = [
-            leaf
-            for leaf in fleet.belief.registry.candidates(name, now)
-            if leaf.entry.leaf_id not in tried and fleet.may_send(leaf, now)
-        ]
-        if not leaves:
-            return None
-        links = [fleet.pool.link(leaf.entry) for leaf in leaves]
-        prospects = [
-            Prospect(
-                link.load,
-                leaf.entry.domain == fleet.domain,
-                leaf.is_cold(now),
-                link.expected_connect_s,
-            )
-            for leaf, link in zip(leaves, links, strict=True)
-        ]
-        needs = Needs(self._expects.median_s, self._job.route.target_s)
-        index, estimate = best(prospects, needs, now)
-        load = links[index].load
-        if load.is_down(now) and load.waiting:
-            return None
-        return _Choice(
-            leaves[index].entry,
-            links[index],
-            estimate,
-            prospects[index].is_cold,
-        )
-
-    def _call(
-        self, name: str, entry: LeafEntry, link: LeafLink, now: float
-    ) -> Call:
-        job = self._job
-        time_left = max(0.001, job.terms.give_up_at - now)
-        if job.route.gather is not None:
-            most = PART_TIME_FACTOR * job.route.target_s
-            time_left = min(time_left, most)
-        dialect = self._fleet.dialect
-        payload = b"%s%s: %s\r\n%s: %d\r\n\r\n%s" % (
-            job.head,
-            dialect.target_leaf,
-            entry.leaf_id.encode(),
-            dialect.time_left,
-            max(1, int(time_left * 1000)),
-            job.body,
-        )
-        return Call(
-            payload,
-            job.request_id,
-            job.is_to_head,
-            not job.terms.repeatable,
-            now + time_left,
-            functools.partial(self._ended, name, entry, link, len(self._calls)),
-            now,
-            job.fingerprint,
-        )
+        return self._caller.choose(name, self._tried[name].leaf_ids, now)
 
-    def _ended(
-        self,
-        name: str,
-        entry: LeafEntry,
-        link: LeafLink,
-        index: int,
-        end: CallEnd,
-    ) -> None:
+    def _ended(self, name: str, entry: LeafEntry, end: CallEnd) -> None:
         now = trio.current_time()
-        call = self._calls[index]
-        self._learn(call, entry, link, end, now)
         if end.failure is None and end.reply is not None:
             if self._fanout.arrived(name):
                 self._replies[name] = end.reply
@@ -365,35 +254,6 @@
         if not (is_allowed and self._retry(name, now)):
             self._fanout.abandon(name)
 
-    def _learn(
-        self,
-        call: Call,
-        entry: LeafEntry,
-        link: LeafLink,
-        end: CallEnd,
-        now: float,
-    ) -> None:
-        load = link.load
-        if end.reply is not None:
-            report = load_report(end.reply, self._fleet.dialect)
-            if report is not None:
-                load.reported(report.running, report.queued, now)
-        if end.failure is None:
-            elapsed = now - (call.sent_at or call.created_at)
-            load.replied(call.number, elapsed, self._expects.median_s, now)
-            self._expects.add(elapsed)
-            return
-        if call.is_cancelled or not end.was_sent:
-            load.waiting.pop(call.number, None)
-            return
-        load.failed(call.number, now)
-        if end.failure is Failure.LOST and end.is_abrupt:
-            link.suspects.add(call.fingerprint)
-        if end.is_silent:
-            load.unreachable(now)
-        if end.reply is not None and end.failure is Failure.NOT_RUN:
-            self._fleet.rejected(entry, end.reply)
-
     def _note(self, text: str) -> None:
         if len(self._failures) < MAX_LOGGED_FAILURES:
             self._failures.append(text)
@@ -414,3 +274,18 @@
                 call.end(
                     CallEnd(None, Failure.NOT_RUN, "given up", was_sent=False)
                 )
+
+
+def _call_terms(job: Job) -> CallTerms:
+    is_search = job.route.gather is not None
+    return CallTerms(
+        job.head,
+        job.body,
+        job.request_id,
+        job.fingerprint,
+        job.is_to_head,
+        job.terms.repeatable,
+        job.route.target_s,
+        job.terms.give_up_at,
+        PART_TIME_FACTOR * job.route.target_s if is_search else math.inf,
+    )
