--- a/libs/core/src/sapphire_core/fanout.py
+++ b/libs/core/src/sapphire_core/fanout.py
@@ -112,6 +112,10 @@
         self._in += 1
         return True
 
+    def are_open(self, names: Iterable[str]) -> bool:
+        """Returns whether all of the parts wait for a good reply."""
+        return all(self._parts[name].is_open for name in names)
+
     def failed(self, name: str, failure: Failure) -> bool:
         """Counts a call without a good reply.
 
--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -39,7 +39,7 @@
         leaving: It is being stopped and must not be named.
         cores: Processor time that it has, as a number of cores.
         suspects: Requests that were running when leaves crashed.
-        feed_address: Where other VMs ask for changes; empty if nowhere.
+        peer_address: Where other VMs ask this one; empty if nowhere.
     """
 
     name: str
@@ -48,7 +48,7 @@
     leaving: bool = False
     cores: float = 1.0
     suspects: tuple[Record, ...] = ()
-    feed_address: str = ""
+    peer_address: str = ""
 
 
 @dataclass(slots=True)
@@ -190,7 +190,7 @@
     usable = {
         member.name: member
         for member in serving
-        if member.feed_address and member.name not in avoided
+        if member.peer_address and member.name not in avoided
     }
     near = [name for name, m in usable.items() if m.domain == me.domain]
     names = near or list(usable)
--- a/libs/core/tests/test_members.py
+++ b/libs/core/tests/test_members.py
@@ -127,7 +127,7 @@
 
 def _feeds(domain, count):
     return [
-        Member(f"{domain}{i}", "10.0.0.1:80", domain, feed_address=f"{i}")
+        Member(f"{domain}{i}", "10.0.0.1:80", domain, peer_address=f"{i}")
         for i in range(count)
     ]
 
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -21,6 +21,7 @@
 from sapphire_gateway.feed import FeedClient, FeedServer
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.gateway import Gateway
+from sapphire_gateway.helping import Helpers, HelperServer
 from sapphire_gateway.messages import Answer, Request
 from sapphire_gateway.pool import LeafPool
 from sapphire_gateway.store import Store
@@ -44,7 +45,7 @@
         domain: Failure domain of the VM.
         cores: Processor time of the VM, as a number of cores.
         callers_address: Where callers connect.
-        feed_address: Where other VMs ask for changes of the store.
+        peer_address: Where other VMs ask this one.
         budget: Limit of extra calls over all VMs.
         grace_s: Time from SIGTERM to SIGKILL.
         addresses_keep_s: How long callers may keep the addresses they were
@@ -56,7 +57,7 @@
     domain: str
     cores: float
     callers_address: str
-    feed_address: str
+    peer_address: str
     budget: BudgetTerms
     grace_s: float
     addresses_keep_s: float
@@ -74,6 +75,20 @@
     handler: ExtraHandler
 
 
+class PeerServer:
+    """Answers other VMs of the fleet."""
+
+    def __init__(self, feed: FeedServer, helper: HelperServer) -> None:
+        self._feed = feed
+        self._helper = helper
+
+    async def answer(self, request: Request) -> Answer:
+        """Answers a question; entries post theirs."""
+        if request.method == b"POST":
+            return await self._helper.answer(request)
+        return await self._feed.answer(request)
+
+
 class GatewayDaemon:
     """Holds the parts of a gateway process together."""
 
@@ -172,7 +187,7 @@
             self._settings.callers_address,
             self._settings.domain,
             cores=self._settings.cores,
-            feed_address=self._settings.feed_address,
+            peer_address=self._settings.peer_address,
         )
         sync = Sync(
             self._store,
@@ -184,8 +199,12 @@
             ),
             lambda address: FeedClient(address, nursery, self._store.decode),
         )
-        feed = FeedServer(sync.mirror, lambda: sync.feeding_age_s)
-        await self._listen(nursery, self._settings.feed_address, feed.answer)
+        peers = PeerServer(
+            FeedServer(sync.mirror, lambda: sync.feeding_age_s),
+            HelperServer(fleet, lambda: sync.contact_age_s),
+        )
+        fleet.helpers = Helpers(fleet, nursery)
+        await self._listen(nursery, self._settings.peer_address, peers.answer)
         nursery.start_soon(sync.run)
         nursery.start_soon(pool.sweep)
         nursery.start_soon(self._tick, sync, pool)
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Container
+from typing import TYPE_CHECKING
 
 import trio
 from sapphire_core.coldshare import ColdShare
@@ -23,6 +24,9 @@
 from sapphire_gateway.messages import Reply
 from sapphire_gateway.pool import CONNECTIONS_PART, LeafPool
 
+if TYPE_CHECKING:
+    from sapphire_gateway.helping import Helpers
+
 DEFAULT_CONNECTIONS = 8
 LEAST_CONNECTIONS = 1
 # Callers are served by so many VMs that each can hold this many connections
@@ -50,6 +54,7 @@
         self._sharers = 1
         self._is_serving = False
         self._peak = RecentPeak()
+        self.helpers: Helpers | None = None
         pool.connections_per_leaf = self._connections_per_leaf
         pool.on_crash = self._leaf_crashed
 
@@ -62,7 +67,7 @@
         """Adapts this VM's shares after the belief has changed."""
         members = self.belief.members
         self._cold.set_members(members.names(now))
-        serving = self._serving(now)
+        serving = self.serving(now)
         self._is_serving = any(
             member.name == self.belief.self_name for member in serving
         )
@@ -107,9 +112,10 @@
 
     def named_to(self, caller_domain: str, now: float) -> list[Member]:
         """Returns the members that a caller should connect to."""
-        return named_to(caller_domain, self._serving(now))
+        return named_to(caller_domain, self.serving(now))
 
-    def _serving(self, now: float) -> list[Member]:
+    def serving(self, now: float) -> list[Member]:
+        """Returns the members that serve callers."""
         return self._serving_of(self.belief.members.live(now))
 
     def _serving_of(self, live: list[Member]) -> list[Member]:
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -295,6 +295,7 @@
                 "missing": missing,
                 "hedges": outcome.hedges,
                 "retries": outcome.retries,
+                "helped": outcome.helped,
                 "failures": outcome.failures,
                 "elapsed_ms": round(elapsed_s * 1000, 1),
                 "answer_in_ms": round(
--- a/libs/gateway/src/sapphire_gateway/httpclient.py
+++ b/libs/gateway/src/sapphire_gateway/httpclient.py
@@ -10,6 +10,18 @@
 from sapphire_gateway.store import StoreUnavailableError
 
 
+class NoReplyError(StoreUnavailableError):
+    """A server did not answer.
+
+    Attributes:
+        was_sent: It may have received the request.
+    """
+
+    def __init__(self, message: str, was_sent: bool = True) -> None:
+        super().__init__(message)
+        self.was_sent = was_sent
+
+
 class HttpClient:
     """Calls a server that answers one request at a time on a connection."""
 
@@ -54,7 +66,7 @@
         """Sends a request and returns the reply, whatever its status.
 
         Raises:
-            StoreUnavailableError: No whole reply came in time.
+            NoReplyError: No whole reply came in time.
         """
         ended = trio.Event()
         ends: list[CallEnd] = []
@@ -81,9 +93,10 @@
                 connection.close("no answer in time")
         reply = ends[0].reply
         if reply is None:
-            raise StoreUnavailableError(
+            raise NoReplyError(
                 f"{method} {target.partition('?')[0]} at {self._address}:"
-                f" {ends[0].detail}."
+                f" {ends[0].detail}.",
+                ends[0].was_sent,
             )
         return reply
 
--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -15,6 +15,15 @@
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallEnd
 from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.helping import (
+    EARLIER_S,
+    MS_PER_S,
+    PATIENCE_S,
+    Exchange,
+    HelperAnswer,
+    Question,
+)
+from sapphire_gateway.httpclient import NoReplyError
 from sapphire_gateway.leafcalls import (
     CallTerms,
     Choice,
@@ -34,6 +43,8 @@
 # A search gives its leaves this many times its target, since parts that come
 # later are of no use and hold a slot.
 PART_TIME_FACTOR = 2.0
+# Helpers send their last parts this long before the answer leaves.
+REST_EARLIER_S = 0.003
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +84,7 @@
         hedges: Calls to a second leaf while the first was running.
         retries: Calls after a failure.
         failures: First reasons of failed calls, for the log.
+        helped: Parts that were left to VMs of other failure domains.
         was_planned: The answer waited for missing parts up to its time.
     """
 
@@ -83,6 +95,7 @@
     hedges: int
     retries: int
     failures: list[str]
+    helped: int
     was_planned: bool
 
 
@@ -114,6 +127,10 @@
         self._is_over = False
         self._caller_left = False
         self._enough_at = float("inf")
+        # Parts at helpers, which get no second call before this time.
+        self._held: set[str] = set()
+        self._held_until = 0.0
+        self._helped = 0
         self._wake = trio.Event()
 
     def caller_left(self) -> None:
@@ -136,9 +153,12 @@
     async def finish(self) -> Outcome:
         """Sends what was planned and runs the request to its verdict."""
         now = trio.current_time()
+        self._ask_helpers(now)
         for name in self._job.parts:
             self._fleet.budget.request(name, now)
             choice = self._planned.get(name)
+            if name in self._held:
+                continue
             if choice is not None:
                 self._start(name, choice, now, "first")
             else:
@@ -156,6 +176,7 @@
             self._hedges,
             self._retries,
             self._failures,
+            self._helped,
             self._enough_at < self._job.terms.answer_at <= trio.current_time(),
         )
         if verdict is Verdict.GIVE_UP:
@@ -170,12 +191,110 @@
             verdict = self._fanout.verdict(now)
             if verdict is not Verdict.WAIT:
                 return verdict
+            if now >= self._held_until:
+                self._held.clear()
             for name in self._fanout.to_hedge(now):
-                self._hedge(name, now)
+                if name not in self._held:
+                    self._hedge(name, now)
+            next_time = self._fanout.next_time(now)
+            if self._held:
+                next_time = min(next_time, self._held_until)
             self._wake = trio.Event()
-            with trio.move_on_at(self._fanout.next_time(now)):
+            with trio.move_on_at(next_time):
                 await self._wake.wait()
 
+    def _ask_helpers(self, now: float) -> None:
+        """Leaves parts in other failure domains to VMs beside the leaves."""
+        helpers = self._fleet.helpers
+        gather = self._job.route.gather
+        if helpers is None or gather is None or self._job.is_to_head:
+            return
+        far = {
+            name: self._domains(name, now)
+            for name, choice in self._planned.items()
+            if choice.entry.domain != self._fleet.domain
+        }
+        terms = self._job.terms
+        self._held_until = terms.hedge_at + PATIENCE_S
+        call_s = min(
+            terms.give_up_at - now,
+            PART_TIME_FACTOR * self._job.route.target_s,
+        )
+        for helper, parts in helpers.assign(far, now):
+            question = Question(
+                self._job.route.name,
+                self._job.head,
+                self._job.body,
+                self._job.request_id,
+                self._job.fingerprint,
+                parts,
+                self._job.route.target_s * MS_PER_S,
+                max(0.0, call_s) * MS_PER_S,
+                max(0.0, terms.hedge_at - EARLIER_S - now) * MS_PER_S,
+                max(0.0, terms.answer_at - REST_EARLIER_S - now) * MS_PER_S,
+                gather.top,
+            )
+            self._held.update(parts)
+            self._helped += len(parts)
+            for name in parts:
+                self._fanout.sent(name)
+                telemetry.CALLS_BY_PURPOSE["first"].inc()
+            helpers.ask(
+                Exchange(
+                    helper, question, self._helper_answered, self._helper_lost
+                )
+            )
+
+    def _domains(self, name: str, now: float) -> set[str]:
+        leaves = self._fleet.belief.registry.candidates(name, now)
+        return {leaf.entry.domain for leaf in leaves}
+
+    def _helper_answered(
+        self, exchange: Exchange, answer: HelperAnswer
+    ) -> None:
+        now = trio.current_time()
+        done = [part.part for part in answer.done]
+        # Merged records can't be taken apart, so none of them is of use if
+        # a second call was faster for one of their parts.
+        is_usable = not answer.merged or self._fanout.are_open(done)
+        for number, part in enumerate(answer.done):
+            if not is_usable:
+                end = CallEnd(None, Failure.LOST, "merged too late")
+                self._part_ended(part.part, exchange.helper.name, end)
+                continue
+            # The first part stands for the records of all merged ones.
+            is_bearer = bool(answer.merged) and number == 0
+            records = answer.merged if is_bearer else part.records
+            self._arrived(part.part, self._signed(part.signature, records), now)
+        for failed in answer.failed:
+            self._tried[failed.part].leaf_ids.add(failed.leaf_id)
+            end = CallEnd(
+                None, Failure(failed.failure), failed.detail, failed.was_sent
+            )
+            self._part_ended(failed.part, failed.leaf_id, end)
+        for running in answer.running:
+            self._tried[running.part].leaf_ids.add(running.leaf_id)
+            if not answer.number:
+                end = CallEnd(None, Failure.LOST, "no reply in time")
+                self._part_ended(running.part, running.leaf_id, end)
+        self._held.difference_update(exchange.question.parts)
+        exchange.left = {running.part for running in answer.running}
+        self._wake.set()
+
+    def _helper_lost(self, exchange: Exchange, error: NoReplyError) -> None:
+        failure = Failure.LOST if error.was_sent else Failure.NOT_RUN
+        self._held.difference_update(exchange.question.parts)
+        if self._fleet.helpers is not None:
+            self._fleet.helpers.failed(exchange.helper, str(error))
+        for name in exchange.left:
+            end = CallEnd(None, failure, "helper lost", error.was_sent)
+            self._part_ended(name, exchange.helper.name, end)
+        self._wake.set()
+
+    def _signed(self, signature: bytes, records: bytes) -> Reply:
+        name = self._fleet.dialect.signature.lower()
+        return Reply(200, [(name, signature)], records, keeps_alive=True)
+
     def _hedge(self, name: str, now: float) -> None:
         """Sends a part to a second leaf if that can still help."""
         if not self._fleet.budget.has_room(name, now, HEDGE_RESERVE):
@@ -213,24 +332,29 @@
         return self._caller.choose(name, self._tried[name].leaf_ids, now)
 
     def _ended(self, name: str, entry: LeafEntry, end: CallEnd) -> None:
-        now = trio.current_time()
         if end.failure is None and end.reply is not None:
-            if self._fanout.arrived(name):
-                self._replies[name] = end.reply
-                if self._fanout.parts_in == self._job.terms.least:
-                    self._enough_at = now
-        elif self._is_over:
-            self._fanout.failed(name, end.failure or Failure.LOST)
+            self._arrived(name, end.reply, trio.current_time())
         else:
-            self._failed(name, entry, end, now)
+            self._part_ended(name, entry.leaf_id, end)
         self._wake.set()
 
-    def _failed(
-        self, name: str, entry: LeafEntry, end: CallEnd, now: float
-    ) -> None:
+    def _arrived(self, name: str, reply: Reply, now: float) -> None:
+        if self._is_over or not self._fanout.arrived(name):
+            return
+        self._replies[name] = reply
+        if self._fanout.parts_in == self._job.terms.least:
+            self._enough_at = now
+
+    def _part_ended(self, name: str, where: str, end: CallEnd) -> None:
+        if self._is_over:
+            self._fanout.failed(name, end.failure or Failure.LOST)
+        else:
+            self._failed(name, where, end, trio.current_time())
+
+    def _failed(self, name: str, where: str, end: CallEnd, now: float) -> None:
         failure = end.failure or Failure.LOST
         telemetry.FAILED_CALLS.labels(failure.value).inc()
-        self._note(f"{name}/{entry.leaf_id}: {end.detail}")
+        self._note(f"{name}/{where}: {end.detail}")
         if failure is Failure.ANSWERED:
             self._failure_reply = end.reply
         if not end.was_sent:
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -194,7 +194,7 @@
             present[1].close()
             self._feed = None
         if chosen is not None and self._feed is None:
-            self._feed = chosen, self._connect_feed(chosen.feed_address)
+            self._feed = chosen, self._connect_feed(chosen.peer_address)
             telemetry.event("feed", member=chosen.name)
         return self._feed[1] if self._feed is not None else None
 
@@ -327,9 +327,9 @@
 
 
 def _is_same(present: Member, chosen: Member | None) -> bool:
-    return chosen is not None and (present.name, present.feed_address) == (
+    return chosen is not None and (present.name, present.peer_address) == (
         chosen.name,
-        chosen.feed_address,
+        chosen.peer_address,
     )
 
 
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -47,6 +47,11 @@
 CALLS_BY_PURPOSE = {
     purpose: CALLS.labels(purpose) for purpose in ("first", "hedge", "retry")
 }
+HELPED_CALLS = Counter(
+    "sapphirecross_helped_calls_total",
+    "Calls to leaves that this VM made for entries of other domains.",
+    registry=REGISTRY,
+)
 FAILED_CALLS = Counter(
     "sapphirecross_leaf_calls_failed_total",
     "Calls to leaves without a good reply, by kind of failure.",
--- a/libs/gateway/tests/test_sync.py
+++ b/libs/gateway/tests/test_sync.py
@@ -331,8 +331,8 @@
     played(test)
 
 
-NEAR = Member("vm2", "10.0.0.2:80", "z1", feed_address="near")
-FAR = Member("vm3", "10.0.0.3:80", "z2", feed_address="far")
+NEAR = Member("vm2", "10.0.0.2:80", "z1", peer_address="near")
+FAR = Member("vm3", "10.0.0.3:80", "z2", peer_address="far")
 
 
 def test_a_fed_vm_asks_the_store_only_for_its_lease(played):
