--- a/libs/core/src/sapphire_core/fanout.py
+++ b/libs/core/src/sapphire_core/fanout.py
@@ -102,6 +102,10 @@
         part.sent += 1
         part.running += 1
 
+    def is_sent(self, name: str) -> bool:
+        """Returns whether a part was sent to a leaf."""
+        return self._parts[name].sent > 0
+
     def arrived(self, name: str) -> bool:
         """Counts a good reply; False if the part is in already."""
         part = self._parts[name]
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -15,10 +15,11 @@
 from sapphire_gateway.crashes import QUARANTINE_S, fingerprint
 from sapphire_gateway.dialect import CONNECTION_HEADERS
 from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.job import Job, Outcome
 from sapphire_gateway.leafcalls import Expectation
 from sapphire_gateway.messages import Answer, Headers, Reply, Request, header
 from sapphire_gateway.records import greatest
-from sapphire_gateway.run import Job, Outcome, Run
+from sapphire_gateway.run import Run
 
 # When a refused caller should come back.
 RETRY_UNCONFIGURED_S = 0.3
--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -4,26 +4,19 @@
 
 import functools
 import math
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 import trio
 from sapphire_core.choice import Estimate
-from sapphire_core.fanout import Failure, FanOut, Terms, Verdict
+from sapphire_core.fanout import Failure, FanOut, Verdict
 from sapphire_core.leafset import LeafEntry
-from sapphire_core.routing import Route
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallEnd
 from sapphire_gateway.fleet import Fleet
-from sapphire_gateway.helping import (
-    EARLIER_S,
-    MS_PER_S,
-    PATIENCE_S,
-    Exchange,
-    HelperAnswer,
-    Question,
-)
-from sapphire_gateway.httpclient import NoReplyError
+from sapphire_gateway.helped import HelpedParts, far_parts
+from sapphire_gateway.job import Job, Outcome
 from sapphire_gateway.leafcalls import (
     CallTerms,
     Choice,
@@ -43,60 +36,6 @@
 # A search gives its leaves this many times its target, since parts that come
 # later are of no use and hold a slot.
 PART_TIME_FACTOR = 2.0
-# Helpers send their last parts this long before the answer leaves.
-REST_EARLIER_S = 0.003
-
-
-@dataclass(frozen=True, slots=True)
-class Job:
-    """A request that passed all checks.
-
-    Attributes:
-        request_id: Identity of the caller's attempt.
-        head: Request line and headers for leaves, without the last ones.
-        body: Body for the leaves.
-        is_to_head: The method is HEAD.
-        fingerprint: Equal for equal requests of one caller.
-        route: Route of the configuration in force when it arrived.
-        parts: Services that get the request.
-        terms: When it is repeated, answered and given up.
-    """
-
-    request_id: bytes
-    head: bytes
-    body: bytes
-    is_to_head: bool
-    fingerprint: str
-    route: Route
-    parts: tuple[str, ...]
-    terms: Terms
-
-
-@dataclass(slots=True)
-class Outcome:
-    """How a request ended.
-
-    Attributes:
-        verdict: ANSWER or GIVE_UP.
-        replies: Good replies by service.
-        failure_reply: A leaf's own failure, if there is one.
-        may_have_run: Whether a leaf may have run the request.
-        hedges: Calls to a second leaf while the first was running.
-        retries: Calls after a failure.
-        failures: First reasons of failed calls, for the log.
-        helped: Parts that were left to VMs of other failure domains.
-        was_planned: The answer waited for missing parts up to its time.
-    """
-
-    verdict: Verdict
-    replies: dict[str, Reply]
-    failure_reply: Reply | None
-    may_have_run: bool
-    hedges: int
-    retries: int
-    failures: list[str]
-    helped: int
-    was_planned: bool
 
 
 MAX_LOGGED_FAILURES = 6
@@ -127,10 +66,7 @@
         self._is_over = False
         self._caller_left = False
         self._enough_at = float("inf")
-        # Parts at helpers, which get no second call before this time.
-        self._held: set[str] = set()
-        self._held_until = 0.0
-        self._helped = 0
+        self._helped = HelpedParts(job, fleet, self)
         self._wake = trio.Event()
 
     def caller_left(self) -> None:
@@ -157,7 +93,7 @@
         for name in self._job.parts:
             self._fleet.budget.request(name, now)
             choice = self._planned.get(name)
-            if name in self._held:
+            if self._fanout.is_sent(name):
                 continue
             if choice is not None:
                 self._start(name, choice, now, "first")
@@ -176,7 +112,7 @@
             self._hedges,
             self._retries,
             self._failures,
-            self._helped,
+            self._helped.count,
             self._enough_at < self._job.terms.answer_at <= trio.current_time(),
         )
         if verdict is Verdict.GIVE_UP:
@@ -191,109 +127,27 @@
             verdict = self._fanout.verdict(now)
             if verdict is not Verdict.WAIT:
                 return verdict
-            if now >= self._held_until:
-                self._held.clear()
             for name in self._fanout.to_hedge(now):
-                if name not in self._held:
+                if not self._helped.is_held(name, now):
                     self._hedge(name, now)
-            next_time = self._fanout.next_time(now)
-            if self._held:
-                next_time = min(next_time, self._held_until)
+            next_time = min(
+                self._fanout.next_time(now), self._helped.next_time(now)
+            )
             self._wake = trio.Event()
             with trio.move_on_at(next_time):
                 await self._wake.wait()
 
     def _ask_helpers(self, now: float) -> None:
-        """Leaves parts in other failure domains to VMs beside the leaves."""
-        helpers = self._fleet.helpers
-        gather = self._job.route.gather
-        if helpers is None or gather is None or self._job.is_to_head:
+        if self._job.route.gather is None or self._job.is_to_head:
             return
-        far = {
-            name: self._domains(name, now)
-            for name, choice in self._planned.items()
-            if choice.entry.domain != self._fleet.domain
+        domains = {
+            name: choice.entry.domain for name, choice in self._planned.items()
         }
-        terms = self._job.terms
-        self._held_until = terms.hedge_at + PATIENCE_S
         call_s = min(
-            terms.give_up_at - now,
+            self._job.terms.give_up_at - now,
             PART_TIME_FACTOR * self._job.route.target_s,
         )
-        for helper, parts in helpers.assign(far, now):
-            question = Question(
-                self._job.route.name,
-                self._job.head,
-                self._job.body,
-                self._job.request_id,
-                self._job.fingerprint,
-                parts,
-                self._job.route.target_s * MS_PER_S,
-                max(0.0, call_s) * MS_PER_S,
-                max(0.0, terms.hedge_at - EARLIER_S - now) * MS_PER_S,
-                max(0.0, terms.answer_at - REST_EARLIER_S - now) * MS_PER_S,
-                gather.top,
-            )
-            self._held.update(parts)
-            self._helped += len(parts)
-            for name in parts:
-                self._fanout.sent(name)
-                telemetry.CALLS_BY_PURPOSE["first"].inc()
-            helpers.ask(
-                Exchange(
-                    helper, question, self._helper_answered, self._helper_lost
-                )
-            )
-
-    def _domains(self, name: str, now: float) -> set[str]:
-        leaves = self._fleet.belief.registry.candidates(name, now)
-        return {leaf.entry.domain for leaf in leaves}
-
-    def _helper_answered(
-        self, exchange: Exchange, answer: HelperAnswer
-    ) -> None:
-        now = trio.current_time()
-        done = [part.part for part in answer.done]
-        # Merged records can't be taken apart, so none of them is of use if
-        # a second call was faster for one of their parts.
-        is_usable = not answer.merged or self._fanout.are_open(done)
-        for number, part in enumerate(answer.done):
-            if not is_usable:
-                end = CallEnd(None, Failure.LOST, "merged too late")
-                self._part_ended(part.part, exchange.helper.name, end)
-                continue
-            # The first part stands for the records of all merged ones.
-            is_bearer = bool(answer.merged) and number == 0
-            records = answer.merged if is_bearer else part.records
-            self._arrived(part.part, self._signed(part.signature, records), now)
-        for failed in answer.failed:
-            self._tried[failed.part].leaf_ids.add(failed.leaf_id)
-            end = CallEnd(
-                None, Failure(failed.failure), failed.detail, failed.was_sent
-            )
-            self._part_ended(failed.part, failed.leaf_id, end)
-        for running in answer.running:
-            self._tried[running.part].leaf_ids.add(running.leaf_id)
-            if not answer.number:
-                end = CallEnd(None, Failure.LOST, "no reply in time")
-                self._part_ended(running.part, running.leaf_id, end)
-        self._held.difference_update(exchange.question.parts)
-        exchange.left = {running.part for running in answer.running}
-        self._wake.set()
-
-    def _helper_lost(self, exchange: Exchange, error: NoReplyError) -> None:
-        failure = Failure.LOST if error.was_sent else Failure.NOT_RUN
-        self._held.difference_update(exchange.question.parts)
-        if self._fleet.helpers is not None:
-            self._fleet.helpers.failed(exchange.helper, str(error))
-        for name in exchange.left:
-            end = CallEnd(None, failure, "helper lost", error.was_sent)
-            self._part_ended(name, exchange.helper.name, end)
-        self._wake.set()
-
-    def _signed(self, signature: bytes, records: bytes) -> Reply:
-        name = self._fleet.dialect.signature.lower()
-        return Reply(200, [(name, signature)], records, keeps_alive=True)
+        self._helped.ask(far_parts(domains, self._fleet), call_s, now)
 
     def _hedge(self, name: str, now: float) -> None:
         """Sends a part to a second leaf if that can still help."""
@@ -333,23 +187,39 @@
 
     def _ended(self, name: str, entry: LeafEntry, end: CallEnd) -> None:
         if end.failure is None and end.reply is not None:
-            self._arrived(name, end.reply, trio.current_time())
+            self.arrived(name, end.reply)
         else:
-            self._part_ended(name, entry.leaf_id, end)
-        self._wake.set()
+            self.ended(name, entry.leaf_id, end)
+
+    def are_open(self, parts: Collection[str]) -> bool:
+        """Returns whether all of the parts wait for a good reply."""
+        return self._fanout.are_open(parts)
+
+    def sent(self, part: str) -> None:
+        """Counts a part's first call."""
+        self._fanout.sent(part)
+        telemetry.CALLS_BY_PURPOSE["first"].inc()
 
-    def _arrived(self, name: str, reply: Reply, now: float) -> None:
-        if self._is_over or not self._fanout.arrived(name):
+    def tried(self, part: str, leaf_id: str) -> None:
+        """Notes the leaf that a part was sent to."""
+        self._tried[part].leaf_ids.add(leaf_id)
+
+    def arrived(self, part: str, reply: Reply) -> None:
+        """Takes a good reply."""
+        self._wake.set()
+        if self._is_over or not self._fanout.arrived(part):
             return
-        self._replies[name] = reply
+        self._replies[part] = reply
         if self._fanout.parts_in == self._job.terms.least:
-            self._enough_at = now
+            self._enough_at = trio.current_time()
 
-    def _part_ended(self, name: str, where: str, end: CallEnd) -> None:
+    def ended(self, part: str, where: str, end: CallEnd) -> None:
+        """Takes a call without a good reply."""
+        self._wake.set()
         if self._is_over:
-            self._fanout.failed(name, end.failure or Failure.LOST)
+            self._fanout.failed(part, end.failure or Failure.LOST)
         else:
-            self._failed(name, where, end, trio.current_time())
+            self._failed(part, where, end, trio.current_time())
 
     def _failed(self, name: str, where: str, end: CallEnd, now: float) -> None:
         failure = end.failure or Failure.LOST
