--- a/libs/core/src/sapphire_core/fanout.py
+++ b/libs/core/src/sapphire_core/fanout.py
@@ -102,6 +102,10 @@
         part.sent += 1
         part.running += 1
 
+    def is_sent(self, name: str) -> bool:
+        """Returns whether a part was sent to a leaf."""
+        return self._parts[name].sent > 0
+
     def arrived(self, name: str) -> bool:
         """Counts a good reply; False if the part is in already."""
         part = self._parts[name]
@@ -112,6 +116,10 @@
         self._in += 1
         return True
 
+    def are_open(self, names: Iterable[str]) -> bool:
+        """Returns whether all of the parts wait for a good reply."""
+        return all(self._parts[name].is_open for name in names)
+
     def failed(self, name: str, failure: Failure) -> bool:
         """Counts a call without a good reply.
 
