--- a/libs/gateway/src/sapphire_gateway/feed.py
+++ b/libs/gateway/src/sapphire_gateway/feed.py
@@ -33,6 +33,7 @@
 MAX_AGE_S = 1.7
 # Changes that are kept for the VMs that have not asked for them yet.
 KEPT_CHANGES = 4096
+KEPT_BYTES = 4_000_000
 OK = 200
 
 
@@ -69,6 +70,7 @@
     def __init__(self) -> None:
         self._items: dict[str, Item] = {}
         self._changes: collections.deque[Item] = collections.deque()
+        self._bytes = 0
         self._complete_after = 0
         self._revision: int | None = None
         self._changed = trio.Event()
@@ -83,6 +85,7 @@
         if batch.is_whole:
             self._items.clear()
             self._changes.clear()
+            self._bytes = 0
             self._complete_after = batch.revision
         for change in batch.changes:
             item = Item(change.key, change.revision, change.value)
@@ -92,8 +95,11 @@
                 self._items[item.key] = item
             if not batch.is_whole:
                 self._changes.append(item)
-        while len(self._changes) > KEPT_CHANGES:
-            self._complete_after = self._changes.popleft().revision
+                self._bytes += len(item.value or b"")
+        while len(self._changes) > KEPT_CHANGES or self._bytes > KEPT_BYTES:
+            oldest = self._changes.popleft()
+            self._bytes -= len(oldest.value or b"")
+            self._complete_after = oldest.revision
         self._revision = batch.revision
         self._changed.set()
         self._changed = trio.Event()
--- a/libs/gateway/tests/test_feed.py
+++ b/libs/gateway/tests/test_feed.py
@@ -10,6 +10,7 @@
 from sapphire_gateway.belief import MemberFact, MemberGoneFact
 from sapphire_gateway.callers import CallerServer
 from sapphire_gateway.feed import (
+    KEPT_BYTES,
     KEPT_CHANGES,
     MAX_AGE_S,
     FeedClient,
@@ -63,6 +64,19 @@
     assert not mirror.after(11 + KEPT_CHANGES)[0]
 
 
+def test_large_values_are_not_kept_for_ever():
+    """Guards against memory that grows with each large configuration."""
+    mirror = Mirror()
+    mirror.take(whole())
+    large = b"v" * (KEPT_BYTES // 4)
+    for revision in range(11, 21):
+        mirror.take(Batch((change("a", revision, large),), revision))
+    assert mirror.after(12)[0]
+    is_whole, items = mirror.after(17)
+    assert not is_whole
+    assert [item.revision for item in items] == [18, 19, 20]
+
+
 def asked(test, age_s=lambda: 0.1):
     """Runs a test with a mirror that is served on loopback."""
 
