Take a failure domain out once at a time in the soak

Trace: the run took zc out at 10.3 s and again at 11.9 s; the first putting back removed the key (domain_back in the log of zb0), so the gateways were right. The soak's operator now takes a domain out once at a time.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,9 @@
 from soak.promises import CONFIG_S, CONTACT_S, DRAIN_S, Evidence, broken
 from soak.store import Store
 
-# Seeds that once broke a promise are kept here, each with its cause.
+# Played in CI. Seeds that once broke a promise, by hand with 12 s of faults:
+# 47: the soak took a failure domain out twice, and the first putting back was
+#     held against the gateways; see test_a_domain_is_taken_out_once.
 SEEDS = (1, 2)
 LENGTH_S = 6.0
 RECORDS = [bytes([n]) * 16 for n in range(6)]
@@ -137,6 +139,15 @@
     assert any("was dropped" in line for line in broken(evidence))
 
 
+def test_a_domain_is_taken_out_once():
+    """Guards against a promise that the soak's operator broke itself."""
+    operator = Operator(Store())
+    assert operator.take_out("za")
+    assert not operator.take_out("za")
+    operator.put_back("za")
+    assert operator.take_out("za")
+
+
 def test_a_cut_request_is_found():
     evidence = _evidence(_attempt(FETCH, None))
     assert any("was cut" in line for line in broken(evidence))
