--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,7 @@
 # A leaf that has told that it leaves serves for this long.
 DRAINS_S = 3.5
 RESTART_S = 0.4
+STORE_DELAY_S = 0.1
 
 
 @dataclass
@@ -101,45 +102,46 @@
     gateway.disturbed()
 
 
-async def _store_away(world: World) -> None:
+async def _disturb_store(world: World, switch: Callable[[bool], None]) -> None:
+    """Switches a fault of the store on and off, for all gateways."""
     for_s = world.a_while()
     world.all_disturbed(for_s)
-    mode = world.rng.choice([Mode.SILENT, Mode.RESET])
-    for link in world.store_links.values():
-        link.set_mode(mode)
+    switch(True)
     await trio.sleep(for_s)
-    for link in world.store_links.values():
-        link.set_mode(Mode.PASS)
+    switch(False)
     world.all_disturbed()
 
 
+async def _store_away(world: World) -> None:
+    mode = world.rng.choice([Mode.SILENT, Mode.RESET])
+
+    def switch(is_on: bool) -> None:
+        for link in world.store_links.values():
+            link.set_mode(mode if is_on else Mode.PASS)
+
+    await _disturb_store(world, switch)
+
+
 async def _store_busy(world: World) -> None:
-    for_s = world.a_while()
-    world.all_disturbed(for_s)
-    world.store.is_busy = True
-    await trio.sleep(for_s)
-    world.store.is_busy = False
-    world.all_disturbed()
+    def switch(is_on: bool) -> None:
+        world.store.is_busy = is_on
+
+    await _disturb_store(world, switch)
 
 
 async def _store_slow(world: World) -> None:
-    for_s = world.a_while()
-    world.all_disturbed(for_s)
-    for link in world.store_links.values():
-        link.delay_s = 0.1
-    await trio.sleep(for_s)
-    for link in world.store_links.values():
-        link.delay_s = 0.0
-    world.all_disturbed()
+    def switch(is_on: bool) -> None:
+        for link in world.store_links.values():
+            link.delay_s = STORE_DELAY_S if is_on else 0.0
+
+    await _disturb_store(world, switch)
 
 
 async def _answers_lost(world: World) -> None:
-    for_s = world.a_while()
-    world.all_disturbed(for_s)
-    world.store.loses_answers = True
-    await trio.sleep(for_s)
-    world.store.loses_answers = False
-    world.all_disturbed()
+    def switch(is_on: bool) -> None:
+        world.store.loses_answers = is_on
+
+    await _disturb_store(world, switch)
 
 
 async def _forget_history(world: World) -> None:
