--- a/libs/bench/src/sapphire_bench/slope.py
+++ b/libs/bench/src/sapphire_bench/slope.py
@@ -9,6 +9,10 @@
 
 import numpy as np
 
+# Least squares leave errors of about this part of the values, which differ
+# from processor to processor.
+ROUNDING = 1e-9
+
 
 @dataclass(frozen=True)
 class Point:
@@ -55,17 +59,23 @@
     values = np.array([p.figures[figure] for p in chosen])
     slope, intercept = np.polyfit(sizes, values, 1)
     residual = np.abs(values - (intercept + slope * sizes)).max()
+    rounding = ROUNDING * np.abs(values).max()
     return Slope(
         group,
         figure,
         per,
-        float(intercept),
+        _without_rounding(intercept, rounding),
         float(slope),
-        float(residual),
+        _without_rounding(residual, rounding),
         len(chosen),
     )
 
 
+def _without_rounding(value: float, rounding: float) -> float:
+    """Returns 0 for a value that arithmetic alone may have left over."""
+    return 0.0 if abs(value) < rounding else float(value)
+
+
 def note(point: Point) -> Point:
     """Shows a point while others are measured, and returns it."""
     shown = {k: round(v, 4) for k, v in point.figures.items()}
