--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -16,7 +16,7 @@
 from sapphire_gateway.dialect import CONNECTION_HEADERS
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.job import Job, Outcome
-from sapphire_gateway.leafcalls import Expectation
+from sapphire_gateway.leafcalls import Expectation, Expectations
 from sapphire_gateway.messages import Answer, Headers, Reply, Request, header
 from sapphire_gateway.records import greatest
 from sapphire_gateway.run import Run
@@ -32,7 +32,6 @@
 LATEST_HEDGE_PART = 0.5
 # The final answer leaves this long before the caller gives up.
 FINAL_MARGIN_S = 0.01
-MAX_EXPECTATIONS = 4096
 
 
 class Gateway:
@@ -41,7 +40,7 @@
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         self._dialect = fleet.dialect
-        self._expectations: dict[tuple[str, ...], Expectation] = {}
+        self._expectations = Expectations()
         self._lines = telemetry.RequestLines()
         self._ranked: Configuration | None = None
         self._priorities: list[int] = []
@@ -176,13 +175,7 @@
 
     def _expectation_of(self, route: Route) -> Expectation:
         key = (route.name, *(share.service for share in route.shares))
-        known = self._expectations.get(key)
-        if known is None:
-            if len(self._expectations) >= MAX_EXPECTATIONS:
-                self._expectations.clear()
-            known = Expectation.for_target(route.target_s)
-            self._expectations[key] = known
-        return known
+        return self._expectations.of(key, route.target_s)
 
     def _leaf_head(self, request: Request) -> bytes:
         dropped = _named_in_connection(request.headers) | CONNECTION_HEADERS
--- a/libs/gateway/src/sapphire_gateway/helping.py
+++ b/libs/gateway/src/sapphire_gateway/helping.py
@@ -26,7 +26,7 @@
 from sapphire_gateway.leafcalls import (
     CallTerms,
     Choice,
-    Expectation,
+    Expectations,
     LeafCaller,
 )
 from sapphire_gateway.messages import Answer, Reply, Request
@@ -220,7 +220,7 @@
         """
         self._fleet = fleet
         self._contact_age_s = contact_age_s
-        self._expectations: dict[str, Expectation] = {}
+        self._expectations = Expectations()
         self._batches: dict[int, _Batch] = {}
         self._numbers = itertools.count(1)
 
@@ -253,9 +253,7 @@
             ends_at=batch.ends_at,
             longest_s=question.left_ms / MS_PER_S,
         )
-        expects = self._expectations.setdefault(
-            question.route, Expectation.for_target(terms.target_s)
-        )
+        expects = self._expectations.of((question.route,), terms.target_s)
         batch.start(question.parts, LeafCaller(self._fleet, terms, expects))
         await batch.wait(question.answer_ms / MS_PER_S)
         number = next(self._numbers)
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -16,6 +16,9 @@
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.pool import LeafLink
 
+# Routes come and go with configurations.
+MAX_EXPECTATIONS = 4096
+
 
 @dataclass(slots=True)
 class Expectation:
@@ -54,6 +57,23 @@
         return self.late.value_ms / 1000
 
 
+class Expectations:
+    """Reply times by route and services."""
+
+    def __init__(self) -> None:
+        self._known: dict[tuple[str, ...], Expectation] = {}
+
+    def of(self, key: tuple[str, ...], target_s: float) -> Expectation:
+        """Returns what is known, or guesses from the route's target."""
+        known = self._known.get(key)
+        if known is None:
+            if len(self._known) >= MAX_EXPECTATIONS:
+                self._known.clear()
+            known = Expectation.for_target(target_s)
+            self._known[key] = known
+        return known
+
+
 @dataclass(slots=True)
 class Choice:
     """The leaf that gets a call."""
