--- a/libs/gateway/src/sapphire_gateway/helped.py
+++ b/libs/gateway/src/sapphire_gateway/helped.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import Protocol
 
 import trio
@@ -160,17 +160,20 @@
             self._sink.ended(part, exchange.helper.name, end)
 
 
-def far_parts(chosen: Mapping[str, str], fleet: Fleet) -> dict[str, set[str]]:
-    """Returns the domains with leaves of each part that is not near.
+def far_parts(parts: Iterable[str], fleet: Fleet) -> dict[str, set[str]]:
+    """Returns the domains with leaves of each part that has none near.
 
-    Args:
-        chosen: Failure domain of the leaf chosen for each part.
-        fleet: The leaves, and this VM's own domain.
+    A part whose near leaf is only slow now is called directly, since the
+    entry knows the leaves that it may take instead.
     """
     now = trio.current_time()
     registry = fleet.belief.registry
-    return {
+    domains = {
         part: {leaf.entry.domain for leaf in registry.candidates(part, now)}
-        for part, domain in chosen.items()
-        if domain != fleet.domain
+        for part in parts
+    }
+    return {
+        part: places
+        for part, places in domains.items()
+        if fleet.domain not in places
     }
--- a/libs/gateway/src/sapphire_gateway/run.py
+++ b/libs/gateway/src/sapphire_gateway/run.py
@@ -140,14 +140,11 @@
     def _ask_helpers(self, now: float) -> None:
         if self._job.route.gather is None or self._job.is_to_head:
             return
-        domains = {
-            name: choice.entry.domain for name, choice in self._planned.items()
-        }
         call_s = min(
             self._job.terms.give_up_at - now,
             PART_TIME_FACTOR * self._job.route.target_s,
         )
-        self._helped.ask(far_parts(domains, self._fleet), call_s, now)
+        self._helped.ask(far_parts(self._planned, self._fleet), call_s, now)
 
     def _hedge(self, name: str, now: float) -> None:
         """Sends a part to a second leaf if that can still help."""
--- a/libs/gateway/tests/test_helping.py
+++ b/libs/gateway/tests/test_helping.py
@@ -208,3 +208,24 @@
         assert helped.questions >= 3
 
     in_world(test)
+
+
+def test_parts_with_a_near_leaf_are_called_directly(in_world):
+    """Guards against a hop for parts whose near leaf is only slow now."""
+
+    async def test(world):
+        helped = HelpedWorld(world)
+        await helped.start()
+        for shard in SHARDS:
+            near = await world.leaf(shard, part(shard), domain="z1")
+            entry = next(
+                leaf.entry
+                for leaf in world.belief.registry.leaves
+                if leaf.entry.address == near.address
+            )
+            world.pool.link(entry).load.slowness = 20.0
+            world.pool.link(entry).load.slowness_at = trio.current_time()
+        check_whole(await world.ask())
+        assert helped.questions == 0
+
+    in_world(test)
