Start no gateway twice in the soak

Trace: in an earlier run two overlapping faults had started the same gateway; the first process lost its handle, outlived the run and held the addresses of the next run with that seed. A gateway that runs is not started again.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -85,7 +85,10 @@
         (self.folder / f"{self.name}.toml").write_text(text)
 
     def start(self) -> None:
-        """Starts the process; its log is appended to a file."""
+        """Starts the process unless it runs; its log goes to a file."""
+        if self.is_running:
+            # Another fault has started it again already.
+            return
         settings = str(self.folder / f"{self.name}.toml")
         log = self.folder / f"{self.name}.log"
         with log.open("ab") as file:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,9 @@
 # Played in CI. Seeds that once broke a promise, by hand with 12 s of faults:
 # 47: the soak took a failure domain out twice, and the first putting back was
 #     held against the gateways; see test_a_domain_is_taken_out_once.
+# 42, 43: two faults started the same gateway, and the one without a handle
+#     outlived its run and held the addresses of the next one with that seed;
+#     see test_a_running_gateway_is_not_started_again.
 SEEDS = (1, 2)
 LENGTH_S = 6.0
 RECORDS = [bytes([n]) * 16 for n in range(6)]
@@ -148,6 +151,19 @@
     assert operator.take_out("za")
 
 
+def test_a_running_gateway_is_not_started_again(monkeypatch):
+    """Guards against processes that outlive the run."""
+
+    class Running:
+        def poll(self):
+            return None
+
+    gateway = _gateway()
+    gateway.process = Running()
+    monkeypatch.delattr("subprocess.Popen")
+    gateway.start()
+
+
 def test_a_cut_request_is_found():
     evidence = _evidence(_attempt(FETCH, None))
     assert any("was cut" in line for line in broken(evidence))
