--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -56,7 +56,6 @@
         self._idle_limit_s: float | None = None
         self.free_since = 0.0
         self.connect_s = 0.0
-        self.refused = False
 
     @property
     def is_free(self) -> bool:
@@ -147,7 +146,6 @@
                 return False
             code = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            self.refused = True
             self.close(f"connecting failed: {errno.errorcode.get(code, code)}")
             return False
         self._is_connected = True
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -117,7 +117,7 @@
 
     @property
     def feeding_age_s(self) -> float:
-        """The same; infinity if this VM has its changes from another one."""
+        """Contact age for VMs that this one feeds; infinity if it is fed."""
         return math.inf if self._feed is not None else self.contact_age_s
 
     async def run(self) -> None:
@@ -161,7 +161,7 @@
 
     async def _watch_once(self) -> None:
         if self._cursor is None:
-            await self._meet_members()
+            await self._read_members()
         feed = self._current_feed()
         if feed is not None:
             self._take_batch(await self._fed(feed))
@@ -176,7 +176,7 @@
         if batch.changes and not batch.is_cut and not batch.is_whole:
             await trio.sleep(WATCH_GAP_S)
 
-    async def _meet_members(self) -> None:
+    async def _read_members(self) -> None:
         """Learns whom to ask, before anything else is known."""
         for change in await self._store.read_members():
             apply(change.fact, self._belief, trio.current_time())
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -31,7 +31,6 @@
     Attributes:
         request_id: Its own id.
         route: The route that it was sent to.
-        version: Configuration that was acknowledged last when it was sent.
         gateway: Where it was sent.
         sent_at: Time of the first byte.
         ended_at: Time of the answer or of the loss.
@@ -41,7 +40,6 @@
 
     request_id: str
     route: SoakRoute
-    version: int
     gateway: Gateway
     sent_at: float
     ended_at: float
@@ -134,7 +132,6 @@
         call = Call(payload, b"", False, False, now + DEADLINE_S, on_end, now)
         connection = self._connected()
         gateway = self._gateways[self._address]
-        version = self._operator.version
         connection.start(call)
         if not connection.is_connected:
             self._nursery.start_soon(connection.run)
@@ -149,7 +146,6 @@
             Attempt(
                 request_id,
                 route,
-                version,
                 gateway,
                 now,
                 trio.current_time(),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,7 +41,6 @@
     fields = {
         "request_id": "r1",
         "route": route,
-        "version": 1,
         "gateway": gateway or _gateway(),
         "sent_at": sent_at,
         "ended_at": sent_at + 0.1,
