--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -207,7 +207,7 @@
             batch = await self._store.read_all()
             self._must_read_all = False
         else:
-            batch = await self._store.watch_all(
+            batch = await self._watch_store(
                 self._last_revision, WATCH_TIMEOUT_S
             )
         self._record_store_response()
@@ -257,12 +257,24 @@
         if self._last_revision is None:
             batch = await self._store.read_all()
         else:
-            batch = await self._store.watch_all(
-                self._last_revision, LONG_POLL_S
-            )
+            batch = await self._watch_store(self._last_revision, LONG_POLL_S)
         self._record_store_response()
         return batch
 
+    async def _watch_store(self, after: int, wait_s: float) -> Batch:
+        """Watches the store; logs the start and the answer."""
+        telemetry.event("watch", after=after, wait_s=round(wait_s, 2))
+        began = trio.current_time()
+        batch = await self._store.watch_all(after, wait_s)
+        telemetry.event(
+            "watch_answered",
+            after=after,
+            revision=batch.revision,
+            changes=len(batch.changes),
+            waited_s=round(trio.current_time() - began, 3),
+        )
+        return batch
+
     def _drop_feed(self, error: SapphireError) -> None:
         assert self._feed is not None
         member, feed = self._feed
@@ -318,6 +330,7 @@
             apply_update(change.update, self._view, now)
         self._last_revision = batch.revision
         self._view.revision = batch.revision
+        telemetry.REVISION.set(batch.revision)
         # contact_age_s is the time since the store last responded to the VM
         # whose feed sent the batch; 0 if the batch was read from the store.
         self._view.updated_at = now - batch.contact_age_s
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -83,6 +83,11 @@
     "Configuration version in force.",
     registry=REGISTRY,
 )
+REVISION = Gauge(
+    "sapphirecross_revision",
+    "Revision of the platform's store up to which changes were applied.",
+    registry=REGISTRY,
+)
 LEAVES = Gauge(
     "sapphirecross_leaves", "Leaves in the registry.", registry=REGISTRY
 )
