--- /dev/null
+++ b/libs/gateway/tests/sync_harness.py
@@ -0,0 +1,222 @@
+"""A Sync on a mock clock, with an in-memory store and feeds of other VMs."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+import trio
+import trio.testing
+from sapphire_core.leafset import LeafEntry, LeafState
+from sapphire_core.members import Member
+from sapphire_gateway.feed import LONG_POLL_S, RESPONSE_GRACE_S
+from sapphire_gateway.fleet_view import (
+    EvacuationUpdate,
+    FleetView,
+    LeafRemoval,
+    MemberRemoval,
+    MemberUpdate,
+)
+from sapphire_gateway.store import (
+    Batch,
+    Change,
+    HistoryGoneError,
+    LeaseGoneError,
+    StoreUnavailableError,
+)
+from sapphire_gateway.sync import LEASE_TTL_S, Sync
+
+# Maximum number of changes that one watch returns.
+MAX_WATCH_CHANGES = 500
+OWN_ENTRY = Member("vm1", "10.0.0.1:80", "z1")
+LEAF = LeafEntry("i-1", "s", "10.0.1.1:80", "z1", 2, LeafState.READY, 0.0, 1, 1)
+
+
+def _is_removal(update):
+    """Returns whether an update removes its key."""
+    if isinstance(update, EvacuationUpdate):
+        return not update.is_out
+    return isinstance(update, LeafRemoval | MemberRemoval)
+
+
+class FakeStore:
+    """In-memory store with fault injection."""
+
+    def __init__(self) -> None:
+        self.changes_by_key = {}
+        self.history = []
+        self.revision = 1
+        self.oldest_revision = 0
+        self.is_down = False
+        self.is_silent = False
+        self.leases = {}
+        self.calls = []
+        self.changed = trio.Event()
+        self._are_watches_deaf = False
+        self._reset_count = 0
+
+    def write(self, key, update):
+        """Writes a key, or removes it if the update is a removal."""
+        self.revision += 1
+        change = Change(key, self.revision, update)
+        if _is_removal(update):
+            self.changes_by_key.pop(key, None)
+        else:
+            self.changes_by_key[key] = change
+        self.history.append(change)
+        if not self._are_watches_deaf:
+            self._notify()
+
+    def forget_history(self):
+        """Discards the history, so that watches of older revisions fail."""
+        self.oldest_revision = self.revision
+        self._notify()
+
+    def hide_changes_from_watches(self):
+        """From now on, watches are not told of changes."""
+        self._are_watches_deaf = True
+
+    def reset_watches(self):
+        """Ends all waiting watches with a connection error."""
+        self._reset_count += 1
+        self._notify()
+
+    def forget_hidden_changes(self):
+        """Discards the history without a word to the watches that wait.
+
+        They hear of it at the next change. Watches asked from now on are
+        answered as usual.
+        """
+        self.oldest_revision = self.revision
+        self._are_watches_deaf = False
+
+    def start(self, nursery):
+        """Does nothing, since no tasks are needed."""
+
+    def reconnect(self, reason):
+        """Records the call."""
+        self.calls.append("reconnect")
+
+    def _notify(self):
+        """Wakes the waiting watches and feeds."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def _called(self, name):
+        self.calls.append(name)
+        await trio.sleep(0.004)
+        if self.is_silent:
+            await trio.sleep(1.5)
+        if self.is_down or self.is_silent:
+            raise StoreUnavailableError("down.")
+
+    async def read_all(self):
+        await self._called("read_all")
+        return Batch(
+            tuple(self.changes_by_key.values()),
+            self.revision,
+            is_full_state=True,
+        )
+
+    async def read_members(self):
+        await self._called("read_members")
+        return [
+            change
+            for change in self.changes_by_key.values()
+            if isinstance(change.update, MemberUpdate)
+        ]
+
+    async def watch_all(self, after, wait_s):
+        await self._called("watch")
+        resets = self._reset_count
+        with trio.move_on_after(wait_s) as wait:
+            while self._are_watches_deaf or (
+                self.revision <= after and self.oldest_revision <= after
+            ):
+                await self.changed.wait()
+                if self._reset_count > resets:
+                    raise StoreUnavailableError("reset.")
+        if self.is_silent:
+            await trio.sleep_forever()
+        if wait.cancelled_caught:
+            return Batch((), after)
+        if after < self.oldest_revision:
+            raise HistoryGoneError("gone.")
+        changes = tuple(c for c in self.history if c.revision > after)
+        if len(changes) <= MAX_WATCH_CHANGES:
+            return Batch(changes, self.revision)
+        changes = changes[:MAX_WATCH_CHANGES]
+        return Batch(changes, changes[-1].revision, is_truncated=True)
+
+    async def open_lease(self, ttl_s):
+        await self._called("lease")
+        number = len(self.leases) + 1
+        self.leases[number] = trio.current_time() + ttl_s
+        return number
+
+    async def renew_lease(self, lease):
+        await self._called("renew")
+        if self.leases[lease] < trio.current_time():
+            raise LeaseGoneError("gone.")
+        self.leases[lease] = trio.current_time() + LEASE_TTL_S
+
+    async def put_member(self, member, lease):
+        await self._called("put")
+        if self.leases[lease] < trio.current_time():
+            raise LeaseGoneError("gone.")
+        self.write(f"members/{member.name}", MemberUpdate(member))
+
+
+class FakeFeed:
+    """Feed of another VM that is always up to date with the store."""
+
+    silent_addresses: ClassVar[set[str]] = set()
+    polled_addresses: ClassVar[list[str]] = []
+
+    def __init__(self, address, store) -> None:
+        self._address = address
+        self._store = store
+
+    def close(self):
+        """Does nothing."""
+
+    async def changes(self, after):
+        """Returns changes like a feed, or times out if it is silent."""
+        FakeFeed.polled_addresses.append(self._address)
+        if self._address in FakeFeed.silent_addresses:
+            await trio.sleep(LONG_POLL_S + RESPONSE_GRACE_S)
+            raise StoreUnavailableError("silent.")
+        if after is None:
+            return Batch(
+                tuple(self._store.changes_by_key.values()),
+                self._store.revision,
+                is_full_state=True,
+            )
+        with trio.move_on_after(LONG_POLL_S):
+            while self._store.revision <= after:
+                await self._store.changed.wait()
+        changes = [c for c in self._store.history if c.revision > after]
+        return Batch(tuple(changes), self._store.revision)
+
+
+def run_sync(test, feeds=()):
+    """Runs a test against a sync on a mock clock that skips waiting."""
+
+    async def main():
+        store = FakeStore()
+        view = FleetView("vm1")
+
+        def choose(own_entry, avoided):
+            left = [f for f in feeds if f.name not in avoided]
+            return left[0] if left else None
+
+        def connect(address):
+            return FakeFeed(address, store)
+
+        sync = Sync(store, view, OWN_ENTRY, lambda: None, choose, connect)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(sync.run)
+            await trio.sleep(2)
+            await test(store, view, sync)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
