--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -19,10 +19,10 @@
     RECEIVE_BYTES,
     MessageError,
     Request,
-    RequestReader,
     Response,
     encode_response,
 )
+from sapphire_gateway.requestreader import RequestReader
 
 # A connection is closed if the caller does not read an answer in this time.
 WRITE_TIMEOUT_S = 10.0
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -15,8 +15,8 @@
     RECEIVE_BYTES,
     MessageError,
     Reply,
-    ReplyReader,
 )
+from sapphire_gateway.replyreader import ReplyReader
 
 CONNECT_TIMEOUT_S = 0.5
 # TCP keep-alive probes, which detect a peer that has become unreachable.
--- /dev/null
+++ b/libs/gateway/src/sapphire_gateway/replyreader.py
@@ -0,0 +1,139 @@
+"""Incremental parser for the replies of a connection, based on httptools."""
+
+from __future__ import annotations
+
+import httptools
+
+from sapphire_gateway.messages import (
+    BODILESS_STATUSES,
+    Headers,
+    MessageError,
+    Reply,
+)
+
+# The connection is closed if the body of a reply exceeds this size.
+MAX_REPLY_BYTES = 16_777_216
+
+
+class ReplyReader:
+    """Incremental parser for one reply at a time.
+
+    Bytes after the reply are discarded, and has_extra reports them.
+    """
+
+    def __init__(self, is_to_head: bool = False) -> None:
+        """Creates a parser that expects the first reply of a connection.
+
+        Args:
+            is_to_head: Whether the request was HEAD, so that the reply has no
+                body.
+        """
+        self._parser = httptools.HttpResponseParser(self)
+        self._is_parser_idle = True
+        self._reset(is_to_head)
+
+    def _reset(self, is_to_head: bool) -> None:
+        self._is_to_head = is_to_head
+        self._headers: Headers = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._status = 0
+        self._has_stated_length = False
+        self._has_final_head = False
+        self._reply: Reply | None = None
+        self._has_extra = False
+
+    def restart(self, is_to_head: bool) -> None:
+        """Prepares for the next reply on the same connection.
+
+        The parser is reused if it has reached the end of the last reply,
+        because creating one costs more than parsing a reply.
+        """
+        if not self._is_parser_idle:
+            self._parser = httptools.HttpResponseParser(self)
+            self._is_parser_idle = True
+        self._reset(is_to_head)
+
+    @property
+    def reply(self) -> Reply | None:
+        """The reply, or None until it is complete."""
+        return self._reply
+
+    @property
+    def has_extra(self) -> bool:
+        """Whether bytes arrived after the end of the reply."""
+        return self._has_extra
+
+    def feed(self, data: bytes) -> None:
+        """Parses bytes.
+
+        Raises:
+            MessageError: The bytes are not a valid reply.
+        """
+        try:
+            self._parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            if self._reply is None:
+                raise MessageError("malformed reply") from error
+            self._has_extra = True
+
+    def finish(self) -> None:
+        """Handles the end of the connection.
+
+        It completes a reply whose length is not stated.
+        """
+        if (
+            self._reply is None
+            and self._has_final_head
+            and not self._has_stated_length
+        ):
+            self._complete(keeps_alive=False)
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the first byte of a reply."""
+        self._is_parser_idle = False
+        if self._reply is not None:
+            self._has_extra = True
+        self._headers = []
+        self._has_stated_length = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser for each header."""
+        name = name.lower()
+        self._headers.append((name, value))
+        if name in {b"content-length", b"transfer-encoding"}:
+            self._has_stated_length = True
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser at the end of the head."""
+        if self._reply is not None:
+            return
+        self._status = self._parser.get_status_code()
+        self._has_final_head = self._status >= 200
+        if self._has_final_head and self._is_to_head:
+            self._complete(self._parser.should_keep_alive())
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser with a piece of the body."""
+        if self._reply is not None:
+            return
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_REPLY_BYTES:
+            raise MessageError("the reply exceeds the limit")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of a reply."""
+        self._is_parser_idle = True
+        if self._reply is not None or self._status < 200:
+            return
+        if self._has_stated_length or self._status in BODILESS_STATUSES:
+            self._complete(self._parser.should_keep_alive())
+
+    def _complete(self, keeps_alive: bool) -> None:
+        self._reply = Reply(
+            self._status, self._headers, b"".join(self._body), keeps_alive
+        )
--- /dev/null
+++ b/libs/gateway/src/sapphire_gateway/requestreader.py
@@ -0,0 +1,122 @@
+"""Incremental parser for the requests of a connection, based on httptools."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import httptools
+
+from sapphire_gateway.messages import Headers, MessageError, Request
+
+
+@dataclass(slots=True)
+class _PartialRequest:
+    target: bytes = b""
+    headers: Headers = field(default_factory=list)
+    body: list[bytes] = field(default_factory=list)
+    body_bytes: int = 0
+    head_bytes: int = 0
+    is_head_complete: bool = False
+    keeps_alive: bool = True
+
+
+class RequestReader:
+    """Incremental parser for the requests of one connection."""
+
+    def __init__(self, max_head_bytes: int, max_body_bytes: int) -> None:
+        """Creates a parser that expects the first request.
+
+        Args:
+            max_head_bytes: Largest size of the target and headers.
+            max_body_bytes: Largest size of the body.
+        """
+        self._parser = httptools.HttpRequestParser(self)
+        self._max_head_bytes = max_head_bytes
+        self._max_body_bytes = max_body_bytes
+        self._partial: _PartialRequest | None = None
+        self._error: MessageError | None = None
+        self.complete: list[Request] = []
+
+    @property
+    def is_between_messages(self) -> bool:
+        """Whether no part of the next request has arrived yet."""
+        return self._partial is None
+
+    @property
+    def is_head_complete(self) -> bool:
+        """Whether all headers of the current request have arrived."""
+        return self._partial is not None and self._partial.is_head_complete
+
+    def feed(self, data: bytes) -> None:
+        """Parses bytes; complete requests are appended to complete.
+
+        Raises:
+            MessageError: The bytes are not a valid request, or exceed a limit.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise MessageError("upgrades are not supported") from error
+        except httptools.HttpParserError as error:
+            raise self._error or MessageError("malformed request") from error
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the first byte of a request."""
+        self._partial = _PartialRequest()
+
+    def on_url(self, url: bytes) -> None:
+        """Called by the parser with a fragment of the target."""
+        partial = self._current_request()
+        partial.target += url
+        self._add_head_bytes(partial, len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser for each header.
+
+        The trailers of a chunked body are added to the headers.
+        """
+        partial = self._current_request()
+        partial.headers.append((name.lower(), value))
+        self._add_head_bytes(partial, len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser at the end of the head."""
+        partial = self._current_request()
+        partial.is_head_complete = True
+        partial.keeps_alive = self._parser.should_keep_alive()
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser with a piece of the body."""
+        partial = self._current_request()
+        partial.body.append(body)
+        partial.body_bytes += len(body)
+        if partial.body_bytes > self._max_body_bytes:
+            self._fail("the body exceeds the limit", 413)
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of a request."""
+        partial = self._current_request()
+        self._partial = None
+        self.complete.append(
+            Request(
+                self._parser.get_method(),
+                partial.target,
+                partial.headers,
+                b"".join(partial.body),
+                partial.keeps_alive,
+            )
+        )
+
+    def _current_request(self) -> _PartialRequest:
+        if self._partial is None:
+            self._partial = _PartialRequest()
+        return self._partial
+
+    def _add_head_bytes(self, partial: _PartialRequest, size: int) -> None:
+        partial.head_bytes += size
+        if partial.head_bytes > self._max_head_bytes:
+            self._fail("the request head exceeds the limit", 431)
+
+    def _fail(self, message: str, status: int) -> None:
+        self._error = MessageError(message, status)
+        raise self._error
--- a/libs/gateway/tests/test_messages.py
+++ b/libs/gateway/tests/test_messages.py
@@ -5,11 +5,11 @@
 import pytest
 from sapphire_gateway.messages import (
     MessageError,
-    ReplyReader,
-    RequestReader,
     Response,
     encode_response,
 )
+from sapphire_gateway.replyreader import ReplyReader
+from sapphire_gateway.requestreader import RequestReader
 
 REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
 
