gateway: Bound the bytes of each message, whatever part of it has no end

Trailers no longer join the headers. An unusable message is counted, logged with its peer at a bounded rate, and its connection is closed.

A refused long body ended in a reset where an answer was due, as unread bytes were left at the close; and a pipelined request was timed from the start of the one before.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -28,8 +28,11 @@
 WRITE_TIMEOUT_S = 10.0
 # After the last answer, incoming bytes are read for up to this time before
 # closing: closing a socket with unread data sends a reset, which may discard
-# the answer. After a malformed or oversized request nothing more is read.
+# the answer.
 LINGER_S = 0.5
+# The same after an answer to a request that was not read to its end. A caller
+# may send all of a long body before it reads the answer.
+REJECT_LINGER_S = 2.0
 # Reading of a connection pauses while at least this many requests are queued.
 MAX_PIPELINED = 8
 BACKLOG = 512
@@ -134,7 +137,8 @@
             await trio.aclose_forcefully(self._stream)
 
     async def _read_requests(self) -> None:
-        while self._message_error is None:
+        """Reads until the caller closes; discards what follows an error."""
+        while True:
             while len(self._requests) >= MAX_PIPELINED:
                 self._queue_has_room = trio.Event()
                 await self._queue_has_room.wait()
@@ -144,7 +148,8 @@
                 self._caller.mark_disconnected()
                 self._progress.set()
                 return
-            self._handle_data(data)
+            if self._message_error is None:
+                self._handle_data(data)
 
     async def _receive(self) -> bytes:
         try:
@@ -160,6 +165,9 @@
             self._reader.feed(data)
         except MessageError as error:
             self._message_error = error
+        if self._reader.complete:
+            # The next request, if one has begun, arrives from now on.
+            self._message_started_at = now
         for request in self._reader.complete:
             request.received_at = now
             request.is_first = self._is_first
@@ -188,7 +196,7 @@
             self._on_sent(request, trio.current_time())
             self._is_answering = False
             if close_after:
-                await self._linger()
+                await self._linger(LINGER_S)
                 return
 
     async def _next_request(self) -> Request | None:
@@ -223,9 +231,7 @@
 
         header_timeout_s limits the time from the start of a request to the end
         of its head, and idle_timeout_s both the time between requests and the
-        time from the start of a request to its end. A request that starts in
-        the same read in which the previous one ends is taken to have started
-        with the previous one.
+        time from the start of a request to its end.
         """
         if self._message_started_at is None:
             return idle_since + self._limits.idle_timeout_s
@@ -234,13 +240,14 @@
         return self._message_started_at + self._limits.header_timeout_s
 
     async def _reject(self, error: MessageError) -> None:
-        telemetry.event("request_unreadable", error=str(error))
+        telemetry.reject_message("request", str(error), self._caller.host)
         body = str(error).encode()
         answer = Response(
             error.status, [(b"Content-Type", b"text/plain")], body
         )
-        await self._send(encode_response(answer, True, False))
-        await self._linger()
+        self._message_error = error
+        if await self._send(encode_response(answer, True, False)):
+            await self._linger(REJECT_LINGER_S)
 
     async def _send(self, data: bytes) -> bool:
         with trio.move_on_after(WRITE_TIMEOUT_S) as scope:
@@ -250,13 +257,14 @@
                 return False
         return not scope.cancelled_caught
 
-    async def _linger(self) -> None:
+    async def _linger(self, limit_s: float) -> None:
+        """Ends the sending side, then waits until the caller closes."""
         with contextlib.suppress(
             trio.BrokenResourceError, trio.ClosedResourceError
         ):
             await self._stream.send_eof()
-        with trio.move_on_after(LINGER_S):
-            while not self._has_reached_eof and self._message_error is None:
+        with trio.move_on_after(limit_s):
+            while not self._has_reached_eof:
                 self._progress = trio.Event()
                 await self._progress.wait()
 
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -10,13 +10,18 @@
 import trio
 from sapphire_core.fanout import Failure
 
+from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallResult
 from sapphire_gateway.messages import (
     RECEIVE_BYTES,
     MessageError,
     Reply,
 )
-from sapphire_gateway.replyreader import ReplyReader
+from sapphire_gateway.replyreader import (
+    LEAF_REPLY_LIMITS,
+    ReplyLimits,
+    ReplyReader,
+)
 
 CONNECT_TIMEOUT_S = 0.5
 # TCP keep-alive probes, which detect a peer that has become unreachable.
@@ -40,12 +45,14 @@
         classify_reply: Callable[[Reply, Call], CallResult],
         on_free: Callable[[Connection], None],
         on_closed: Callable[[Connection], None],
+        reply_limits: ReplyLimits = LEAF_REPLY_LIMITS,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._address = (host, int(port))
         self._classify_reply = classify_reply
         self._on_free = on_free
         self._on_closed = on_closed
+        self._reply_limits = reply_limits
         self._socket: socket.socket | None = None
         self._call: Call | None = None
         self._reader: ReplyReader | None = None
@@ -174,7 +181,7 @@
         assert self._socket is not None
         call.sent_at = trio.current_time()
         if self._reader is None:
-            self._reader = ReplyReader(call.is_to_head)
+            self._reader = ReplyReader(call.is_to_head, self._reply_limits)
         else:
             self._reader.restart(call.is_to_head)
         self._has_received = False
@@ -240,6 +247,8 @@
         try:
             self._reader.feed(data)
         except MessageError as error:
+            host, port = self._address
+            telemetry.reject_message("reply", str(error), f"{host}:{port}")
             self.close(str(error))
             return
         if self._reader.reply is not None:
--- a/libs/gateway/src/sapphire_gateway/httpclient.py
+++ b/libs/gateway/src/sapphire_gateway/httpclient.py
@@ -7,6 +7,7 @@
 from sapphire_gateway.calls import Call, CallResult
 from sapphire_gateway.connection import Connection
 from sapphire_gateway.messages import Reply
+from sapphire_gateway.replyreader import STORE_REPLY_LIMITS, ReplyLimits
 from sapphire_gateway.store import StoreUnavailableError
 
 
@@ -29,13 +30,17 @@
 class HttpClient:
     """Sends requests to one server, each on an idle or new connection."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, reply_limits: ReplyLimits = STORE_REPLY_LIMITS
+    ) -> None:
         """Creates a client without connections.
 
         Args:
             address: Host and port of the server.
+            reply_limits: Limits of each reply.
         """
         self._address = address
+        self._reply_limits = reply_limits
         self._nursery: trio.Nursery | None = None
         self._connections: list[Connection] = []
 
@@ -114,7 +119,11 @@
             if connection.is_free:
                 return connection
         connection = Connection(
-            self._address, _accept_any_reply, _ignore, _ignore
+            self._address,
+            _accept_any_reply,
+            _ignore,
+            _ignore,
+            self._reply_limits,
         )
         self._connections.append(connection)
         return connection
--- a/libs/gateway/src/sapphire_gateway/replyreader.py
+++ b/libs/gateway/src/sapphire_gateway/replyreader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import httptools
 
 from sapphire_gateway.messages import (
@@ -11,23 +13,47 @@
     Reply,
 )
 
-# The connection is closed if the body of a reply exceeds this size.
-MAX_REPLY_BYTES = 16_777_216
+
+@dataclass(frozen=True, slots=True)
+class ReplyLimits:
+    """Largest size of a reply, in bytes.
+
+    Attributes:
+        head_bytes: Size of the head, with the heads of interim replies.
+        body_bytes: Size of the rest as received, with its chunked framing.
+    """
+
+    head_bytes: int
+    body_bytes: int
+
+
+# Replies of leaves are held in memory, many at a time.
+LEAF_REPLY_LIMITS = ReplyLimits(65_536, 4_194_304)
+# A page of the store's keys has up to 1 MB of values, which may be preceded by
+# one value of the maximum size.
+STORE_REPLY_LIMITS = ReplyLimits(65_536, 16_777_216)
 
 
 class ReplyReader:
     """Incremental parser for one reply at a time.
 
-    Bytes after the reply are discarded, and has_extra reports them.
+    Bytes after the reply are discarded, and has_extra reports them. Trailers of
+    a chunked body are ignored.
     """
 
-    def __init__(self, is_to_head: bool = False) -> None:
+    def __init__(
+        self,
+        is_to_head: bool = False,
+        limits: ReplyLimits = LEAF_REPLY_LIMITS,
+    ) -> None:
         """Creates a parser that expects the first reply of a connection.
 
         Args:
             is_to_head: Whether the request was HEAD, so that the reply has no
                 body.
+            limits: Limits of each reply.
         """
+        self._limits = limits
         self._parser = httptools.HttpResponseParser(self)
         self._is_parser_idle = True
         self._reset(is_to_head)
@@ -36,6 +62,7 @@
         self._is_to_head = is_to_head
         self._headers: Headers = []
         self._body: list[bytes] = []
+        self._head_bytes = 0
         self._body_bytes = 0
         self._status = 0
         self._has_stated_length = False
@@ -68,8 +95,9 @@
         """Parses bytes.
 
         Raises:
-            MessageError: The bytes are not a valid reply.
+            MessageError: The bytes are not a valid reply, or exceed a limit.
         """
+        had_final_head = self._has_final_head
         try:
             self._parser.feed_data(data)
         except (
@@ -79,6 +107,30 @@
             if self._reply is None:
                 raise MessageError("malformed reply") from error
             self._has_extra = True
+        if self._reply is None:
+            self._count_bytes(len(data), had_final_head)
+
+    def _count_bytes(self, count: int, had_final_head: bool) -> None:
+        """Counts received bytes against the limits.
+
+        The parser keeps an unfinished header to itself, so received bytes are
+        counted instead of parsed ones. The bytes in which the head ends are not
+        counted.
+        """
+        if not self._has_final_head:
+            self._head_bytes += count
+            if self._head_bytes > self._limits.head_bytes:
+                raise MessageError(
+                    "the head of the reply exceeds"
+                    f" {self._limits.head_bytes} bytes"
+                )
+        elif had_final_head:
+            self._body_bytes += count
+            if self._body_bytes > self._limits.body_bytes:
+                raise MessageError(
+                    "the body of the reply exceeds"
+                    f" {self._limits.body_bytes} bytes"
+                )
 
     def finish(self) -> None:
         """Handles the end of the connection.
@@ -101,7 +153,9 @@
         self._has_stated_length = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser for each header."""
+        """Called by the parser for each header and trailer."""
+        if self._has_final_head:
+            return
         name = name.lower()
         self._headers.append((name, value))
         if name in {b"content-length", b"transfer-encoding"}:
@@ -118,12 +172,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a piece of the body."""
-        if self._reply is not None:
-            return
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_REPLY_BYTES:
-            raise MessageError("the reply exceeds the limit")
-        self._body.append(body)
+        if self._reply is None:
+            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a reply."""
--- a/libs/gateway/src/sapphire_gateway/requestreader.py
+++ b/libs/gateway/src/sapphire_gateway/requestreader.py
@@ -8,6 +8,10 @@
 
 from sapphire_gateway.messages import Headers, MessageError, Request
 
+# Largest size of a chunked body as received, in bytes for each byte of the
+# limit of the body: the framing of a chunk of one byte takes five more.
+CHUNK_BYTES_PER_BODY_BYTE = 6
+
 
 @dataclass(slots=True)
 class _PartialRequest:
@@ -16,7 +20,13 @@
     body: list[bytes] = field(default_factory=list)
     body_bytes: int = 0
     head_bytes: int = 0
+    # Received bytes of the unfinished head, and of the rest with its framing.
+    received_head_bytes: int = 0
+    received_body_bytes: int = 0
     is_head_complete: bool = False
+    # Whether the message, and its part after the head, began before.
+    has_begun_before: bool = False
+    had_head_before: bool = False
     keeps_alive: bool = True
 
 
@@ -33,6 +43,9 @@
         self._parser = httptools.HttpRequestParser(self)
         self._max_head_bytes = max_head_bytes
         self._max_body_bytes = max_body_bytes
+        self._max_received_body_bytes = (
+            max_head_bytes + CHUNK_BYTES_PER_BODY_BYTE * max_body_bytes
+        )
         self._partial: _PartialRequest | None = None
         self._error: MessageError | None = None
         self.complete: list[Request] = []
@@ -59,6 +72,28 @@
             raise MessageError("upgrades are not supported") from error
         except httptools.HttpParserError as error:
             raise self._error or MessageError("malformed request") from error
+        if self._partial is not None:
+            self._count_bytes(self._partial, len(data))
+
+    def _count_bytes(self, partial: _PartialRequest, count: int) -> None:
+        """Counts the received bytes of a message that is not complete.
+
+        The parser keeps an unfinished header to itself, and skips the framing
+        of a chunked body. Counts start with the read after the one in which the
+        head began or ended.
+        """
+        if not partial.is_head_complete:
+            if partial.has_begun_before:
+                partial.received_head_bytes += count
+            if partial.received_head_bytes > self._max_head_bytes:
+                self._fail("the request head exceeds the limit", 431)
+        else:
+            if partial.had_head_before:
+                partial.received_body_bytes += count
+            if partial.received_body_bytes > self._max_received_body_bytes:
+                self._fail("the body exceeds the limit", 413)
+        partial.has_begun_before = True
+        partial.had_head_before = partial.is_head_complete
 
     def on_message_begin(self) -> None:
         """Called by the parser at the first byte of a request."""
@@ -71,11 +106,13 @@
         self._add_head_bytes(partial, len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser for each header.
+        """Called by the parser for each header and trailer.
 
-        The trailers of a chunked body are added to the headers.
+        Trailers are ignored: they could replace headers that were checked.
         """
         partial = self._current_request()
+        if partial.is_head_complete:
+            return
         partial.headers.append((name.lower(), value))
         self._add_head_bytes(partial, len(name) + len(value) + 4)
 
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -8,6 +8,7 @@
 
 import eliot
 import prometheus_client
+import trio
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 # Token bucket for log lines about single requests. Log lines about state
@@ -73,6 +74,12 @@
     ["operation", "result"],
     registry=REGISTRY,
 )
+REJECTED_MESSAGES = Counter(
+    "sapphirecross_messages_rejected_total",
+    "Messages that are malformed or exceed a limit: request or reply.",
+    ["kind"],
+    registry=REGISTRY,
+)
 CONNECTIONS = Gauge(
     "sapphirecross_leaf_connections_opened",
     "Connections opened to leaves since the start.",
@@ -158,6 +165,25 @@
         event(kind, **fields)
 
 
+_REJECTION_LOG = RequestLogLimiter()
+
+
+def reject_message(kind: str, error: str, peer: str) -> None:
+    """Counts and logs a message of a peer that cannot be used.
+
+    Args:
+        kind: "request" or "reply".
+        error: What is wrong with the message.
+        peer: Address of the peer.
+    """
+    REJECTED_MESSAGES.labels(kind).inc()
+    _REJECTION_LOG.write(
+        trio.current_time(),
+        f"{kind}_unreadable",
+        {"error": error, "peer": peer},
+    )
+
+
 def start() -> None:
     """Sends log lines to standard output."""
     eliot.to_file(_StdoutWriter())
--- a/libs/gateway/tests/gateway_harness.py
+++ b/libs/gateway/tests/gateway_harness.py
@@ -123,8 +123,15 @@
         self.address = ("127.0.0.1", 0)
 
     async def leaf(self, service, make_reply, **more: object):
-        """Starts a leaf and adds it to the registry."""
-        leaf = Leaf(make_reply)
+        """Starts a leaf and adds it to the registry.
+
+        Args:
+            service: Service of the leaf.
+            make_reply: Function for a new leaf, or a leaf.
+            more: Further fields of the leaf's entry.
+        """
+        is_leaf = isinstance(make_reply, Leaf)
+        leaf = make_reply if is_leaf else Leaf(make_reply)
         listeners = await self.nursery.start(leaf.run)
         port = listeners[0].socket.getsockname()[1]
         leaf.address = f"127.0.0.1:{port}"
