gateway: Split the own entry, the choice of a feed and store contact from Sync

It keeps the reading of changes; OwnEntry writes this VM's entry and renews the lease, FeedSelector chooses the VM to read from, StoreContact tells whether the store responds. No change of behaviour; tests use the new places of the same calls.

--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -266,7 +266,7 @@
         """
         started_at = trio.current_time()
         self._is_shutting_down = True
-        sync.publish_leaving()
+        sync.own_entry.publish_leaving()
         telemetry.event("leaving", connections=server.connections)
         end = started_at + self._settings.grace_s - CLOSE_MARGIN_S
         await trio.sleep_until(end)
@@ -313,7 +313,7 @@
         """Publishes the crash counts of requests if this VM has new ones."""
         suspects = self._view.crashes.take_unshared(now)
         if suspects is not None:
-            sync.publish_suspects(suspects)
+            sync.own_entry.publish_suspects(suspects)
 
 
 def _read_clocks() -> tuple[float, float]:
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -1,28 +1,27 @@
 """Keeps the fleet view up to date, and this VM's entry in the store.
 
-Each VM of the fleet writes an entry (a Member) about itself to the store, where
-it expires unless its lease is renewed. VMs that serve callers read changes from
-the store. The others read them from the feed of a serving VM, which relays the
-changes, so that the number of watches does not grow with the size of the fleet.
-The number of lease renewals does.
+Each VM of the fleet writes an entry (a Member) about itself to the store. VMs
+that serve callers read changes from the store. The others read them from the
+feed of a serving VM, which relays the changes, so that the number of watches
+does not grow with the size of the fleet. The number of lease renewals does.
 """
 
 from __future__ import annotations
 
-import contextlib
 import math
-from collections.abc import Callable, Container, Iterator
-from dataclasses import replace
-from typing import Protocol
+from collections.abc import Callable
 
 import trio
-from sapphire_core.errors import SapphireError
 from sapphire_core.freshness import MAX_WATCH_S
 from sapphire_core.members import Member
-from sapphire_core.quarantine import CrashCount
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.feed import LONG_POLL_S, Mirror
+from sapphire_gateway.feedselector import (
+    Feed,
+    FeedSelector,
+    SelectChangeSource,
+)
 from sapphire_gateway.fleet_view import (
     EvacuationUpdate,
     FleetView,
@@ -30,64 +29,40 @@
     MemberUpdate,
     apply_update,
 )
+from sapphire_gateway.ownentry import OwnEntry
 from sapphire_gateway.store import (
     Batch,
     HistoryGoneError,
-    LeaseGoneError,
     Store,
     StoreUnavailableError,
 )
+from sapphire_gateway.storecontact import StoreContact
 
 # Pause after a watch with changes, so that one call fetches the changes of
 # this interval.
 WATCH_COALESCE_S = 0.4
-# A VM's entry expires this long after the last renewal.
-LEASE_TTL_S = 4.5
-# A renewal costs a tenth of any other call to the store, so renewals can be
-# frequent.
-RENEW_INTERVAL_S = 1.2
-# Interval between renewals, and between attempts at the first read, while the
-# store does not respond.
-RETRY_INTERVAL_S = 0.7
 # Delay after the first failure of a watch. It is short, because the store may
 # merely have closed the connection.
 FIRST_RETRY_DELAY_S = 0.1
-# Interval between retries of a watch that keeps failing; a successful renewal
-# ends the wait.
-WATCH_RETRY_INTERVAL_S = 2.0
+# Intervals between retries of a read that keeps failing, before and after the
+# first full read. A successful renewal ends the wait: during an outage only
+# renewals probe the store often, since they cost less than watches.
+FIRST_READ_RETRY_INTERVAL_S = 0.7
+READ_RETRY_INTERVAL_S = 2.0
 # Shortest interval between two reads of all keys.
 READ_ALL_INTERVAL_S = 0.25
 # Interval between checks whether changes are overdue.
 PROGRESS_CHECK_INTERVAL_S = 0.25
-# A VM whose feed failed is not used again for this long.
-FEED_RETRY_DELAY_S = 5.0
-
-
-# Returns the VM to read changes from, or None for the store. Arguments are this
-# VM's entry and the names of VMs to avoid.
-SelectChangeSource = Callable[[Member, Container[str]], Member | None]
-
-
-class Feed(Protocol):
-    """Client of another VM that relays the changes of the store."""
-
-    async def changes(self, after: int | None) -> Batch:
-        """Waits up to LONG_POLL_S for changes after a revision.
-
-        Returns the full state if the revision is None, or if the other VM no
-        longer has all changes after it.
-
-        Raises:
-            StoreUnavailableError: The VM did not respond, or its data are too
-                old.
-        """
-
-    def close(self) -> None:
-        """Closes the connections."""
 
 
 class Sync:
-    """Reads the changes, renews the lease and checks that changes arrive."""
+    """Reads the changes and checks that they arrive.
+
+    Attributes:
+        own_entry: This VM's entry, which `run` keeps alive.
+        mirror: Copy of the store's keys and values, which FeedServer serves to
+            other VMs.
+    """
 
     def __init__(
         self,
@@ -112,33 +87,22 @@
         self._store = store
         self._view = view
         self._freshness = view.freshness
-        self._own_entry = own_entry
         self._on_change = on_change
-        self._select_change_source = select_change_source
-        self._connect_feed = connect_feed
-        self._feed: tuple[Member, Feed] | None = None
-        # VMs whose feed has failed, with the time until which each is avoided.
-        self._avoided_until: dict[str, float] = {}
+        self._feeds = FeedSelector(select_change_source, connect_feed)
+        self._contact = StoreContact(view.freshness)
+        self._contact.on_regained = self._restart_watch
+        self.own_entry = OwnEntry(store, view, own_entry, self._contact)
         # Set when the store has discarded changes that were not read yet.
         self._must_read_all = False
         # Set when changes are overdue: the next read asks the store for all
         # keys, even if this VM has a feed.
         self._must_ask_store = False
         self._last_read_all_at = -math.inf
-        # Copy of the store's keys and values, which FeedServer serves to other
-        # VMs.
         self.mirror = Mirror()
         # Scope of the current iteration of the loop that reads changes, and of
         # the part of it in which a watch waits for the store.
         self._read_scope = trio.CancelScope()
         self._watch_scope = trio.CancelScope()
-        self._lease: int | None = None
-        self._is_entry_written = False
-        # Revision of the last write of this VM's entry.
-        self._own_entry_revision = 0
-        self._is_store_reachable = True
-        self._store_recovered = trio.Event()
-        self._renew_now = trio.Event()
 
     @property
     def feed_age_s(self) -> float:
@@ -147,7 +111,7 @@
         Infinity if this VM reads from a feed itself, so that no VM reads from
         it: feeds are not chained.
         """
-        if self._feed is not None:
+        if self._feeds.source is not None:
             return math.inf
         return self._freshness.age_s(trio.current_time())
 
@@ -156,7 +120,7 @@
         self._freshness.record_disruption(trio.current_time())
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._read_changes)
-            nursery.start_soon(self._renew)
+            nursery.start_soon(self.own_entry.run)
             nursery.start_soon(self._check_progress)
 
     def resync(self, reason: str) -> None:
@@ -165,27 +129,7 @@
         self._freshness.record_disruption(trio.current_time())
         self._store.reconnect(reason)
         self._read_scope.cancel()
-        self._renew_now.set()
-
-    def publish_leaving(self) -> None:
-        """Publishes in this VM's entry that it is leaving the fleet."""
-        self._replace_own_entry(replace(self._own_entry, leaving=True))
-
-    def publish_suspects(self, suspects: tuple[CrashCount, ...]) -> None:
-        """Publishes in this VM's entry which requests may crash leaves.
-
-        Other VMs use this to refuse such requests.
-
-        Args:
-            suspects: For each request that was running when a leaf crashed, by
-                fingerprint, the number of those crashes.
-        """
-        self._replace_own_entry(replace(self._own_entry, suspects=suspects))
-
-    def _replace_own_entry(self, own_entry: Member) -> None:
-        self._own_entry = own_entry
-        self._is_entry_written = False
-        self._renew_now.set()
+        self.own_entry.renew_soon()
 
     async def _read_changes(self) -> None:
         while True:
@@ -197,14 +141,15 @@
                     self._must_read_all = True
                     self._freshness.record_disruption(trio.current_time())
                 except StoreUnavailableError as error:
-                    was_reachable = self._is_store_reachable
-                    self._record_store_failure("watch", error)
+                    was_reachable = self._contact.is_reachable
+                    self._contact.record_failure("watch", error)
                     await self._retry_pause(was_reachable)
 
     async def _read_once(self) -> None:
         if self._freshness.revision is None:
             await self._read_members()
-        feed = self._current_feed()
+        feed = self._feeds.choose(self.own_entry.member)
+        self._contact.is_watching_store = feed is None
         if feed is not None and not self._must_ask_store:
             batch = await self._read_feed(feed)
         else:
@@ -232,7 +177,7 @@
             if found is None:
                 return None
             batch = found
-        self._record_store_response()
+        self._contact.record_response()
         return batch
 
     async def _read_all(self) -> Batch:
@@ -254,27 +199,7 @@
         """Reads the members, which are needed to choose a feed."""
         for change in await self._store.read_members():
             apply_update(change.update, self._view, trio.current_time())
-        self._record_store_response()
-
-    def _current_feed(self) -> Feed | None:
-        """Returns the feed to read changes from, or None for the store."""
-        now = trio.current_time()
-        self._avoided_until = {
-            name: until
-            for name, until in self._avoided_until.items()
-            if now < until
-        }
-        chosen = self._select_change_source(
-            self._own_entry, self._avoided_until
-        )
-        current = self._feed
-        if current is not None and not _is_same_source(current[0], chosen):
-            current[1].close()
-            self._feed = None
-        if chosen is not None and self._feed is None:
-            self._feed = chosen, self._connect_feed(chosen.peer_address)
-            telemetry.event("feed", member=chosen.name)
-        return self._feed[1] if self._feed is not None else None
+        self._contact.record_response()
 
     async def _read_feed(self, feed: Feed) -> Batch | None:
         """Reads changes from a feed, or from the store if the feed fails.
@@ -285,7 +210,10 @@
             batch = await feed.changes(self._freshness.revision)
         except StoreUnavailableError as error:
             # The feed has failed; a Feed raises the same error as the Store.
-            self._drop_feed(error)
+            self._feeds.drop(error)
+            self._contact.is_watching_store = True
+            # Whether a watch of the store works has yet to be seen.
+            self._freshness.record_disruption(trio.current_time())
         else:
             # A feed that lacks changes after the revision sends the full state.
             self._must_read_all = False
@@ -314,18 +242,6 @@
         )
         return batch
 
-    def _drop_feed(self, error: SapphireError) -> None:
-        assert self._feed is not None
-        member, feed = self._feed
-        feed.close()
-        self._feed = None
-        self._avoided_until[member.name] = (
-            trio.current_time() + FEED_RETRY_DELAY_S
-        )
-        # Whether a watch of the store works has yet to be seen.
-        self._freshness.record_disruption(trio.current_time())
-        telemetry.event("feed_lost", member=member.name, error=str(error))
-
     def _apply_batch(self, batch: Batch) -> None:
         self.mirror.apply(batch)
         if batch.is_full_state:
@@ -338,9 +254,7 @@
             as_of = trio.current_time() - batch.age_s
             self._freshness.record_current(batch.revision, as_of)
         telemetry.REVISION.set(batch.revision)
-        if self._view.is_own_entry_missing and not self._own_entry.leaving:
-            self._is_entry_written = False
-            self._renew_now.set()
+        self.own_entry.restore_if_missing()
         self._on_change()
 
     def _apply_full_state(self, batch: Batch) -> None:
@@ -365,7 +279,7 @@
         self._view.registry.retain(leaves, now)
         self._view.members.retain(members, now)
         self._view.registry.set_evacuated(evacuated_domains)
-        if self._lacks_own_entry(members, batch.revision):
+        if self.own_entry.is_lost(members, batch.revision):
             self._view.is_own_entry_missing = True
         telemetry.event(
             "read_all",
@@ -383,146 +297,42 @@
             apply_update(change.update, self._view, now)
         self._view.revision = batch.revision
 
-    def _lacks_own_entry(self, members: Container[str], revision: int) -> bool:
-        """Returns whether a full state lacks this VM's entry, though written.
-
-        Args:
-            members: Names of the members in the full state.
-            revision: Revision of the full state.
-        """
-        return (
-            self._is_entry_written
-            and self._own_entry.name not in members
-            and self._own_entry_revision <= revision
-        )
-
     async def _check_progress(self) -> None:
         """Asks the store for all keys if known changes do not arrive."""
         while True:
             await trio.sleep(PROGRESS_CHECK_INTERVAL_S)
             now = trio.current_time()
-            if not self._is_store_reachable:
+            if not self._contact.is_reachable:
                 continue
             if not self._freshness.is_overdue(now):
                 continue
+            source = self._feeds.source
             telemetry.event(
                 "changes_overdue",
                 revision=self._freshness.revision,
                 newest_revision=self._freshness.newest_revision,
-                source=self._feed[0].name if self._feed else "store",
+                source=source.name if source else "store",
             )
             self._freshness.record_disruption(now)
             self._must_ask_store = True
             self._watch_scope.cancel()
 
-    async def _renew(self) -> None:
-        while True:
-            self._renew_now = trio.Event()
-            pause = RENEW_INTERVAL_S
-            try:
-                await self._renew_once()
-                self._record_store_response()
-            except LeaseGoneError:
-                telemetry.event("lease_gone", lease=self._lease)
-                self._lease = None
-                self._is_entry_written = False
-                continue
-            except StoreUnavailableError as error:
-                self._record_store_failure("renewal", error)
-                pause = RETRY_INTERVAL_S
-            with trio.move_on_after(pause):
-                await self._renew_now.wait()
-
-    async def _renew_once(self) -> None:
-        if self._lease is None:
-            if self._own_entry.leaving:
-                return
-            self._lease = await self._store.open_lease(LEASE_TTL_S)
-        elif self._is_entry_written:
-            await self._store.renew_lease(self._lease)
-        if not self._is_entry_written:
-            # The lease is not renewed in an iteration that writes the entry.
-            # It is safe to skip one renewal, as LEASE_TTL_S is longer than
-            # several renewal intervals.
-            own_entry = self._own_entry
-            self._own_entry_revision = await self._store.put_member(
-                own_entry, self._lease
-            )
-            self._freshness.learn_revision(
-                self._own_entry_revision, trio.current_time()
-            )
-            # If the entry was replaced during the write, the next iteration
-            # writes it again.
-            self._is_entry_written = own_entry is self._own_entry
-            self._view.is_own_entry_missing = False
-
-    def _record_store_failure(self, loop: str, error: SapphireError) -> None:
-        """Records that a call to the store failed; logs the first failure.
+    def _restart_watch(self) -> None:
+        """Ends the pending watch when the store responds again.
 
-        Args:
-            loop: Loop that made the call, "watch" or "renewal". A loop makes
-                calls of several kinds, and any of them may have failed.
-            error: The failure.
+        The store may have dropped it without closing its connection.
         """
-        self._freshness.record_disruption(trio.current_time())
-        if not self._is_store_reachable:
-            return
-        self._is_store_reachable = False
-        self._store_recovered = trio.Event()
-        telemetry.event("store_lost", call=loop, error=str(error))
-
-    def _record_store_response(self) -> None:
-        """Records that the store responded; logs the end of an outage."""
-        if self._feed is None:
-            self._freshness.record_contact(trio.current_time())
-        if self._is_store_reachable:
-            return
-        self._is_store_reachable = True
-        self._store_recovered.set()
-        telemetry.event("store_regained", revision=self._view.revision)
-        # The store may have dropped a watch that was pending during the
-        # outage without closing its connection, so the watch is restarted when
-        # a renewal succeeds.
         self._watch_scope.cancel()
 
     async def _retry_pause(self, was_reachable: bool) -> None:
-        """Waits before a retry; a successful renewal ends the wait.
-
-        During an outage only renewals probe the store often, since they cost
-        less than watches.
+        """Waits before a retry.
 
         Args:
             was_reachable: Whether the store responded before this failure.
         """
         if was_reachable:
             await trio.sleep(FIRST_RETRY_DELAY_S)
-            return
-        limit = (
-            RETRY_INTERVAL_S
-            if self._freshness.revision is None
-            else WATCH_RETRY_INTERVAL_S
-        )
-        with trio.move_on_after(limit):
-            await self._store_recovered.wait()
-
-
-def _is_same_source(current: Member, chosen: Member | None) -> bool:
-    """Returns whether two members have the same name and feed address."""
-    return chosen is not None and (current.name, current.peer_address) == (
-        chosen.name,
-        chosen.peer_address,
-    )
-
-
-@contextlib.contextmanager
-def count_store_call(operation: str) -> Iterator[None]:
-    """Counts a call to the store by operation and result.
-
-    Implementations of Store enclose each of their calls in it.
-    """
-    try:
-        yield
-    except SapphireError as error:
-        telemetry.STORE_CALLS.labels(operation, error.kind).inc()
-        raise
-    telemetry.STORE_CALLS.labels(operation, "ok").inc()
+        elif self._freshness.revision is None:
+            await self._contact.wait_until_regained(FIRST_READ_RETRY_INTERVAL_S)
+        else:
+            await self._contact.wait_until_regained(READ_RETRY_INTERVAL_S)
--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -16,6 +16,7 @@
     MemberRemoval,
     MemberUpdate,
 )
+from sapphire_gateway.ownentry import LEASE_TTL_S
 from sapphire_gateway.store import (
     Batch,
     Change,
@@ -23,7 +24,7 @@
     LeaseGoneError,
     StoreUnavailableError,
 )
-from sapphire_gateway.sync import LEASE_TTL_S, Sync
+from sapphire_gateway.sync import Sync
 
 # Maximum number of changes that one watch returns.
 MAX_WATCH_CHANGES = 500
--- a/libs/gateway/tests/test_stale_watch.py
+++ b/libs/gateway/tests/test_stale_watch.py
@@ -169,7 +169,7 @@
         await trio.sleep(30)
         store.hide_changes_from_watches()
         store.write("op/evacuate/z2", EvacuationUpdate("z2", True))
-        sync.publish_suspects(())
+        sync.own_entry.publish_suspects(())
         await trio.sleep(APPLY_LIMIT_S)
         assert view.registry.evacuated == {"z2"}
 
@@ -257,7 +257,7 @@
         for _ in range(4):
             await trio.sleep(0.7)
             # Each renewal that follows reports that contact was regained.
-            sync._record_store_failure("renewal", StoreUnavailableError("x."))
+            sync._contact.record_failure("renewal", StoreUnavailableError("x."))
         assert view.registry.evacuated == {"z2"}
 
     run_sync(test)
--- a/libs/gateway/tests/test_sync.py
+++ b/libs/gateway/tests/test_sync.py
@@ -122,7 +122,7 @@
 
 def test_leaving_is_published_immediately():
     async def test(store, view, sync):
-        sync.publish_leaving()
+        sync.own_entry.publish_leaving()
         await trio.sleep(0.1)
         assert store.changes_by_key["members/vm1"].update.member.leaving
 
@@ -133,10 +133,10 @@
     """A stop that begins during a write still reaches the other VMs."""
 
     async def test(store, view, sync):
-        sync.publish_suspects(())
+        sync.own_entry.publish_suspects(())
         await trio.sleep(0.002)
         assert store.calls[-1] == "put"
-        sync.publish_leaving()
+        sync.own_entry.publish_leaving()
         await trio.sleep(0.1)
         assert store.changes_by_key["members/vm1"].update.member.leaving
 
