gateway: Compare revisions between VMs, so that a lost watch is noticed

A watch whose connection falls silent while others work gives no sign, and the VM kept old data for up to 27 s. Nothing heard of it unless calls were delegated, which the smaller sites do not need in each domain.

Change: each VM that watches the store asks three others in turn, one a second, for their revision and tells its own (revisionexchange). The soak gets two faults: the history ends with a gap in which watches are accepted, and some of a gateway's connections to the store fall silent for good; faults can be chosen by name.

--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -31,6 +31,8 @@
 # The strong VMs serve alone only if they have at least this fraction of all
 # processor time; with less they could be overloaded.
 MIN_STRONG_CORES_SHARE = 0.1
+# Number of VMs in its own failure domain with which a VM compares revisions.
+LOCAL_REVISION_PEERS = 2
 # Smallest number of VMs advertised to a caller, so that one remains if another
 # is lost.
 MIN_ADVERTISED = 2
@@ -235,6 +237,34 @@
     return usable[ranking(vm.name, names)[0]] if names else None
 
 
+def select_revision_peers(vm: Member, serving: list[Member]) -> list[Member]:
+    """Returns the members with which a VM compares revisions of the store.
+
+    They are few, so that connections to them stay open. One is in another
+    failure domain, since the VMs of a domain may be out of date together.
+
+    Args:
+        vm: The VM.
+        serving: Members that serve callers; they read the store themselves.
+
+    Returns:
+        Up to LOCAL_REVISION_PEERS members of the VM's own failure domain and
+        one of another. Empty if the VM itself is not serving.
+    """
+    if all(member.name != vm.name for member in serving):
+        return []
+    others = {
+        member.name: member
+        for member in serving
+        if member.peer_address and member.name != vm.name
+    }
+    local = [name for name, m in others.items() if m.domain == vm.domain]
+    remote = [name for name, m in others.items() if m.domain != vm.domain]
+    chosen = ranking(vm.name, local)[:LOCAL_REVISION_PEERS]
+    chosen += ranking(vm.name, remote)[:1]
+    return [others[name] for name in chosen]
+
+
 def select_for_caller(
     caller_domain: str, serving: list[Member]
 ) -> list[Member]:
--- a/libs/core/tests/test_members.py
+++ b/libs/core/tests/test_members.py
@@ -10,6 +10,7 @@
     RecentPeak,
     select_change_source,
     select_for_caller,
+    select_revision_peers,
     select_serving,
 )
 
@@ -188,3 +189,45 @@
     after = {m.name for m in select_serving(live[1:], {"a": 5}, max_members=2)}
     assert before == {"a0", "a1"}
     assert after == {"a1", "a2"}
+
+
+def _peers(domain, count):
+    return [
+        Member(f"{domain}{n}", f"10.0.0.{n}:80", domain, peer_address=f"{n}")
+        for n in range(count)
+    ]
+
+
+def test_revisions_are_compared_within_and_across_domains():
+    """The VMs of a domain may be out of date together."""
+    serving = _peers("a", 4) + _peers("b", 4)
+    for vm in serving:
+        peers = select_revision_peers(vm, serving)
+        assert vm not in peers
+        domains = sorted(peer.domain == vm.domain for peer in peers)
+        assert domains == [False, True, True]
+
+
+def test_every_vm_is_a_peer_of_another():
+    """News spreads from any VM to all, whoever has it first."""
+    serving = _peers("a", 3) + _peers("b", 3) + _peers("c", 3)
+    neighbours = {vm: select_revision_peers(vm, serving) for vm in serving}
+    for start in serving:
+        reached = {start}
+        while True:
+            # An exchange informs both sides.
+            more = {
+                vm
+                for vm, peers in neighbours.items()
+                if vm in reached or reached.intersection(peers)
+            }
+            more |= {peer for vm in reached for peer in neighbours[vm]}
+            if more == reached:
+                break
+            reached = more
+        assert reached == set(serving)
+
+
+def test_spare_vm_compares_no_revisions():
+    """It hears the revision from its feed."""
+    assert select_revision_peers(C1, _peers("a", 3)) == []
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -14,7 +14,7 @@
 from sapphire_core.retrybudget import RetryBudgetPolicy
 from sapphire_core.routing import ClientLimits
 
-from sapphire_gateway import telemetry
+from sapphire_gateway import revisionexchange, telemetry
 from sapphire_gateway.callers import Caller, CallerServer
 from sapphire_gateway.delegated_calls import HelperPool, HelperServer
 from sapphire_gateway.feed import FeedClient, FeedServer
@@ -24,6 +24,7 @@
 from sapphire_gateway.headernames import HeaderNames
 from sapphire_gateway.messages import Request, Response
 from sapphire_gateway.pool import LeafPool
+from sapphire_gateway.revisionexchange import RevisionExchange, RevisionServer
 from sapphire_gateway.store import Store
 from sapphire_gateway.sync import Sync
 
@@ -79,17 +80,26 @@
 class PeerServer:
     """Serves requests of other VMs of the fleet."""
 
-    def __init__(self, feed: FeedServer, helper: HelperServer) -> None:
+    def __init__(
+        self,
+        feed: FeedServer,
+        helper: HelperServer,
+        revisions: RevisionServer,
+    ) -> None:
         self._feed = feed
         self._helper = helper
+        self._revisions = revisions
 
     async def handle(self, request: Request) -> Response:
         """Answers a request.
 
-        POST requests ask for calls to leaves, all others for changes.
+        POST requests ask for calls to leaves, all others for the revision or
+        for changes.
         """
         if request.method == b"POST":
             return await self._helper.handle(request)
+        if request.target.startswith(revisionexchange.PATH.encode()):
+            return self._revisions.handle(request)
         return await self._feed.handle(request)
 
 
@@ -220,10 +230,13 @@
                 ),
             ),
             HelperServer(fleet),
+            RevisionServer(self._view.freshness),
         )
         fleet.helpers = HelperPool(fleet, nursery)
         await self._listen(nursery, self._settings.peer_address, peers.handle)
         nursery.start_soon(sync.run)
+        exchange = RevisionExchange(fleet, self_member, nursery)
+        nursery.start_soon(exchange.run)
         telemetry.DATA_AGE.set_function(
             lambda: self._view.freshness.age_s(trio.current_time())
         )
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -95,6 +95,12 @@
     "Revision of the platform's store up to which changes were applied.",
     registry=REGISTRY,
 )
+REVISION_EXCHANGES = Counter(
+    "sapphirecross_revision_exchanges_total",
+    "Revisions exchanged with other VMs, by result: ok, rejected or failed.",
+    ["result"],
+    registry=REGISTRY,
+)
 DATA_AGE = Gauge(
     "sapphirecross_data_age_seconds",
     "Time since the copy of the platform's store was known to be current.",
--- /dev/null
+++ b/libs/gateway/tests/test_revisionexchange.py
@@ -0,0 +1,113 @@
+"""Tests of the exchange of revisions between VMs."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+from gateway_harness import HEADER_NAMES
+from sapphire_core.members import Member
+from sapphire_core.retrybudget import RetryBudgetPolicy
+from sapphire_core.routing import ClientLimits
+from sapphire_gateway.callers import CallerServer
+from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.fleet_view import FleetView
+from sapphire_gateway.messages import Request, Response
+from sapphire_gateway.pool import LeafPool
+from sapphire_gateway.revisionexchange import (
+    EXCHANGE_INTERVAL_S,
+    RevisionExchange,
+    RevisionServer,
+)
+
+
+async def serve_peer(nursery, handle):
+    """Serves a handler on loopback and returns the address."""
+
+    async def handle_request(request, caller):
+        return handle(request)
+
+    server = CallerServer(
+        handle_request, ClientLimits, lambda: False, lambda _r, _n: None
+    )
+    with trio.socket.socket() as sock:
+        await sock.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+    await nursery.start(server.serve, address)
+    return address
+
+
+def run_exchange(test, make_handler):
+    """Runs a test with a VM and a peer that answers with a handler.
+
+    The handler is made from the peer's view.
+    """
+
+    async def main():
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                views = FleetView("vm1"), FleetView("vm2")
+                address = await serve_peer(nursery, make_handler(views[1]))
+                own = Member("vm1", "a:1", "z1", peer_address="a:2")
+                peer = Member("vm2", "b:1", "z1", peer_address=address)
+                for member in (own, peer):
+                    views[0].members.put(member)
+                fleet = Fleet(
+                    views[0],
+                    LeafPool(nursery, HEADER_NAMES),
+                    HEADER_NAMES,
+                    "z1",
+                    RetryBudgetPolicy(0.2, 50.0, 10.0),
+                )
+                exchange = RevisionExchange(fleet, own, nursery)
+                nursery.start_soon(exchange.run)
+                await test(*views)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def server_handler(view):
+    return RevisionServer(view.freshness).handle
+
+
+@pytest.mark.parametrize(("own", "others"), [(5, 9), (9, 5)])
+def test_both_vms_learn_the_newer_revision(own, others):
+    """A VM whose watch is silent hears that it is behind, or is asked it."""
+
+    async def test(view, peer_view):
+        now = trio.current_time()
+        view.freshness.record_current(own, now)
+        peer_view.freshness.record_current(others, now)
+        await trio.sleep(EXCHANGE_INTERVAL_S + 0.3)
+        assert view.freshness.newest_revision == 9
+        assert peer_view.freshness.newest_revision == 9
+
+    run_exchange(test, server_handler)
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        Response(503, [], b"99"),
+        Response(200, [], b""),
+        Response(200, [], b"-1"),
+        Response(200, [], b"9" * 5000),
+        Response(200, [], "²".encode("latin-1")),
+    ],
+)
+def test_unusable_answer_is_ignored(response):
+    """A broken peer ends neither the exchange nor the process."""
+
+    async def test(view, peer_view):
+        view.freshness.record_current(5, trio.current_time())
+        await trio.sleep(EXCHANGE_INTERVAL_S + 0.3)
+        assert view.freshness.newest_revision == 5
+
+    run_exchange(test, lambda _: lambda _: response)
+
+
+@pytest.mark.parametrize("target", [b"/revision", b"/revision?known=x"])
+def test_unusable_question_is_rejected(target):
+    view = FleetView("vm1")
+    request = Request(b"GET", target, [], b"", True)
+    assert RevisionServer(view.freshness).handle(request).status == 400
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 
 import fire
 
+from soak.faults import FAULTS
 from soak.runner import Result, run_seed
 
 MAX_PRINTED_VIOLATIONS = 10
@@ -37,6 +38,7 @@
     length: float = 15.0,
     jobs: int = 2,
     keep: str | None = None,
+    faults: str | None = None,
 ) -> None:
     """Runs consecutive seeds; exits with 1 if a guarantee was violated.
 
@@ -53,9 +55,18 @@
             process that runs the rest of the test.
         keep: Folder in which the gateways' settings and logs are kept; without
             it they are removed after the run.
+        faults: Names of the faults to choose from, separated by commas; all by
+            default.
     """
+    # Fire turns a list of words into a tuple.
+    names = faults.split(",") if isinstance(faults, str) else faults
     seeds = range(first, first + count)
-    run = functools.partial(run_seed, fault_phase_s=length, output_folder=keep)
+    run = functools.partial(
+        run_seed,
+        fault_phase_s=length,
+        output_folder=keep,
+        fault_names=tuple(names or FAULTS),
+    )
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
         results = []
         for result in pool.map(run, seeds):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -33,6 +33,12 @@
 # Time between the end of a gateway or leaf and its next start.
 RESTART_DELAY_S = 0.4
 STORE_DELAY_S = 0.1
+# Time for which changes are hidden from watches before the history ends, and
+# shortest and longest time between the reset of the watches and its end.
+HIDDEN_CHANGES_S = 1.0
+ACCEPTING_RANGE_S = (0.02, 0.3)
+# Probability with which each open connection is silenced.
+SILENCED_SHARE = 0.5
 # Factor by which a slow leaf's work takes longer.
 SLOW_LEAF_FACTOR = 20
 # Probability that a reply has status 500 and, independently, that it has a
@@ -216,6 +222,34 @@
     environment.store.compact_history()
 
 
+async def _compact_history_with_gap(environment: Environment) -> None:
+    """Discards the history so that a watch may be accepted and not answered.
+
+    Changes are hidden from watches, which are then reset, and the history ends
+    a moment later. All gateways count as disturbed until the history has ended.
+    """
+    store = environment.store
+    environment.record_disturbance_of_all(HIDDEN_CHANGES_S)
+    store.hide_changes()
+    await trio.sleep(HIDDEN_CHANGES_S)
+    store.reset_watches()
+    await trio.sleep(environment.rng.uniform(*ACCEPTING_RANGE_S))
+    store.forget_hidden_changes()
+    environment.record_disturbance_of_all()
+
+
+async def _silence_store_connections(environment: Environment) -> None:
+    """Silences some of a gateway's connections to the store for good.
+
+    New connections work, and nothing resets the silent ones.
+    """
+    gateway = environment.random_gateway()
+    gateway.record_disturbance()
+    environment.store_proxies[gateway.name].silence_replies(
+        environment.rng, SILENCED_SHARE
+    )
+
+
 async def _disrupt_leaf_connections(
     environment: Environment, mode: Mode
 ) -> None:
@@ -319,6 +353,8 @@
     "store_slow": _slow_store,
     "store_answers_lost": _drop_store_replies,
     "history_compaction": _compact_store_history,
+    "history_gap": _compact_history_with_gap,
+    "store_connections_silent": _silence_store_connections,
     "leaf_stalls": _stall_leaf,
     "leaf_replies_stall": _stall_leaf_replies,
     "leaf_reset": _reset_leaf_connections,
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import enum
+from random import Random
 
 import trio
 
@@ -47,6 +48,8 @@
         self.delay_s = 0.0
         self._mode_changed = trio.Event()
         self._connection_scopes: set[trio.CancelScope] = set()
+        # Connections whose replies are held back until they are closed.
+        self._silenced: set[trio.CancelScope] = set()
 
     def set_mode(self, mode: Mode) -> None:
         """Sets the mode of open and new connections."""
@@ -58,6 +61,17 @@
         if mode is Mode.RESET:
             self.close_all()
 
+    def silence_replies(self, rng: Random, share: float) -> None:
+        """Holds back the replies of some open connections for good.
+
+        Args:
+            rng: Chooses the connections.
+            share: Probability with which each of them is chosen.
+        """
+        for scope in self._connection_scopes:
+            if rng.random() < share:
+                self._silenced.add(scope)
+
     def close_all(self) -> None:
         """Closes all open connections."""
         for scope in self._connection_scopes:
@@ -91,6 +105,7 @@
                     await self._copy(server, client, scope, is_reply=True)
             finally:
                 self._connection_scopes.discard(scope)
+                self._silenced.discard(scope)
 
     async def _copy(
         self,
@@ -103,6 +118,8 @@
         with contextlib.suppress(*_CONNECTION_ERRORS):
             while data := await source.receive_some(READ_BYTES):
                 await self._delay_or_stall(is_reply)
+                if is_reply and connection_scope in self._silenced:
+                    await trio.sleep_forever()
                 await sink.send_all(data)
         connection_scope.cancel()
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -5,7 +5,7 @@
 import contextlib
 import pathlib
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -79,7 +79,10 @@
 
 
 async def run_in_folder(
-    seed: int, fault_phase_s: float, folder: pathlib.Path
+    seed: int,
+    fault_phase_s: float,
+    folder: pathlib.Path,
+    fault_names: Sequence[str] = tuple(FAULTS),
 ) -> Result:
     """Injects the faults of a seed and checks the guarantees.
 
@@ -89,6 +92,7 @@
         fault_phase_s: Time during which faults are started, in seconds. The
             last faults may end later, and FAULT_FREE_S follows.
         folder: Folder for settings and logs.
+        fault_names: Faults to choose from, in FAULTS.
     """
     result = Result(seed)
     async with _running_environment(seed, folder) as (environment, nursery):
@@ -108,7 +112,7 @@
             while (
                 elapsed_s := trio.current_time() - phase_started_at
             ) < fault_phase_s:
-                fault_name = environment.rng.choice(list(FAULTS))
+                fault_name = environment.rng.choice(fault_names)
                 result.faults.append(f"{elapsed_s:.1f} {fault_name}")
                 fault_nursery.start_soon(FAULTS[fault_name], environment)
                 await trio.sleep(
@@ -266,7 +270,10 @@
 
 
 def run_seed(
-    seed: int, fault_phase_s: float, output_folder: str | None = None
+    seed: int,
+    fault_phase_s: float,
+    output_folder: str | None = None,
+    fault_names: Sequence[str] = tuple(FAULTS),
 ) -> Result:
     """Runs a seed in an event loop of its own.
 
@@ -275,10 +282,13 @@
         fault_phase_s: Time during which faults are started, in seconds.
         output_folder: Folder in which a folder `seed-<seed>` with settings and
             logs is created; without it they are removed after the run.
+        fault_names: Faults to choose from, in FAULTS.
     """
     if output_folder is not None:
         folder = pathlib.Path(output_folder) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        return trio.run(run_in_folder, seed, fault_phase_s, folder)
+        return trio.run(run_in_folder, seed, fault_phase_s, folder, fault_names)
     with tempfile.TemporaryDirectory() as name:
-        return trio.run(run_in_folder, seed, fault_phase_s, pathlib.Path(name))
+        return trio.run(
+            run_in_folder, seed, fault_phase_s, pathlib.Path(name), fault_names
+        )
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -89,6 +89,9 @@
         self._lease_ids = itertools.count(7001)
         self._compacted_revision = 0
         self._changed = trio.Event()
+        # Watches that wait; each is a scope whose cancellation resets it.
+        self._waiting_watches: set[trio.CancelScope] = set()
+        self._hides_changes = False
         self.revision = 1
         self.is_overloaded = False
         # While set, kv-txn requests are applied, but their replies are never
@@ -115,6 +118,24 @@
         self._compacted_revision = self.revision
         self._notify()
 
+    def hide_changes(self) -> None:
+        """From now on, watches are not told of changes."""
+        self._hides_changes = True
+
+    def reset_watches(self) -> None:
+        """Ends the watches that wait, with status 503."""
+        for scope in self._waiting_watches:
+            scope.cancel()
+
+    def forget_hidden_changes(self) -> None:
+        """Discards the history; watches that wait hear of it at a change.
+
+        Until then they stay silent, although they have missed changes.
+        """
+        self._history.clear()
+        self._compacted_revision = self.revision
+        self._hides_changes = False
+
     async def run(self) -> None:
         """Removes expired leases and their keys until cancelled."""
         while True:
@@ -165,12 +186,21 @@
 
     async def _watch(self, query: dict[str, str]) -> Response:
         after_revision = int(query["after"])
-        with trio.move_on_after(int(query["WaitMs"]) / 1000):
-            while (
-                self.revision <= after_revision
-                and after_revision >= self._compacted_revision
-            ):
-                await self._changed.wait()
+        with trio.CancelScope() as reset:
+            self._waiting_watches.add(reset)
+            try:
+                with trio.move_on_after(int(query["WaitMs"]) / 1000):
+                    while self._hides_changes or (
+                        self.revision <= after_revision
+                        and after_revision >= self._compacted_revision
+                    ):
+                        await self._changed.wait()
+            finally:
+                self._waiting_watches.discard(reset)
+        if reset.cancelled_caught:
+            return Response(503, [])
+        if self._hides_changes:
+            return _json_response({"events": [], "CurrentRev": after_revision})
         if after_revision < self._compacted_revision:
             return Response(410, [])
         events = [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -41,6 +41,17 @@
     assert result.served > 0
 
 
+def test_silent_store_connections_are_noticed():
+    """Guards against a watch that is lost without a sign.
+
+    With watches that wait without a check, this run served an old configuration
+    for over ten seconds.
+    """
+    faults = ("store_connections_silent", "configuration")
+    result = run_seed(1, fault_phase_s=8.0, fault_names=faults)
+    assert result.violations == [], result.faults
+
+
 def _gateway():
     return Gateway(
         name="g", host="127.0.0.1", failure_domain="za", folder=pathlib.Path()
