wire: Tell a reply that is not HTTP from a crash, and reject extreme JSON

Callers: a search was refused as one that crashes leaves after two leaves had sent wrong bytes. Cause: httpcore has one error for wrong bytes and an early end, and both counted as a crash. A score of 400 digits raised OverflowError, and deeply nested JSON RecursionError, which no caller of the client handles. All are LeafReplyError now.

--- a/libs/wire/src/sapphire_wire/leaf.py
+++ b/libs/wire/src/sapphire_wire/leaf.py
@@ -29,6 +29,7 @@
     HttpClient,
     HttpConnectError,
     HttpConnectionLostError,
+    HttpMalformedReplyError,
     HttpReply,
     HttpTimeoutError,
 )
@@ -158,19 +159,16 @@
 
         Raises:
             LeafUnreachableError: Nothing was sent.
-            LeafCrashedError: The connection was lost, or the reply is not valid
-                HTTP; the batch may have run.
+            LeafCrashedError: The connection was lost; the batch may have run.
             LeafNoReplyError: No complete reply in time; the batch may still
                 be running.
             LeafTimeoutError: The leaf ended the batch at its deadline.
-            LeafReplyError: The reply is malformed or belongs to another
-                request.
+            LeafReplyError: The reply is malformed, not valid HTTP, or belongs
+                to another request.
             LeafOverloadedError: The leaf lacks capacity.
             LeafColdError: The leaf is in a cold start.
             LeafDrainingError: The leaf is leaving service.
             VersionGoneError: The leaf no longer has the version.
-            OverflowError: A score is an integer that is too large for a float.
-            RecursionError: The JSON of the reply is nested too deeply.
         """
         fields = {
             "batch_id": batch_id,
@@ -197,7 +195,6 @@
         Raises:
             LeafError: One of the errors that search raises; only
                 LeafUnreachableError means that no byte was sent.
-            RecursionError: The JSON of the reply is nested too deeply.
         """
         fields = {"key": key, "body": body}
         reply = await self._call_with_deadline("/submit", fields, remaining)
@@ -210,7 +207,6 @@
 
         Raises:
             LeafError: The leaf did not return a valid reply.
-            RecursionError: The JSON of the reply is nested too deeply.
         """
         reply = await self._send("GET", "/index", None, timeout_s)
         with self._replace_client_on_bad_reply():
@@ -271,10 +267,13 @@
             raise LeafUnreachableError(
                 f"no connection to leaf {self._address} could be opened."
             ) from error
+        except HttpMalformedReplyError as error:
+            raise LeafReplyError(
+                f"leaf {self._address} sent a reply that is not HTTP."
+            ) from error
         except HttpConnectionLostError as error:
             # A crash of the leaf shows only as a lost connection, so each lost
-            # connection counts as a crash. So does a reply that is not valid
-            # HTTP, because it raises the same error.
+            # connection counts as a crash.
             raise LeafCrashedError(
                 f"leaf {self._address} closed the connection before the"
                 " reply was complete."
@@ -329,7 +328,7 @@
 def _decode_object(reply: HttpReply) -> dict[str, Any]:
     try:
         fields = reply.json()
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise LeafReplyError("the reply is not JSON.") from error
     if not isinstance(fields, dict):
         raise LeafReplyError("the reply is not a JSON object.")
@@ -361,7 +360,8 @@
             [_parse_hit(match) for match in _require_list(by_id[query.id])]
             for query in queries
         ]
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        # A score may be an integer that is too large for a float.
         raise LeafReplyError(f"malformed reply: {error!r}.") from error
     return SearchReply(documents, matches)
 
--- a/libs/wire/src/sapphire_wire/web.py
+++ b/libs/wire/src/sapphire_wire/web.py
@@ -84,6 +84,17 @@
     """
 
 
+# Texts of httpcore's errors about a connection that ends before the reply does.
+_EARLY_END_TEXTS = ("Server disconnected", "closed connection")
+
+
+class HttpMalformedReplyError(HttpConnectionLostError):
+    """The server sent bytes that are not a valid HTTP reply.
+
+    The request may have been sent and run.
+    """
+
+
 class HttpTimeoutError(Exception):
     """No complete reply within the timeout.
 
@@ -160,7 +171,8 @@
         Raises:
             HttpConnectError: No connection could be opened; nothing was sent.
             HttpConnectionLostError: The connection was lost, or the reply is
-                not valid HTTP; the request may have run.
+                not valid HTTP (HttpMalformedReplyError); the request may have
+                run.
             HttpTimeoutError: No complete reply within timeout_s; the request
                 may have run.
         """
@@ -187,6 +199,10 @@
             raise HttpConnectError(str(error)) from error
         except trio.TooSlowError as error:
             raise HttpTimeoutError(f"no reply in {timeout_s:.3f} s") from error
+        except httpcore.RemoteProtocolError as error:
+            if _is_malformed(error):
+                raise HttpMalformedReplyError(str(error)) from error
+            raise HttpConnectionLostError(str(error)) from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise HttpConnectionLostError(str(error)) from error
         except httpcore.TimeoutException as error:
@@ -197,3 +213,11 @@
     async def aclose(self) -> None:
         """Closes all connections."""
         await self._pool.aclose()
+
+
+def _is_malformed(error: httpcore.RemoteProtocolError) -> bool:
+    """Returns whether the server sent wrong bytes instead of closing.
+
+    httpcore uses one error for both, and only its text tells them apart.
+    """
+    return not any(text in str(error) for text in _EARLY_END_TEXTS)
--- a/libs/wire/tests/test_leaf.py
+++ b/libs/wire/tests/test_leaf.py
@@ -151,11 +151,21 @@
     return LeafClient(f"127.0.0.1:{port}", 2)
 
 
-def test_lost_and_refused_connections_have_different_errors():
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc",
+    ],
+)
+def test_lost_and_refused_connections_have_different_errors(sent):
     """Guards against a crash that is reported as a request not sent."""
 
     async def close(stream):
         await stream.receive_some()
+        await stream.send_all(sent)
         await stream.aclose()
 
     async def main():
@@ -233,3 +243,43 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        # An integer that is too large for a float.
+        json.dumps(GOOD).replace('"score": 2', '"score": 1' + "0" * 400),
+        "[" * 100_000,
+    ],
+)
+def test_reply_with_extreme_json_is_rejected(body):
+    """Guards against errors that no caller of the client handles."""
+    with pytest.raises(LeafReplyError):
+        _search(200, body.encode())
+
+
+def test_reply_that_is_not_http_is_no_crash():
+    """A leaf that sends wrong bytes runs on, and its request is not to blame.
+
+    A request that crashes two leaves is refused.
+    """
+
+    async def main():
+        async def send_wrong_bytes(stream):
+            await stream.receive_some()
+            await stream.send_all(b"no http at all\r\n\r\n")
+            await stream.receive_some()
+
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, send_wrong_bytes, 0)
+            port = listeners[0].socket.getsockname()[1]
+            client = LeafClient(f"127.0.0.1:{port}", 1)
+            with pytest.raises(LeafReplyError):
+                await client.search(
+                    "b1", "v1", 1, QUERIES, remaining=lambda: 2.0
+                )
+            await client.aclose()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
