--- a/libs/wire/src/sapphire_wire/platform.py
+++ b/libs/wire/src/sapphire_wire/platform.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import urllib.parse
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from prometheus_client import Counter
 from sapphire_core.errors import (
@@ -24,6 +26,7 @@
 CALL_TIMEOUT_S = 1.0
 WATCH_WAIT_S = 30.0
 MAX_CONNECTIONS = 8
+_DECODE_ERRORS = (ValueError, KeyError, TypeError, RecursionError)
 
 _PLATFORM_CALLS = Counter(
     "sapphirecross_platform_calls_total",
@@ -64,12 +67,10 @@
         """Reads a key.
 
         Raises:
-            PlatformUnavailableError: No reply with status 200 within
-                CALL_TIMEOUT_S.
-            ValueError, KeyError, TypeError: The body of the reply is malformed.
+            PlatformUnavailableError: No valid reply within CALL_TIMEOUT_S.
         """
         reply = await self._call("get", "GET", _key_path(key))
-        return _versioned_value(reply)
+        return _versioned_value("get", reply)
 
     async def put(self, key: str, value: str, expect: int) -> int:
         """Writes a key by compare-and-swap.
@@ -105,7 +106,7 @@
             ) from error
         if reply.status == 409:
             _PLATFORM_CALLS.labels("put", "conflict").inc()
-            raise WriteConflictError(key, expect, reply.json()["version"])
+            raise WriteConflictError(key, expect, _written_version(key, reply))
         if reply.status == 429:
             _PLATFORM_CALLS.labels("put", "limited").inc()
             raise PlatformUnavailableError(
@@ -118,7 +119,7 @@
                 f" unexpected status {reply.status}; its outcome is unknown."
             )
         _PLATFORM_CALLS.labels("put", "ok").inc()
-        return int(reply.json()["version"])
+        return _written_version(key, reply)
 
     async def watch(self, key: str, after: int) -> VersionedValue:
         """Waits for a change of a key and returns its newest value.
@@ -130,31 +131,32 @@
             after: Version that the caller has; a higher one is a change.
 
         Raises:
-            PlatformUnavailableError: No reply with status 200.
-            ValueError, KeyError, TypeError: The body of the reply is malformed.
+            PlatformUnavailableError: No valid reply.
         """
         wait_ms = round(WATCH_WAIT_S * 1000)
         path = f"/watch/{_quote(key)}?after={after}&wait_ms={wait_ms}"
         reply = await self._call(
             "watch", "GET", path, timeout_s=WATCH_WAIT_S + CALL_TIMEOUT_S
         )
-        return _versioned_value(reply)
+        return _versioned_value("watch", reply)
 
     async def vms(self) -> VmLists:
         """Reads the list of VMs, which lags behind the VMs' actual state.
 
         Raises:
             PlatformUnavailableError: No address of a list is configured, or
-                there was no reply with status 200.
-            ValueError, KeyError, TypeError: The body of the reply is malformed.
+                there was no valid reply.
         """
         if self._vms is None:
             raise PlatformUnavailableError(
                 "no address of a VM list is configured."
             )
         reply = await self._call("vms", "GET", "/vms", client=self._vms)
-        lists = reply.json()
-        return VmLists(frozenset(lists["live"]), frozenset(lists["leaving"]))
+        with _malformed_as_unavailable("vms"):
+            lists = reply.json()
+            return VmLists(
+                _string_set(lists["live"]), _string_set(lists["leaving"])
+            )
 
     async def aclose(self) -> None:
         """Closes all connections."""
@@ -202,9 +204,54 @@
     return f"/kv/{_quote(key)}"
 
 
-def _versioned_value(reply: HttpReply) -> VersionedValue:
-    fields = reply.json()
-    return VersionedValue(fields["value"], int(fields["version"]))
+@contextlib.contextmanager
+def _malformed_as_unavailable(operation: str) -> Iterator[None]:
+    """Converts the errors of decoding a reply's body."""
+    try:
+        yield
+    except _DECODE_ERRORS as error:
+        raise PlatformUnavailableError(
+            f"the platform replied to the {operation!r} request with a"
+            f" malformed body: {error!r}."
+        ) from error
+
+
+def _versioned_value(operation: str, reply: HttpReply) -> VersionedValue:
+    with _malformed_as_unavailable(operation):
+        fields = reply.json()
+        value = fields["value"]
+        if type(value) is not str:
+            raise ValueError(f"expected a string, got {value!r}")
+        return VersionedValue(value, _version(fields))
+
+
+def _written_version(key: str, reply: HttpReply) -> int:
+    """Returns the version in a reply to a write.
+
+    Raises:
+        WriteUnconfirmedError: The body of the reply is malformed.
+    """
+    try:
+        return _version(reply.json())
+    except _DECODE_ERRORS as error:
+        raise WriteUnconfirmedError(
+            f"the platform replied to the write of {key!r} with a malformed"
+            " body; its outcome is unknown."
+        ) from error
+
+
+def _version(fields: dict[str, Any]) -> int:
+    version = fields["version"]
+    if type(version) is not int or version < 0:
+        raise ValueError(f"expected a version, got {version!r}")
+    return version
+
+
+def _string_set(values: object) -> frozenset[str]:
+    # Iteration would accept a string as a list of its characters.
+    if type(values) is not list or any(type(v) is not str for v in values):
+        raise ValueError(f"expected a list of strings, got {values!r}")
+    return frozenset(values)
 
 
 def join_key(parts: Sequence[str]) -> str:
