wire: End only the connection if it fails in two ways at once

A stream that breaks while a frame cannot be decoded left serve_stream as a group of two errors, which nothing handles, and ended the daemon.

--- a/libs/wire/src/sapphire_wire/channel.py
+++ b/libs/wire/src/sapphire_wire/channel.py
@@ -42,6 +42,8 @@
 Reply = Callable[[Any], None]
 Handler = Callable[[Any, Reply], Awaitable[None]]
 
+_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+
 
 class FrameWriter:
     """Writes frames to a stream and batches queued frames into one write."""
@@ -127,8 +129,8 @@
 
     async with stream:
         # Failures in the nursery arrive as a group, which suppress does not
-        # match in Python 3.11; _as_channel_error replaces a group of failures
-        # of one kind by one error. Other groups are not suppressed.
+        # match in Python 3.11; _as_channel_error replaces it by one error.
+        # Groups with other exceptions are not suppressed.
         with contextlib.suppress(
             trio.BrokenResourceError, trio.ClosedResourceError, ChannelError
         ):
@@ -152,16 +154,17 @@
     The errors have sent=True, because requests on the connection may have
     reached the peer.
 
-    A single error results only if all failures are of the same kind: failures
-    of the connection, or ChannelErrors. A group with failures of both kinds is
-    replaced by a group of two ChannelErrors, and a group that also contains
-    other exceptions remains a group.
+    A group that also contains other exceptions remains a group.
     """
     try:
         yield
-    except* (trio.BrokenResourceError, trio.ClosedResourceError) as group:
-        raise ChannelError("the connection failed.", sent=True) from group
-    except* ChannelError as group:
+    except _STREAM_ERRORS as error:
+        raise ChannelError("the connection failed.", sent=True) from error
+    except BaseExceptionGroup as group:
+        if group.split((*_STREAM_ERRORS, ChannelError))[1] is not None:
+            raise
+        if group.subgroup(ChannelError) is None:
+            raise ChannelError("the connection failed.", sent=True) from group
         raise ChannelError(
             "a frame from the peer could not be decoded or handled.", sent=True
         ) from group
--- a/libs/wire/tests/test_channel.py
+++ b/libs/wire/tests/test_channel.py
@@ -57,3 +57,25 @@
             assert caught.value.sent
 
     trio.run(main)
+
+
+def test_failures_of_both_kinds_end_only_the_connection():
+    """Guards against a peer that ends the daemon.
+
+    The connection may fail while a frame of the peer cannot be decoded.
+    """
+
+    async def raise_error(error):
+        raise error
+
+    async def main():
+        async with (
+            channel._as_channel_error(),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(raise_error, trio.BrokenResourceError())
+            error = ChannelError("wrong bytes.", sent=True)
+            nursery.start_soon(raise_error, error)
+
+    with pytest.raises(ChannelError):
+        trio.run(main)
