--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -124,20 +124,23 @@
 )
 
 
-class _StdoutWriter:
+class LineWriter:
     """Writes lines without blocking; counts lines that cannot be written."""
 
-    def __init__(self) -> None:
-        self._descriptor = sys.stdout.fileno()
+    def __init__(self, descriptor: int) -> None:
+        """Makes a file descriptor non-blocking to write lines to it."""
+        self._descriptor = descriptor
         os.set_blocking(self._descriptor, False)
 
     def write(self, line: bytes) -> None:
         """Writes one line, or counts it as suppressed.
 
-        A line that exceeds MAX_LINE_BYTES is cut off and loses its line break.
+        A line that exceeds MAX_LINE_BYTES is cut off.
         """
+        if len(line) > MAX_LINE_BYTES:
+            line = line[: MAX_LINE_BYTES - 1] + b"\n"
         try:
-            os.write(self._descriptor, line[:MAX_LINE_BYTES])
+            os.write(self._descriptor, line)
         except OSError:
             SUPPRESSED.inc()
 
@@ -192,7 +195,7 @@
 
 def start() -> None:
     """Sends log lines to standard output."""
-    eliot.to_file(_StdoutWriter())
+    eliot.to_file(LineWriter(sys.stdout.fileno()))
 
 
 def event(kind: str, **fields: object) -> None:
--- a/libs/gateway/tests/test_telemetry.py
+++ b/libs/gateway/tests/test_telemetry.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+
 import sapphire_entry.metrics  # noqa: F401
 from sapphire_gateway import telemetry
 
@@ -17,3 +19,16 @@
         b'sapphirecross_requests_total{request_class="priority-2",'
         b'result="good",service="r-1"} 1.0' in telemetry.metrics_text()
     )
+
+
+def test_long_line_keeps_its_line_break():
+    """Guards against two lines that become one, which no reader can parse."""
+    reader, descriptor = os.pipe()
+    writer = telemetry.LineWriter(descriptor)
+    writer.write(b"x" * 10_000 + b"\n")
+    writer.write(b"y\n")
+    first, second, rest = os.read(reader, 20_000).split(b"\n")
+    assert len(first) == telemetry.MAX_LINE_BYTES - 1
+    assert (second, rest) == (b"y", b"")
+    os.close(reader)
+    os.close(descriptor)
