gateway: Tell requests that crash leaves apart by host

Two hosts can have routes of the same path. A request that crashed leaves through one host was refused at the other.

--- a/libs/gateway/src/sapphire_gateway/crashes.py
+++ b/libs/gateway/src/sapphire_gateway/crashes.py
@@ -18,14 +18,19 @@
 
 
 def fingerprint(
-    method: bytes, target: bytes, body: bytes, caller_host: str
+    method: bytes, host: bytes, target: bytes, body: bytes, caller_host: str
 ) -> str:
     """Returns a hash that is equal for repeated requests of one caller.
 
-    Headers, Host included, are not part of the hash.
+    Args:
+        method: Method of the request.
+        host: Its header Host; other headers are not part of the hash.
+        target: Its target.
+        body: Its body.
+        caller_host: IP address of the caller.
     """
     digest = hashlib.blake2b(digest_size=12)
-    for part in (method, target, caller_host.encode(), body):
+    for part in (method, host.lower(), target, caller_host.encode(), body):
         digest.update(b"%d:" % len(part))
         digest.update(part)
     return digest.hexdigest()
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -145,7 +145,11 @@
             request.body,
             request.method == HEAD,
             fingerprint(
-                request.method, request.target, request.body, caller_host
+                request.method,
+                header(request.headers, b"host") or b"",
+                request.target,
+                request.body,
+                caller_host,
             ),
             route,
             parts,
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -53,17 +53,18 @@
     assert tracker.is_refused("a", 11.0)
 
 
-def test_fingerprint_differs_by_caller_target_and_body():
-    """Requests of other callers, targets or bodies have other fingerprints."""
-    known = fingerprint(b"GET", b"/a/1", b"", "10.0.0.1")
-    assert known == fingerprint(b"GET", b"/a/1", b"", "10.0.0.1")
+def test_fingerprint_differs_by_caller_host_target_and_body():
+    """Requests of other callers, hosts, targets or bodies have others."""
+    known = fingerprint(b"GET", b"h", b"/a/1", b"", "10.0.0.1")
+    assert known == fingerprint(b"GET", b"h", b"/a/1", b"", "10.0.0.1")
     others = {
-        fingerprint(b"GET", b"/a/1", b"", "10.0.0.2"),
-        fingerprint(b"GET", b"/a/2", b"", "10.0.0.1"),
-        fingerprint(b"POST", b"/a/1", b"x", "10.0.0.1"),
+        fingerprint(b"GET", b"h", b"/a/1", b"", "10.0.0.2"),
+        fingerprint(b"GET", b"h", b"/a/2", b"", "10.0.0.1"),
+        fingerprint(b"GET", b"i", b"/a/1", b"", "10.0.0.1"),
+        fingerprint(b"POST", b"h", b"/a/1", b"x", "10.0.0.1"),
     }
     assert known not in others
-    assert len(others) == 3
+    assert len(others) == 4
 
 
 async def _wait_for_crash_detection():
