platform: Reject unusable weights and ports that are no plain numbers

A configuration with a negative weight, or with weights that are all zero, was adopted; it now counts as unreadable and the last valid one stays in force. A leaf's port such as 8_0 or +80 was accepted, as int() does.

--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -160,6 +160,28 @@
     ]
 
 
+@pytest.mark.parametrize(
+    "weights", [[-1.0, 2.0], [0.0, 0.0], [float("inf"), 1.0]]
+)
+def test_configuration_with_unusable_weights_is_unreadable(weights):
+    """The last valid configuration stays in force."""
+    split = [
+        {"Service": f"s{index}", "Weight": weight}
+        for index, weight in enumerate(weights)
+    ]
+    route = {**ROUTE, "TrafficSplit": split, "Service": None}
+    config = {**CONFIG, "Routes": [route]}
+    update = decode.decode_write("op/config", json.dumps(config).encode())
+    assert isinstance(update, UnreadableValue)
+
+
+@pytest.mark.parametrize("port", ["8_0", " 80", "+80", "\u0668\u0660"])
+def test_leaf_with_a_port_that_is_no_plain_number_is_removed(port):
+    entry = {**LEAF, "Address": f"10.0.0.9:{port}"}
+    update = decode.decode_write("servers/i-1", json.dumps(entry).encode())
+    assert isinstance(update, LeafRemoval)
+
+
 def test_unknown_kind_is_at_most_once():
     """Guards against repeating requests that may not be idempotent."""
     read = decode_config(Routes=[{**ROUTE, "Kind": "other"}]).configuration
