--- a/libs/ctl/src/sapphire_ctl/cmdline.py
+++ b/libs/ctl/src/sapphire_ctl/cmdline.py
@@ -175,16 +175,17 @@
 
     @_string_arguments
     def _status(self, *, daemons: str = "", entry: str = "") -> None:
-        daemon_list = daemons or os.environ.get(DAEMONS_VARIABLE, "")
+        daemon_list, option = daemons, "--daemons"
+        # --entry takes precedence over the environment variable.
+        if not daemons and not entry:
+            daemon_list = os.environ.get(DAEMONS_VARIABLE, "")
+            option = DAEMONS_VARIABLE
         addresses = [
-            _parse_address("--daemons", a.strip())
-            for a in daemon_list.split(",")
-            if a
+            _parse_address(option, address.strip())
+            for address in daemon_list.split(",")
+            if address
         ]
         source = _parse_address("--entry", entry) if entry else None
-        # --entry takes precedence over the environment variable.
-        if entry and not daemons:
-            addresses = []
         self.action = lambda op: op.status(addresses, source)
 
     @_string_arguments
--- a/libs/ctl/tests/test_cmdline.py
+++ b/libs/ctl/tests/test_cmdline.py
@@ -138,3 +138,12 @@
     _, code, _, errors = run("domain-out pk-north-a")
     assert code == 4
     assert "find-change" in errors
+
+
+def test_entry_takes_precedence_over_a_bad_variable(run, monkeypatch):
+    """The variable is not used then, so its content does not matter."""
+    monkeypatch.setenv("SAPPHIRECROSS_DAEMONS", "no address")
+    _, code, _, error = run("status --entry 10.0.0.1:7300")
+    assert "SAPPHIRECROSS_DAEMONS" not in error
+    assert "--daemons" not in error
+    assert code != cmdline.ExitCode.USAGE
