--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 LIBS := $(wildcard libs/*)
 
-.PHONY: setup format lint types unit model test soak demo fleet bench lock clean
+.PHONY: setup format lint types unit model test fuzz soak demo fleet bench lock clean
 
 setup: $(VENV)/.installed
 
@@ -48,6 +48,13 @@
 soak: setup
 	cd tests && ../$(BIN)/python -m soak $(SOAK_ARGS)
 
+# More examples of the property tests of the borders, for example
+# make fuzz FUZZ_EXAMPLES=100000.
+fuzz: setup
+	FUZZ_EXAMPLES=$(or $(FUZZ_EXAMPLES),20000) $(BIN)/python -m pytest -n 4 \
+	    tests/adapter/test_fuzz_values.py \
+	    libs/gateway/tests/test_fuzz_messages.py libs/wire/tests/test_fuzz_frames.py
+
 demo: setup
 	@$(BIN)/python -m sapphire_bench.demo --fault=$(or $(FAULT),none)
 
