core: Divide limits by the greatest recent number of serving VMs

Cause: RecentPeak remembered when a count was recorded, not how long it held. After more than 30 s without a change of the fleet, entries that vanished in an outage made the peak fall at once, and each VM's share of the retry budget and of the connections grew to that of a fleet of one. It also forgot a second greatest count: 10, 9, then 1 after 31 s gave 1. Change: a sliding maximum over the times at which a count was current. The last line of test_peak_does_not_fall_when_entries_disappear_briefly asked for this fall, against its own name; it now asks that the peak holds and when it ends.

--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Container, Mapping
 from dataclasses import dataclass
 
@@ -116,23 +117,25 @@
 
 
 class RecentPeak:
-    """Tracks the peak of a count over time.
-
-    A peak that is not reached again is replaced by the next count that is
-    recorded after PEAK_WINDOW_S, even if that is lower than others that were
-    recorded meanwhile.
-    """
+    """Greatest count that was current within the last PEAK_WINDOW_S."""
 
     def __init__(self) -> None:
-        self._peak = 0
-        self._peak_at = 0.0
+        # Counts with the time up to which each was current, without those that
+        # a later one equals or exceeds. The counts fall, so the first one is
+        # the peak.
+        self._counts: collections.deque[tuple[int, float]] = collections.deque()
 
     def update(self, count: int, now: float) -> int:
         """Records the current count and returns the recent peak."""
-        if count >= self._peak or now - self._peak_at > PEAK_WINDOW_S:
-            self._peak = count
-            self._peak_at = now
-        return self._peak
+        if self._counts:
+            # The last count was current until now.
+            self._counts[-1] = self._counts[-1][0], now
+        while self._counts and self._counts[-1][0] <= count:
+            self._counts.pop()
+        self._counts.append((count, now))
+        while now - self._counts[0][1] > PEAK_WINDOW_S:
+            self._counts.popleft()
+        return self._counts[0][0]
 
 
 def _is_expired(state: _MemberState, now: float) -> bool:
--- a/libs/core/tests/test_members.py
+++ b/libs/core/tests/test_members.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from hypothesis import given
+from hypothesis import strategies as st
 from sapphire_core.members import (
     MISSING_GRACE_S,
     PEAK_WINDOW_S,
@@ -60,7 +62,38 @@
     assert peak.update(3, 0.0) == 3
     assert peak.update(1, 10.0) == 3
     assert peak.update(4, 12.0) == 4
-    assert peak.update(1, 12.5 + PEAK_WINDOW_S) == 1
+    # Four members were live until now.
+    assert peak.update(1, 12.5 + PEAK_WINDOW_S) == 4
+    assert peak.update(1, 12.5 + 2 * PEAK_WINDOW_S) == 4
+    assert peak.update(1, 12.6 + 2 * PEAK_WINDOW_S) == 1
+
+
+def test_peak_falls_to_the_greatest_count_of_the_window():
+    """Guards against a share that grows more than the fleet has shrunk."""
+    peak = RecentPeak()
+    peak.update(10, 0.0)
+    peak.update(9, 5.0)
+    peak.update(2, 10.0)
+    assert peak.update(1, 6.0 + PEAK_WINDOW_S) == 9
+    assert peak.update(1, 11.0 + PEAK_WINDOW_S) == 2
+
+
+@given(st.lists(st.tuples(st.integers(0, 9), st.floats(0, 20)), min_size=1))
+def test_peak_is_the_greatest_current_count_of_the_window(updates):
+    """Compares with all counts that were current within the window."""
+    peak = RecentPeak()
+    now = 0.0
+    history = []
+    for count, pause in updates:
+        now += pause
+        history.append((count, now))
+        ends = [*(at for _, at in history[1:]), now]
+        expected = max(
+            known
+            for (known, _), end in zip(history, ends, strict=True)
+            if now - end <= PEAK_WINDOW_S
+        )
+        assert peak.update(count, now) == expected
 
 
 def test_own_vm_is_included_before_its_entry_is_read():
