core: Do not count leaves whose address another leaf has

Such a leaf is not used, but it still attracted callers to its failure domain until its entry was gone.

--- a/libs/core/src/sapphire_core/leafset.py
+++ b/libs/core/src/sapphire_core/leafset.py
@@ -203,14 +203,16 @@
     def domain_counts(self, services: Iterable[str]) -> dict[str, int]:
         """Counts the leaves of services by failure domain.
 
-        Leaves that are leaving or in an evacuated domain are not counted, but
-        misdirected ones are.
+        Leaves that are leaving, in an evacuated domain, or whose address
+        another leaf has are not counted.
         """
         counts: dict[str, int] = {}
         for service in services:
             for leaf in self._by_service.get(service, ()):
                 domain = leaf.entry.domain
-                if leaf.leaving_since is None and domain not in self._evacuated:
+                if leaf.leaving_since is not None or leaf.misdirected:
+                    continue
+                if domain not in self._evacuated:
                     counts[domain] = counts.get(domain, 0) + 1
         return counts
 
--- a/libs/core/tests/test_leafset.py
+++ b/libs/core/tests/test_leafset.py
@@ -137,3 +137,9 @@
     registry = LeafRegistry()
     registry.put(dataclasses.replace(ENTRY, state=LeafState.DRAINING), 5.0)
     assert names(registry, 5.0) == []
+
+
+def test_a_misdirected_leaf_is_not_counted(registry):
+    """A domain whose leaves are gone must not attract callers."""
+    registry.misdirected("i-1")
+    assert registry.domain_counts(["s"]) == {"z1": 1}
