core: Subtract the own calls once from the load that a leaf reports

The call whose reply has the report is still among the waiting ones, so one request too many was subtracted.

--- a/libs/core/src/sapphire_core/choice.py
+++ b/libs/core/src/sapphire_core/choice.py
@@ -88,10 +88,10 @@
     def record_load(self, running: int, queued: int, now: float) -> None:
         """Records the load that the leaf reports, which includes own calls.
 
-        The calls in `waiting` and one more request are subtracted from it. The
-        call whose reply has the report is still in `waiting`.
+        The calls in `waiting` are subtracted from it. The call whose reply has
+        the report is among them.
         """
-        self.other_load = max(0.0, running + queued - len(self.waiting) - 1)
+        self.other_load = max(0.0, running + queued - len(self.waiting))
         self.other_load_at = now
 
     def is_down(self, now: float) -> bool:
--- a/libs/core/tests/test_choice.py
+++ b/libs/core/tests/test_choice.py
@@ -75,6 +75,14 @@
     assert choose([candidate(local), remote], now=3.0) == 0
 
 
+def test_own_calls_are_subtracted_once_from_a_reported_load():
+    """Guards against a busy leaf that looks free to each of several callers."""
+    load = LeafLoad(2)
+    load.record_call(1, 1.0)
+    load.record_load(running=2, queued=1, now=1.1)
+    assert load.other_load == 2
+
+
 def test_an_unreachable_leaf_is_avoided_until_its_back_off_ends():
     local = LeafLoad(2)
     local.record_unreachable(1.0)
