--- a/libs/core/tests/test_model.py
+++ b/libs/core/tests/test_model.py
@@ -10,7 +10,7 @@
 import re
 
 import pytest
-from sapphire_core import adoption, claim, rendezvous, rights
+from sapphire_core import adoption, claim, freshness, rendezvous, rights
 from sapphire_core.claim import ClaimState
 from sapphire_core.errors import LeafUnreachableError
 
@@ -334,16 +334,24 @@
     """Guards against a specification that names methods that don't exist.
 
     Checks the methods of `Submission` that start with an underscore, and those
-    that are written with the class `GrantTable`, `RightsLedger` or `Adoption`.
+    that are written with the class `GrantTable`, `RightsLedger`, `Adoption` or
+    `Freshness`.
     """
     text = (MODEL_DIR / "claim.pml").read_text()
     names = set(re.findall(r"\b_[a-z_]+\b", text.partition("proctype")[2]))
     # Fails if the pattern no longer matches the comments.
     assert len(names) > 10
     assert not [n for n in names if not hasattr(claim.Submission, n)]
-    for module, name in ((rights, "rights"), (adoption, "adoption")):
+    specifications = (
+        (rights, "rights"),
+        (adoption, "adoption"),
+        (freshness, "watch"),
+    )
+    for module, name in specifications:
         text = (MODEL_DIR / f"{name}.pml").read_text()
-        named = re.findall(r"(GrantTable|RightsLedger|Adoption)\.(\w+)", text)
+        named = re.findall(
+            r"(GrantTable|RightsLedger|Adoption|Freshness)\.(\w+)", text
+        )
         assert named
         for owner, method in named:
             assert hasattr(getattr(module, owner), method), method
