--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -8,7 +8,12 @@
 import trio.testing
 from sapphire_core.leafset import LeafEntry, LeafState
 from sapphire_core.members import Member
-from sapphire_gateway.feed import LONG_POLL_S, RESPONSE_GRACE_S
+from sapphire_gateway.feed import (
+    LONG_POLL_S,
+    RESPONSE_GRACE_S,
+    FeedClient,
+    FeedServer,
+)
 from sapphire_gateway.fleet_view import (
     EvacuationUpdate,
     FleetView,
@@ -16,6 +21,7 @@
     MemberRemoval,
     MemberUpdate,
 )
+from sapphire_gateway.messages import Reply, Request
 from sapphire_gateway.ownentry import LEASE_TTL_S
 from sapphire_gateway.store import (
     Batch,
@@ -61,7 +67,8 @@
     def write(self, key, update):
         """Writes a key, or removes it if the update is a removal."""
         self.revision += 1
-        change = Change(key, self.revision, update)
+        value = None if _is_removal(update) else b"%d" % self.revision
+        change = Change(key, self.revision, update, value)
         if _is_removal(update):
             self.changes_by_key.pop(key, None)
         else:
@@ -70,6 +77,14 @@
         if not self._are_watches_deaf:
             self._notify()
 
+    def decode(self, key, value):
+        """Returns the update of a value, or of the removal of a key."""
+        return next(
+            change.update
+            for change in reversed(self.history)
+            if change.key == key and change.value == value
+        )
+
     def forget_history(self):
         """Discards the history, so that watches of older revisions fail."""
         self.oldest_revision = self.revision
@@ -238,3 +253,86 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class DirectFeed(FeedClient):
+    """Client of another VM's feed without a connection."""
+
+    def __init__(self, server: FeedServer, decode) -> None:
+        self._http = _DirectHttp(server)
+        self._decode = decode
+
+    def close(self):
+        """Does nothing."""
+
+
+class _DirectHttp:
+    def __init__(self, server: FeedServer) -> None:
+        self.address = "direct"
+        self._server = server
+
+    async def request(self, method, target, timeout_s):
+        """Passes a request to the server, as HttpClient does over TCP."""
+        request = Request(method.encode(), target.encode(), [], b"", True)
+        with trio.move_on_after(timeout_s):
+            response = await self._server.handle(request)
+            return Reply(response.status, [], response.body, True)
+        raise StoreUnavailableError("no answer in time.")
+
+
+def run_fleet(test):
+    """Runs a test with two VMs that watch the store and one that is fed.
+
+    The test gets the store and the views of the three VMs; the fed VM is the
+    last, and reads the feed of the first VM unless that fails.
+    """
+
+    async def main():
+        store = FakeStore()
+        syncs = []
+        async with trio.open_nursery() as nursery:
+            for name in ("vm1", "vm2", "vm3"):
+                is_fed = name == "vm3"
+                sync = _fleet_sync(store, name, syncs if is_fed else [])
+                syncs.append(sync)
+                nursery.start_soon(sync.run)
+            await trio.sleep(30)
+            await test(store, [sync.view for sync in syncs])
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def _fleet_sync(store, name, sources):
+    """Returns the Sync of a VM that may read the feeds of other VMs."""
+
+    def learn(source):
+        return lambda revision: source.view.freshness.learn_revision(
+            revision, trio.current_time()
+        )
+
+    feeds = {
+        f"vm{number}": FeedServer(
+            source.mirror, lambda s=source: s.feed_age_s, learn(source)
+        )
+        for number, source in enumerate(sources, 1)
+    }
+    members = [
+        Member(feed, f"{feed}:80", "z1", peer_address=feed) for feed in feeds
+    ]
+
+    def choose(own_entry, avoided):
+        left = [m for m in members if m.name not in avoided]
+        return left[0] if left else None
+
+    view = FleetView(name)
+    sync = Sync(
+        store,
+        view,
+        Member(name, f"{name}:80", "z1"),
+        lambda: None,
+        choose,
+        lambda address: DirectFeed(feeds[address], store.decode),
+    )
+    sync.view = view
+    return sync
--- a/libs/gateway/tests/test_stale_watch.py
+++ b/libs/gateway/tests/test_stale_watch.py
@@ -25,7 +25,7 @@
 )
 from sapphire_gateway.store import StoreUnavailableError
 from sapphire_gateway.sync import READ_ALL_INTERVAL_S
-from sync_harness import LEAF, FakeFeed, FakeStore, run_sync
+from sync_harness import LEAF, FakeFeed, FakeStore, run_fleet, run_sync
 
 # Time for which changes are hidden before the watches are reset.
 HIDDEN_S = 1.0
@@ -317,3 +317,40 @@
         )
 
     run_sync(test, on_change=on_change)
+
+
+@pytest.mark.parametrize("accepting_s", [0.12, 0.25, 1.4, 2.5])
+def test_fed_vm_is_not_held_back_by_a_silent_watch(accepting_s):
+    """Two VMs at once wait in vain, and one of them feeds a third.
+
+    The VM that feeds others must not state that its data are current.
+    """
+
+    async def test(store, views):
+        store.write("servers/i-1", LeafUpdate(LEAF))
+        await trio.sleep(5)
+        store.hide_changes_from_watches()
+        store.write("op/evacuate/z2", EvacuationUpdate("z2", True))
+        store.write("servers/i-1", LeafRemoval("i-1", "removed"))
+        await trio.sleep(HIDDEN_S)
+        store.reset_watches()
+        await trio.sleep(accepting_s)
+        store.forget_hidden_changes()
+        await trio.sleep(APPLY_LIMIT_S)
+        for view in views:
+            assert view.registry.evacuated == {"z2"}
+            assert not is_used(view)
+
+    run_fleet(test)
+
+
+def test_fed_vm_stays_current_without_calls_to_the_store():
+    async def test(store, views):
+        for number in range(20):
+            store.write(f"servers/i-{number}", LeafUpdate(LEAF))
+            await trio.sleep(1.0)
+            assert views[2].freshness.revision == store.revision
+        ages = [view.freshness.age_s(trio.current_time()) for view in views]
+        assert max(ages) < MAX_DATA_AGE_S + 1
+
+    run_fleet(test)
