Test each of the guards against older data by itself

Mutants of either guard survived, as the other one covered it; now each is caught, and so is a fed VM that takes renewals for news of its data.

--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -193,6 +193,8 @@
 
     silent_addresses: ClassVar[set[str]] = set()
     polled_addresses: ClassVar[list[str]] = []
+    # Age of the data, as stated by all feeds.
+    age_s: ClassVar[float] = 0.0
 
     def __init__(self, address, store) -> None:
         self._address = address
@@ -212,6 +214,7 @@
                 tuple(self._store.changes_by_key.values()),
                 self._store.revision,
                 is_full_state=True,
+                age_s=FakeFeed.age_s,
             )
         with trio.move_on_after(LONG_POLL_S):
             while self._store.revision <= after:
@@ -219,7 +222,7 @@
         if self._store.revision < after:
             raise StoreUnavailableError("behind.")
         changes = [c for c in self._store.history if c.revision > after]
-        return Batch(tuple(changes), self._store.revision)
+        return Batch(tuple(changes), self._store.revision, age_s=FakeFeed.age_s)
 
 
 def run_sync(test, feeds=(), feed_store=None, on_change=lambda view: None):
--- a/libs/gateway/tests/test_feed.py
+++ b/libs/gateway/tests/test_feed.py
@@ -212,3 +212,35 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_server_refuses_a_vm_that_has_newer_data():
+    """The VM that asks then reads the store or another feed."""
+    mirror = Mirror()
+    mirror.apply(full_state(change("a", 3)))
+    learned = []
+
+    async def main():
+        server = FeedServer(mirror, lambda: 0.0, learned.append)
+        request = Request(b"GET", b"/changes?after=11", [], b"", True)
+        return await server.handle(request)
+
+    assert trio.run(main).status == 503
+    assert learned == [11]
+
+
+def test_client_refuses_older_data():
+    """Guards against a feed that goes back, whatever it says of its age."""
+    answer = FeedResponse(9, 0.0, True, False, msgspec.msgpack.encode([]))
+
+    async def main():
+        async def outdated(_request, _caller):
+            return Response(200, [], msgspec.msgpack.encode(answer))
+
+        async with trio.open_nursery() as nursery:
+            address = await serve_peer(nursery, outdated)
+            with pytest.raises(StoreUnavailableError, match="older than 10"):
+                await FeedClient(address, nursery, decode).changes(10)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
--- a/libs/gateway/tests/test_stale_watch.py
+++ b/libs/gateway/tests/test_stale_watch.py
@@ -354,3 +354,18 @@
         assert max(ages) < MAX_DATA_AGE_S + 1
 
     run_fleet(test)
+
+
+def test_renewals_do_not_confirm_what_a_feed_said():
+    """A fed VM knows the age of its data from the feed alone."""
+
+    async def test(store, view, sync):
+        FakeFeed.age_s = 3.0
+        await trio.sleep(5)
+        assert view.freshness.age_s(trio.current_time()) >= 3.0
+
+    FakeFeed.silent_addresses = set()
+    try:
+        run_sync(test, feeds=(FEED,))
+    finally:
+        FakeFeed.age_s = 0.0
