core: Keep the applied revision when the store answers with an older one

An answer of the store that lags behind lowered the newest known revision below the applied one; a revision that another VM told, though applied, then counted as news and made the VM read all keys each second.

--- a/libs/core/src/sapphire_core/freshness.py
+++ b/libs/core/src/sapphire_core/freshness.py
@@ -103,9 +103,10 @@
     def record_store_revision(self, revision: int) -> None:
         """Records a revision that the store itself has just returned.
 
-        It replaces a greater one that was heard of from elsewhere.
+        It replaces a greater one that was heard of from elsewhere, but not that
+        of changes that were applied.
         """
-        self._newest_revision = revision
+        self._newest_revision = max(revision, self._revision or 0)
 
     def learn_revision(self, revision: int, now: float) -> None:
         """Records that the store has reached a revision.
--- a/libs/core/tests/test_freshness.py
+++ b/libs/core/tests/test_freshness.py
@@ -96,3 +96,12 @@
     freshness.record_current(6, 105.0)
     freshness.record_current(6, 104.0)
     assert freshness.age_s(105.0) == 0
+
+
+def test_older_answer_of_the_store_does_not_make_known_changes_news():
+    """Guards against endless reads after an answer that lags behind."""
+    freshness = started(100.0, revision=8)
+    freshness.record_store_revision(6)
+    assert freshness.newest_revision == 8
+    freshness.learn_revision(7, 101.0)
+    assert not freshness.is_overdue(200.0)
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -18,7 +18,7 @@
     Reply,
 )
 from sapphire_gateway.replyreader import (
-    LEAF_REPLY_LIMITS,
+    SMALL_REPLY_LIMITS,
     ReplyLimits,
     ReplyReader,
 )
@@ -45,7 +45,7 @@
         classify_reply: Callable[[Reply, Call], CallResult],
         on_free: Callable[[Connection], None],
         on_closed: Callable[[Connection], None],
-        reply_limits: ReplyLimits = LEAF_REPLY_LIMITS,
+        reply_limits: ReplyLimits = SMALL_REPLY_LIMITS,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._address = (host, int(port))
--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -36,7 +36,7 @@
 )
 from sapphire_gateway.messages import Reply, Request, Response
 from sapphire_gateway.records import greatest
-from sapphire_gateway.replyreader import LEAF_REPLY_LIMITS
+from sapphire_gateway.replyreader import SMALL_REPLY_LIMITS
 
 CALLS_PATH = "/calls"
 REMAINDER_PATH = "/rest"
@@ -392,7 +392,7 @@
     def _client(self, helper: Member) -> HttpClient:
         client = self._clients.get(helper.peer_address)
         if client is None:
-            client = HttpClient(helper.peer_address, LEAF_REPLY_LIMITS)
+            client = HttpClient(helper.peer_address, SMALL_REPLY_LIMITS)
             client.start(self._nursery)
             self._clients[helper.peer_address] = client
         return client
--- a/libs/gateway/src/sapphire_gateway/httpclient.py
+++ b/libs/gateway/src/sapphire_gateway/httpclient.py
@@ -7,7 +7,7 @@
 from sapphire_gateway.calls import Call, CallResult
 from sapphire_gateway.connection import Connection
 from sapphire_gateway.messages import Reply
-from sapphire_gateway.replyreader import STORE_REPLY_LIMITS, ReplyLimits
+from sapphire_gateway.replyreader import LARGE_REPLY_LIMITS, ReplyLimits
 from sapphire_gateway.store import StoreUnavailableError
 
 
@@ -31,7 +31,7 @@
     """Sends requests to one server, each on an idle or new connection."""
 
     def __init__(
-        self, address: str, reply_limits: ReplyLimits = STORE_REPLY_LIMITS
+        self, address: str, reply_limits: ReplyLimits = LARGE_REPLY_LIMITS
     ) -> None:
         """Creates a client without connections.
 
--- a/libs/gateway/src/sapphire_gateway/replyreader.py
+++ b/libs/gateway/src/sapphire_gateway/replyreader.py
@@ -27,11 +27,11 @@
     body_bytes: int
 
 
-# Replies of leaves are held in memory, many at a time.
-LEAF_REPLY_LIMITS = ReplyLimits(65_536, 4_194_304)
-# A page of the store's keys has up to 1 MB of values, which may be preceded by
-# one value of the maximum size.
-STORE_REPLY_LIMITS = ReplyLimits(65_536, 16_777_216)
+# For replies of leaves and helpers, of which many are in memory at a time.
+SMALL_REPLY_LIMITS = ReplyLimits(65_536, 4_194_304)
+# For replies of the store and of feeds. A page of keys has up to 1 MB of values,
+# which may be preceded by one value of the maximum size.
+LARGE_REPLY_LIMITS = ReplyLimits(65_536, 16_777_216)
 
 
 class ReplyReader:
@@ -44,7 +44,7 @@
     def __init__(
         self,
         is_to_head: bool = False,
-        limits: ReplyLimits = LEAF_REPLY_LIMITS,
+        limits: ReplyLimits = SMALL_REPLY_LIMITS,
     ) -> None:
         """Creates a parser that expects the first reply of a connection.
 
--- a/libs/gateway/src/sapphire_gateway/revisionexchange.py
+++ b/libs/gateway/src/sapphire_gateway/revisionexchange.py
@@ -19,6 +19,7 @@
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Request, Response
+from sapphire_gateway.replyreader import SMALL_REPLY_LIMITS
 from sapphire_gateway.store import StoreUnavailableError
 
 PATH = "/revision"
@@ -79,7 +80,7 @@
         freshness = self._fleet.view.freshness
         client = self._clients.get(peer.peer_address)
         if client is None:
-            client = HttpClient(peer.peer_address)
+            client = HttpClient(peer.peer_address, SMALL_REPLY_LIMITS)
             client.start(self._nursery)
             self._clients[peer.peer_address] = client
         target = f"{PATH}?known={freshness.revision or 0}"
