--- a/libs/gateway/src/sapphire_gateway/replyreader.py
+++ b/libs/gateway/src/sapphire_gateway/replyreader.py
@@ -29,8 +29,8 @@
 
 # For replies of leaves and helpers, of which many are in memory at a time.
 SMALL_REPLY_LIMITS = ReplyLimits(65_536, 4_194_304)
-# For replies of the store and of feeds. A page of keys has up to 1 MB of values,
-# which may be preceded by one value of the maximum size.
+# For replies of the store and of feeds. A page of keys has up to 1 MB of
+# values, which may be preceded by one value of the maximum size.
 LARGE_REPLY_LIMITS = ReplyLimits(65_536, 16_777_216)
 
 
--- a/libs/gateway/tests/test_endless_messages.py
+++ b/libs/gateway/tests/test_endless_messages.py
@@ -20,9 +20,11 @@
     search_route,
     single_leaf_route,
 )
+from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import MessageError
 from sapphire_gateway.replyreader import ReplyLimits, ReplyReader
 from sapphire_gateway.requestreader import RequestReader
+from sapphire_gateway.store import StoreUnavailableError
 
 MAX_HEAD_BYTES = 1_000
 MAX_BODY_BYTES = 10_000
@@ -274,3 +276,25 @@
             assert (await read_response(stream)).status == 200
 
     run_with_harness(test)
+
+
+@pytest.mark.parametrize("kind", ENDLESS_REPLIES)
+def test_server_without_end_counts_as_unavailable(kind):
+    """The store and other VMs are called with the same client."""
+
+    async def main():
+        leaf = EndlessLeaf(*ENDLESS_REPLIES[kind])
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(leaf.run)
+            port = listeners[0].socket.getsockname()[1]
+            limits = ReplyLimits(MAX_HEAD_BYTES, MAX_BODY_BYTES)
+            client = HttpClient(f"127.0.0.1:{port}", limits)
+            client.start(nursery)
+            with (
+                trio.fail_after(CUT_OFF_LIMIT_S),
+                pytest.raises(StoreUnavailableError, match="exceeds"),
+            ):
+                await client.request("GET", "/", timeout_s=10.0)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
