--- a/libs/standins/src/sapphire_standins/rate.py
+++ b/libs/standins/src/sapphire_standins/rate.py
@@ -4,11 +4,7 @@
 
 
 class RateLimiter:
-    """Token bucket with a capacity of one second's calls.
-
-    A rate below 1 per second allows no calls, as the bucket never holds a
-    whole token.
-    """
+    """Token bucket with a capacity of one second's calls, and at least one."""
 
     def __init__(self, per_second: float) -> None:
         self._per_second = per_second
@@ -22,7 +18,8 @@
     def try_acquire(self, now: float) -> bool:
         """Takes a token at the time now, in seconds, if one is left."""
         refill = max(0.0, now - self._refilled_at) * self._per_second
-        self._tokens = min(self._per_second, self._tokens + refill)
+        capacity = max(1.0, self._per_second)
+        self._tokens = min(capacity, self._tokens + refill)
         self._refilled_at = now
         if self._tokens < 1:
             return False
