soak: Check services of replies and removed leaves, and reserve networks

Planted observations that no check reported: a part, or a single reply, of a service that the route does not have. A removed leaf was back under a new id before the limit, so its use could not be found; the new fault leaf_removed keeps it serving under the old id. Overlapping restarts left a stale entry: restart() removes the previous one. _check_recovery has tests. Runs reserve a loopback network instead of drawing one from the seed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -324,6 +324,23 @@
     environment.observations.leaf_failure_domains[leaf.leaf_id] = leaf.domain
 
 
+async def _remove_leaf(environment: Environment) -> None:
+    """Removes a leaf's entry; the leaf keeps serving, then restarts.
+
+    The leaf restarts with a new id.
+    """
+    leaf = environment.random_leaf()
+    environment.observations.withdrawn_at.setdefault(
+        leaf.leaf_id, trio.current_time()
+    )
+    removed_id = leaf.leaf_id
+    leaf.deregister()
+    await trio.sleep(MIN_DRAIN_S + environment.random_duration_s())
+    if leaf.leaf_id == removed_id:
+        leaf.restart()
+    environment.observations.leaf_failure_domains[leaf.leaf_id] = leaf.domain
+
+
 async def _change_configuration(environment: Environment) -> None:
     environment.operator.change_configuration()
 
@@ -362,6 +379,7 @@
     "leaf_faulty_replies": _send_faulty_leaf_replies,
     "leaf_restarts": _restart_leaf,
     "leaf_drains": _drain_leaf,
+    "leaf_removed": _remove_leaf,
     "configuration": _change_configuration,
     "evacuation": _evacuate_failure_domain,
 }
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -93,16 +93,17 @@
     """Returns a defect of a single leaf's forwarded reply, or "".
 
     The signature, a unique id in the header Response-Stamp, and the body must
-    be those of a leaf's reply to this request. The service of that leaf is not
-    compared with the route.
+    be those of the reply to this request of a leaf of the route's service.
     """
     assert attempt.reply is not None
     signature = (attempt.reply.get(b"response-stamp") or b"").decode()
     if signature not in ledger.signed_replies:
         return f"signature missing or not of a leaf: {signature!r}"
-    request_id, _, records = ledger.signed_replies[signature]
+    request_id, service, records = ledger.signed_replies[signature]
     if request_id != attempt.request_id:
         return f"the leaf's reply was to request {request_id}"
+    if service not in attempt.route.services:
+        return f"a leaf of service {service} replied"
     if attempt.reply.body != b"".join(records):
         return "body differs from the leaf's reply"
     return ""
@@ -114,8 +115,8 @@
     Each shard is a service of its own, and a part is the reply of one of its
     leaves; the header Part-Stamps lists the signatures (unique ids) of these
     replies. The parts must be replies to this request, each of another service,
-    and the body must be their greatest records in descending order. The number
-    of parts is checked, but not whether their services are the route's shards.
+    and the body must be their greatest records in descending order. Parts and
+    missing parts together are the route's shards.
     """
     assert attempt.reply is not None
     signatures = (attempt.reply.get(b"part-stamps") or b"").decode().split(", ")
@@ -125,6 +126,8 @@
         if signature not in ledger.signed_replies:
             return f"signature missing or not of a leaf: {signature!r}"
         request_id, service, part_records = ledger.signed_replies[signature]
+        if service not in attempt.route.services:
+            return f"part {signature} is of service {service}, no shard"
         if request_id != attempt.request_id or service in services:
             return (
                 f"part {signature} is of another request or repeats shard"
@@ -179,9 +182,8 @@
     """Checks that undisturbed gateways stop using withdrawn leaves in time.
 
     A leaf is withdrawn when it drains, when its entry is removed from the
-    store, or when its failure domain is evacuated. Removal is in effect not
-    checked: the leaf is back with a new id before the limit, and rejects
-    requests to the old id without executing them.
+    store, or when its failure domain is evacuated. After a drain or a removal,
+    it executes requests for longer than the limit.
     """
     attempts_by_id = {a.request_id: a for a in observations.attempts}
     violations = []
--- a/tests/soak/leaves.py
+++ b/tests/soak/leaves.py
@@ -97,14 +97,17 @@
         # Share of the replies with status 500 and, drawn independently, of the
         # replies that repeat a wrong request id.
         self.faulty_share = 0.0
+        self.leaf_id = ""
         self.restart()
 
     def restart(self) -> None:
         """Takes a new leaf id and registers under it, as a new process would.
 
-        Requests for the previous id are rejected from now on; those in progress
-        are finished. The previous id stays registered: call deregister first.
+        Requests for the previous id, whose entry is removed, are rejected from
+        now on; those in progress are finished.
         """
+        if self.leaf_id:
+            self.deregister()
         start_ms = next(_START_TIMES_MS)
         self.leaf_id = f"i-{self.service}-{self._replica}-{start_ms % 100_000}"
         self._start_ms = start_ms
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -10,6 +10,7 @@
 from random import Random
 
 import trio
+from sapphire_bench.loopback import reserve_network
 from sapphire_core.routing import ClientLimits
 from sapphire_gateway.callers import CallerServer, Handler
 from sapphire_gateway.httpclient import HttpClient
@@ -174,44 +175,42 @@
     seed: int, folder: pathlib.Path
 ) -> AsyncIterator[tuple[Environment, trio.Nursery]]:
     rng = Random(seed)
-    # The second and third byte of the run's loopback addresses depend on the
-    # seed, to keep apart the addresses of concurrent runs. The second byte
-    # differs unless the seeds are equal modulo 100; the third one usually does.
-    # The last byte is 1 for the store and its proxies, 2 for the leaves and
-    # theirs, and 10 or more for the gateways.
-    subnet = f"127.{100 + seed % 100}.{rng.randrange(1, 250)}"
     store = Store()
     operator = Operator(store)
     # Publishes the first configuration.
     operator.change_configuration()
-    gateways = _create_gateways(subnet, folder)
-    async with trio.open_nursery() as nursery:
-        observations = Observations(Ledger(), operator)
-        environment = Environment(
-            gateways=gateways,
-            leaves=[],
-            store=store,
-            store_proxies={},
-            leaf_proxies={},
-            operator=operator,
-            observations=observations,
-            rng=rng,
-        )
-        nursery.start_soon(store.run)
-        store_address = f"{subnet}.1:{STORE_PORT}"
-        await _serve(nursery, store.answer, store_address)
-        for number, gateway in enumerate(gateways):
-            proxy_address = f"{subnet}.1:{STORE_PORT + 1 + number}"
-            proxy = Proxy(proxy_address, store_address)
-            await nursery.start(proxy.run)
-            environment.store_proxies[gateway.name] = proxy
-            cores = CORES_OF_VMS[number % len(CORES_OF_VMS)]
-            gateway.write_settings(proxy_address, cores)
-        await _start_leaves(environment, subnet, nursery)
-        with killed_on_exit(gateways):
-            for gateway in gateways:
-                gateway.start()
-            yield environment, nursery
+    with reserve_network() as network:
+        # The last byte of an address is 1 for the store and its proxies, 2 for
+        # the leaves and theirs, and 10 or more for the gateways.
+        subnet = f"{network}.1"
+        gateways = _create_gateways(subnet, folder)
+        async with trio.open_nursery() as nursery:
+            observations = Observations(Ledger(), operator)
+            environment = Environment(
+                gateways=gateways,
+                leaves=[],
+                store=store,
+                store_proxies={},
+                leaf_proxies={},
+                operator=operator,
+                observations=observations,
+                rng=rng,
+            )
+            nursery.start_soon(store.run)
+            store_address = f"{subnet}.1:{STORE_PORT}"
+            await _serve(nursery, store.answer, store_address)
+            for number, gateway in enumerate(gateways):
+                proxy_address = f"{subnet}.1:{STORE_PORT + 1 + number}"
+                proxy = Proxy(proxy_address, store_address)
+                await nursery.start(proxy.run)
+                environment.store_proxies[gateway.name] = proxy
+                cores = CORES_OF_VMS[number % len(CORES_OF_VMS)]
+                gateway.write_settings(proxy_address, cores)
+            await _start_leaves(environment, subnet, nursery)
+            with killed_on_exit(gateways):
+                for gateway in gateways:
+                    gateway.start()
+                yield environment, nursery
 
 
 async def _start_leaves(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
+from random import Random
 
 import pytest
-from sapphire_gateway.messages import Reply
+import trio
+from sapphire_bench.loopback import reserve_network
+from sapphire_gateway.messages import Reply, Request
 from soak.callers import Attempt
 from soak.guarantees import (
     CONFIG_LIMIT_S,
@@ -18,7 +22,7 @@
     Observations,
     find_violations,
 )
-from soak.leaves import Execution, Ledger, SignedReply
+from soak.leaves import Execution, Leaf, Ledger, SignedReply
 from soak.operator import FETCH, SEARCH, SUBMIT, Operator, SoakRoute
 from soak.processes import Gateway
 from soak.runner import run_seed
@@ -137,6 +141,26 @@
     assert len(find_violations(_observations(_attempt(SEARCH, reply)))) == 1
 
 
+def test_a_part_of_a_service_that_is_no_shard_is_found():
+    """Guards against a search that calls leaves outside the route."""
+    reply = _reply(
+        TOP_RECORDS,
+        part_stamps=ALL_SIGNATURES.replace("s5", "foreign"),
+        missing_parts="0",
+    )
+    observations = _observations(_attempt(SEARCH, reply))
+    observations.ledger.signed_replies["foreign"] = SignedReply(
+        "r1", "single", RECORDS
+    )
+    assert len(find_violations(observations)) == 1
+
+
+def test_an_answer_of_another_service_is_found():
+    """Guards against a request that is routed to a wrong service."""
+    reply = _reply(b"".join(RECORDS), response_stamp="s0")
+    assert len(find_violations(_observations(_attempt(FETCH, reply)))) == 1
+
+
 def test_an_answer_to_another_request_is_found():
     reply = _reply(b"".join(RECORDS), response_stamp="other")
     assert len(find_violations(_observations(_attempt(FETCH, reply)))) == 1
@@ -204,6 +228,44 @@
     )
 
 
+def test_too_few_served_requests_after_recovery_are_found():
+    """Guards against gateways that survive the faults but serve nobody."""
+    served = _reply(TOP_RECORDS, part_stamps=ALL_SIGNATURES, missing_parts="0")
+    attempts = [_attempt(SEARCH, served)] * 8
+    attempts += [_attempt(SEARCH, _reply(b"", 504))] * 2
+    (line,) = find_violations(_observations(*attempts))
+    assert "only 8 of 10 requests served" in line
+
+
+def test_a_recovery_without_requests_is_found():
+    """Guards against a run that checks nothing after the faults."""
+    (line,) = find_violations(_observations())
+    assert "no request was sent" in line
+
+
+def test_a_leaf_has_one_entry_however_its_restarts_overlap():
+    """Guards against entries of leaves that no longer exist."""
+
+    async def main():
+        store = Store()
+        leaf = Leaf("s0", 0, "za", "127.0.0.1:1", store, Ledger(), Random(1))
+        leaf.drain()
+        leaf.restart()
+        leaf.restart()
+        query = Request(b"GET", b"/kv-range?Prefix=servers/", [], b"", True)
+        response = await store.answer(query, caller=None)
+        (item,) = json.loads(response.body)["items"]
+        assert item["Key"] == f"servers/{leaf.leaf_id}"
+
+    trio.run(main)
+
+
+def test_concurrent_runs_of_a_seed_have_addresses_of_their_own():
+    """Guards against two runs on one machine that disturb each other."""
+    with reserve_network() as first, reserve_network() as second:
+        assert first != second
+
+
 def test_an_evacuated_domain_is_not_evacuated_again():
     """Guards against false reports that gateways use an evacuated domain.
 
