tests: Clean up after a run that is ended by SIGTERM or SIGHUP

The processes of a fleet lived on when the test run was ended by a signal, and held their addresses (28 once). Such a signal is now handled like Ctrl-C.

--- a/conftest.py
+++ b/conftest.py
@@ -1,8 +1,13 @@
-"""Deselects the tests listed in KNOWN-RED.txt and prints their names."""
+"""Handles the tests listed in KNOWN-RED.txt and signals that end a run.
+
+The listed tests are deselected and their names printed.
+"""
 
 from __future__ import annotations
 
 import pathlib
+import signal
+import threading
 
 KNOWN_RED_FILE = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 _TEST_PREFIX = "test: "
@@ -20,6 +25,17 @@
     ]
 
 
+def pytest_configure():
+    """Lets a run that is ended by a signal clean up, as after Ctrl-C.
+
+    Otherwise the processes that its tests have started would live on.
+    """
+    if threading.current_thread() is not threading.main_thread():
+        return
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: signal.raise_signal(signal.SIGINT))
+
+
 def pytest_collection_modifyitems(config, items):
     """Deselects the listed tests and no others."""
     listed = set(known_red())
