entry: Choose the index version again when a leaf loses its holder

The cached shard map was kept when a holder reported a leaf without versions: searches stayed on an index version that no longer had all shards, although an older one was complete.

--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -152,14 +152,9 @@
         # remain in the total.
         known_versions = versions or replica.versions
         new_holder = holder if versions else None
+        former = (replica.holder, replica.state, replica.versions)
         if new_holder is None:
             replica.release(now)
-        # If the report has no versions, the holder was cleared above and the
-        # known versions are the replica's own, so only the state can differ.
-        # If it does not, the cached map is kept even if the leaf has just lost
-        # its holder: the map's replicas show the loss, but whether another
-        # version would now be the better choice is not considered.
-        former = (replica.holder, replica.state, replica.versions)
         if former != (new_holder, state, known_versions):
             self._maps.pop(service, None)
         replica.holder = new_holder
--- a/libs/entry/tests/test_views.py
+++ b/libs/entry/tests/test_views.py
@@ -34,6 +34,17 @@
     assert shard_map.served_count == 0
 
 
+def test_version_is_chosen_again_when_a_leaf_loses_its_holder():
+    """Guards against searches of a version that no longer has all shards."""
+    table = LeafTable()
+    old, new = ("v1", 0, 1, 10), ("v2", 0, 1, 10)
+    table.update("a1", _view(leaf="l1", versions=(old,)), 1.0)
+    table.update("a1", _view(leaf="l2", versions=(new,)), 1.0)
+    assert table.shard_map("tox").version == "v2"
+    table.update("a1", _view(leaf="l2", versions=()), 2.0)
+    assert table.shard_map("tox").version == "v1"
+
+
 def test_leaves_out_of_service_get_no_queries():
     """Guards against queries to a failure domain that is out of service."""
     table = LeafTable()
