--- a/libs/aggregator/src/sapphire_aggregator/config.py
+++ b/libs/aggregator/src/sapphire_aggregator/config.py
@@ -21,6 +21,8 @@
 
 CONFIG_KEY = "config"
 FETCH_TIMEOUT_S = 1.0
+# Shortest interval between two watches, in case the platform does not wait.
+MIN_WATCH_INTERVAL_S = 0.1
 
 
 class PlatformReader(Protocol):
@@ -99,6 +101,7 @@
         backoff = Backoff()
         after: int | None = None
         while True:
+            started = trio.current_time()
             try:
                 if after is None:
                     item = await platform.get(CONFIG_KEY)
@@ -119,6 +122,7 @@
             else:
                 backoff.reset()
                 after = max(after or 0, item.version)
+                await trio.sleep_until(started + MIN_WATCH_INTERVAL_S)
 
     async def run_peers(self, request_peer: RequestPeer) -> None:
         """Fetches the revisions that peers announce, until cancelled."""
--- a/libs/aggregator/tests/test_config.py
+++ b/libs/aggregator/tests/test_config.py
@@ -6,7 +6,7 @@
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
-from sapphire_aggregator.config import ConfigStore
+from sapphire_aggregator.config import MIN_WATCH_INTERVAL_S, ConfigStore
 from sapphire_core.adoption import Source
 from sapphire_core.errors import PlatformUnavailableError, SettingsError
 from sapphire_wire.gen.ttypes import Frame
@@ -95,6 +95,19 @@
     assert platform.times[20] - platform.times[0] > 20
 
 
+def test_watch_that_is_answered_at_once_does_not_busy_loop():
+    """Guards against a flood of calls if the platform does not wait."""
+    platform = _Platform([VersionedValue(_text(2), 2)] * 1000)
+    store = ConfigStore(lambda stored: None)
+
+    async def main():
+        with trio.move_on_after(10):
+            await store.run_watch(platform)
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert len(platform.times) <= 10 / MIN_WATCH_INTERVAL_S + 1
+
+
 def test_revision_announced_by_a_peer_is_fetched():
     """Guards against an outdated configuration while the platform is down."""
     peer = ConfigStore(lambda stored: None)
