--- a/libs/gateway/tests/gateway_harness.py
+++ b/libs/gateway/tests/gateway_harness.py
@@ -9,6 +9,7 @@
 from sapphire_core.leafset import LeafEntry, LeafState
 from sapphire_core.retrybudget import RetryBudgetPolicy
 from sapphire_core.routing import (
+    ClientLimits,
     Configuration,
     Gather,
     Kind,
@@ -184,6 +185,18 @@
             return await read_response(stream)
 
 
+async def serve_peer(nursery, handle):
+    """Serves a handler of requests on loopback, and returns the address."""
+    server = CallerServer(
+        handle, ClientLimits, lambda: False, lambda _request, _now: None
+    )
+    with trio.socket.socket() as sock:
+        await sock.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+    await nursery.start(server.serve, address)
+    return address
+
+
 def request_bytes(
     path="/a/x", request_id="r1", method="GET", left=2000, body=b""
 ):
--- a/libs/gateway/tests/test_endless_messages.py
+++ b/libs/gateway/tests/test_endless_messages.py
@@ -155,6 +155,12 @@
         self._piece = piece * max(1, 60_000 // len(piece))
         self.cut_off_count = 0
 
+    async def wait_until_cut_off(self):
+        """Waits until the connections of all requests were closed."""
+        with trio.fail_after(CUT_OFF_LIMIT_S):
+            while self.cut_off_count < len(self.requests):
+                await trio.sleep(0.01)
+
     async def _send_reply(self, stream, data):
         try:
             await stream.send_all(self._begin)
@@ -178,9 +184,7 @@
         answer = await harness.request()
         assert trio.current_time() - began < DEADLINE_S
         assert (answer.status, answer.headers["x-missing"]) == (200, "1")
-        with trio.fail_after(CUT_OFF_LIMIT_S):
-            while leaf.cut_off_count < len(leaf.requests):
-                await trio.sleep(0.01)
+        await leaf.wait_until_cut_off()
 
     run_with_harness(test)
 
@@ -198,9 +202,7 @@
             answer = await harness.request(request_id=f"r{number}")
             assert (answer.status, answer.body) == (200, b"fine")
         assert leaf.requests
-        with trio.fail_after(CUT_OFF_LIMIT_S):
-            while leaf.cut_off_count < len(leaf.requests):
-                await trio.sleep(0.01)
+        await leaf.wait_until_cut_off()
 
     run_with_harness(test)
 
--- a/libs/gateway/tests/test_feed.py
+++ b/libs/gateway/tests/test_feed.py
@@ -7,8 +7,8 @@
 import msgspec
 import pytest
 import trio
+from gateway_harness import serve_peer
 from sapphire_core.members import Member
-from sapphire_gateway.callers import CallerServer
 from sapphire_gateway.feed import (
     MAX_DATA_AGE_S,
     MAX_RETAINED_BYTES,
@@ -80,17 +80,6 @@
     assert [item.revision for item in items] == [18, 19, 20]
 
 
-async def serve_peer(nursery, handle):
-    """Serves a handler on loopback and returns the address."""
-    server = CallerServer(handle, _Limits, lambda: False, lambda _r, _n: None)
-    with trio.socket.socket() as sock:
-        await sock.bind(("127.0.0.1", 0))
-        port = sock.getsockname()[1]
-    address = f"127.0.0.1:{port}"
-    await nursery.start(server.serve, address)
-    return address
-
-
 def run_with_mirror(test, age_s=lambda: 0.1):
     """Runs a test with a mirror and a client of its feed on loopback."""
 
@@ -110,13 +99,6 @@
     trio.run(main)
 
 
-class _Limits:
-    header_bytes = 10_000
-    body_bytes = 10_000
-    idle_timeout_s = 10.0
-    header_timeout_s = 10.0
-
-
 def test_changes_reach_another_vm_at_once():
     async def test(mirror, client):
         mirror.apply(full_state(change("a", 3)))
--- a/libs/gateway/tests/test_revisionexchange.py
+++ b/libs/gateway/tests/test_revisionexchange.py
@@ -4,11 +4,9 @@
 
 import pytest
 import trio
-from gateway_harness import HEADER_NAMES
+from gateway_harness import HEADER_NAMES, serve_peer
 from sapphire_core.members import Member
 from sapphire_core.retrybudget import RetryBudgetPolicy
-from sapphire_core.routing import ClientLimits
-from sapphire_gateway.callers import CallerServer
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.messages import Request, Response
@@ -20,22 +18,6 @@
 )
 
 
-async def serve_peer(nursery, handle):
-    """Serves a handler on loopback and returns the address."""
-
-    async def handle_request(request, caller):
-        return handle(request)
-
-    server = CallerServer(
-        handle_request, ClientLimits, lambda: False, lambda _r, _n: None
-    )
-    with trio.socket.socket() as sock:
-        await sock.bind(("127.0.0.1", 0))
-        address = f"127.0.0.1:{sock.getsockname()[1]}"
-    await nursery.start(server.serve, address)
-    return address
-
-
 def run_exchange(test, make_handler):
     """Runs a test with a VM and a peer that answers with a handler.
 
@@ -67,7 +49,13 @@
 
 
 def server_handler(view):
-    return RevisionServer(view.freshness).handle
+    """Returns the handler of a VM that takes part in the exchange."""
+    server = RevisionServer(view.freshness)
+
+    async def handle(request, caller):
+        return server.handle(request)
+
+    return handle
 
 
 @pytest.mark.parametrize(("own", "others"), [(5, 9), (9, 5)])
@@ -103,7 +91,10 @@
         await trio.sleep(EXCHANGE_INTERVAL_S + 0.3)
         assert view.freshness.newest_revision == 5
 
-    run_exchange(test, lambda _: lambda _: response)
+    async def answer(request, caller):
+        return response
+
+    run_exchange(test, lambda _: answer)
 
 
 @pytest.mark.parametrize("target", [b"/revision", b"/revision?known=x"])
--- a/tests/adapter/test_fuzz_values.py
+++ b/tests/adapter/test_fuzz_values.py
@@ -17,6 +17,7 @@
 from fuzzing import fuzz
 from hypothesis import example, given
 from hypothesis import strategies as st
+from sample_values import CONFIG, LEAF, ROUTE
 from sapphire_core.errors import SapphireError
 from sapphire_gateway.delegated_calls import HelperServer
 from sapphire_gateway.feed import FeedClient
@@ -41,36 +42,17 @@
     ),
     max_leaves=20,
 )
-LEAF = {
-    "Service": "s",
-    "Address": "10.0.0.9:8080",
-    "Zone": "z1",
-    "Slots": 2,
-    "State": "ready",
-    "WarmupLeftMs": 1500,
-    "Sequence": 4,
-    "born": 1791105842648,
-}
-ROUTE = {
-    "Name": "r",
-    "Host": "a.example",
-    "Prefix": "/a/",
-    "Kind": "idempotent",
-    "TimeoutMs": 4000,
-    "TargetLatencyMs": 346,
-    "Priority": 2,
-    "Service": "s",
-    "Gather": ["s", "t"],
-    "TrafficSplit": [{"Service": "s", "Weight": 1.0}],
-    "MaxAttempts": 2,
-    "TopK": 5,
-    "MinShardShare": 0.5,
-}
-CONFIG = {
-    "Version": 7,
-    "Routes": [ROUTE],
-    "Services": [{"Name": "s", "MaxConnections": 26, "WarmupPerS": 4.5}],
-    "Limits": {"MaxHeaderBytes": 1000, "MaxBodyBytes": 2000},
+SEARCH_CONFIG = {
+    **CONFIG,
+    "Routes": [
+        {
+            **ROUTE,
+            "Gather": ["s", "t"],
+            "TrafficSplit": [{"Service": "s", "Weight": 1.0}],
+            "TopK": 5,
+            "MinShardShare": 0.5,
+        }
+    ],
 }
 MEMBER = {
     "name": "vm2",
@@ -102,7 +84,7 @@
     st.binary(max_size=200),
     *(
         strategy.map(lambda fields: json.dumps(fields).encode())
-        for valid in (LEAF, CONFIG, MEMBER)
+        for valid in (LEAF, CONFIG, SEARCH_CONFIG, MEMBER)
         for strategy in mutations(valid)
     ),
 )
