--- a/libs/bench/tests/test_loopback.py
+++ b/libs/bench/tests/test_loopback.py
@@ -11,7 +11,6 @@
     reserve_network,
 )
 
-
 # A network that no fleet uses, so that concurrent runs do not disturb the test.
 UNUSED_NETWORK = f"127.{LOOPBACK_NETWORKS + 2}"
 
