--- a/libs/entry/src/sapphire_entry/entry.py
+++ b/libs/entry/src/sapphire_entry/entry.py
@@ -139,6 +139,11 @@
         self.aggregator_pool.table.apply_configuration(
             current.is_leaf_in_service, current.is_leaf_configured
         )
+        leaves = {
+            service.name: frozenset(current.leaves_in_service(service.name))
+            for service in current.document.services
+        }
+        self.aggregator_pool.discovery.configure(leaves, trio.current_time())
         self._update_lifecycle()
 
     def _handle_view_reply(self, aggregator: Aggregator, reply: Any) -> None:
--- a/libs/entry/src/sapphire_entry/search.py
+++ b/libs/entry/src/sapphire_entry/search.py
@@ -162,6 +162,7 @@
         Waits for a running canary of an identical query first.
         """
         fingerprint = query.fingerprint
+        has_waited = False
         while True:
             now = trio.current_time()
             self._crash_tracker.raise_if_quarantined(fingerprint, now)
@@ -172,6 +173,13 @@
             ):
                 return False
             running = self._crash_tracker.running_canary(fingerprint)
+            if running is None and not has_waited:
+                has_waited = True
+                if await self._pool.discovery.wait(
+                    query.service, query.answer_at, self._pool.wait_reply
+                ):
+                    # Other queries or reports of crashes may have come.
+                    continue
             if running is None:
                 self._crash_tracker.begin_canary(fingerprint)
                 return True
--- a/libs/entry/src/sapphire_entry/views.py
+++ b/libs/entry/src/sapphire_entry/views.py
@@ -25,6 +25,8 @@
 from sapphire_wire.channel import Peer
 from sapphire_wire.gen.ttypes import Frame, View
 
+from sapphire_entry.discovery import LeafDiscovery
+
 POLL_INTERVAL_S = 0.5
 # Minimum interval between polls that queries trigger when views are outdated.
 MIN_REFRESH_INTERVAL_S = 0.05
@@ -208,6 +210,7 @@
         self._replied = trio.Event()
         self._listeners: set[Callable[[], None]] = set()
         self.table = LeafTable()
+        self.discovery = LeafDiscovery(self.table.replicas)
         self.on_reply: Callable[[Aggregator, Any], None] = (
             lambda aggregator, reply: None
         )
