--- a/conftest.py
+++ b/conftest.py
@@ -32,6 +32,8 @@
     """
     if threading.current_thread() is not threading.main_thread():
         return
+    # A shell lets its background commands ignore SIGINT.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     for number in (signal.SIGTERM, signal.SIGHUP):
         signal.signal(number, lambda *_: signal.raise_signal(signal.SIGINT))
 
--- a/tests/test_interruption.py
+++ b/tests/test_interruption.py
@@ -38,15 +38,23 @@
     """Guards against fleets that live on and hold their addresses."""
     command = [sys.executable, "-m", "pytest", "-x", FLEET_TEST]
     with subprocess.Popen(
-        command, cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.STDOUT
+        command,
+        cwd=ROOT,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.STDOUT,
+        # As in a background command of a shell.
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_IGN),
     ) as run:
-        end = time.monotonic() + START_LIMIT_S
-        while len(children(run.pid)) < MIN_PROCESSES:
-            assert time.monotonic() < end, "the fleet did not start"
-            time.sleep(0.1)
-        started = children(run.pid)
-        run.send_signal(number)
-        run.wait(END_LIMIT_S)
+        try:
+            end = time.monotonic() + START_LIMIT_S
+            while len(children(run.pid)) < MIN_PROCESSES:
+                assert time.monotonic() < end, "the fleet did not start"
+                time.sleep(0.1)
+            started = children(run.pid)
+            run.send_signal(number)
+            run.wait(END_LIMIT_S)
+        finally:
+            run.kill()
     alive = [pid for pid in started if pathlib.Path(f"/proc/{pid}").exists()]
     for pid in alive:
         # Ends only processes that this test has started.
