--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -61,7 +61,7 @@
         # Time at which a call last succeeded or a watch was accepted.
         self.answered_at = 0.0
         self.changed = trio.Event()
-        self._are_watches_deaf = False
+        self._hides_changes = False
         self._reset_count = 0
 
     def write(self, key, update):
@@ -74,7 +74,7 @@
         else:
             self.changes_by_key[key] = change
         self.history.append(change)
-        if not self._are_watches_deaf:
+        if not self._hides_changes:
             self._notify()
 
     def decode(self, key, value):
@@ -92,7 +92,7 @@
 
     def hide_changes_from_watches(self):
         """From now on, watches are not told of changes."""
-        self._are_watches_deaf = True
+        self._hides_changes = True
 
     def reset_watches(self):
         """Ends all waiting watches with a connection error."""
@@ -106,7 +106,7 @@
         answered as usual.
         """
         self.oldest_revision = self.revision
-        self._are_watches_deaf = False
+        self._hides_changes = False
 
     def start(self, nursery):
         """Does nothing, since no tasks are needed."""
@@ -150,7 +150,7 @@
         await self._called("watch")
         resets = self._reset_count
         with trio.move_on_after(wait_s) as wait:
-            while self._are_watches_deaf or (
+            while self._hides_changes or (
                 self.revision <= after and self.oldest_revision <= after
             ):
                 await self.changed.wait()
--- a/libs/gateway/tests/test_endless_messages.py
+++ b/libs/gateway/tests/test_endless_messages.py
@@ -34,7 +34,7 @@
 PIECE = b"a" * 500
 # Deadline that the caller states.
 DEADLINE_S = 2.0
-# Time within which the connection to a leaf without end is closed. The callers'
+# Time within which the connection of an endless reply is closed. The callers'
 # requests have a time limit of 1.5 s.
 CUT_OFF_LIMIT_S = 2.0
 # Beginning of a message, and what follows without end.
@@ -172,7 +172,7 @@
 
 
 @pytest.mark.parametrize("kind", ENDLESS_REPLIES)
-def test_leaf_without_end_costs_only_its_own_part(run_with_harness, kind):
+def test_endless_reply_costs_only_its_own_part(run_with_harness, kind):
     """The search is answered in time, and the leaf is cut off."""
 
     async def test(harness):
@@ -190,7 +190,7 @@
 
 
 @pytest.mark.parametrize("kind", ENDLESS_REPLIES)
-def test_request_to_a_leaf_without_end_is_retried(run_with_harness, kind):
+def test_request_with_an_endless_reply_is_retried(run_with_harness, kind):
     """A single request gets the reply of the service's other leaf."""
 
     async def test(harness):
@@ -208,7 +208,7 @@
 
 
 @pytest.mark.parametrize("kind", ENDLESS_REQUESTS)
-def test_caller_without_end_gets_a_final_answer(run_with_harness, kind):
+def test_endless_request_gets_a_final_answer(run_with_harness, kind):
     """The answer says what is wrong; the connection is not just reset."""
 
     async def test(harness):
@@ -216,7 +216,7 @@
         begin, piece, status = ENDLESS_REQUESTS[kind]
         async with await harness.connect() as stream:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(send_without_end, stream, begin, piece)
+                nursery.start_soon(send_endless_request, stream, begin, piece)
                 with trio.fail_after(CUT_OFF_LIMIT_S):
                     answer = await read_response(stream)
                 nursery.cancel_scope.cancel()
@@ -225,7 +225,7 @@
     run_with_harness(test)
 
 
-async def send_without_end(stream, begin, piece):
+async def send_endless_request(stream, begin, piece):
     """Sends a message without end until the connection is closed."""
     with contextlib.suppress(trio.BrokenResourceError):
         await stream.send_all(begin)
@@ -281,7 +281,7 @@
 
 
 @pytest.mark.parametrize("kind", ENDLESS_REPLIES)
-def test_server_without_end_counts_as_unavailable(kind):
+def test_endless_reply_counts_as_unavailable(kind):
     """The store and other VMs are called with the same client."""
 
     async def main():
