gateway: Log what tells causes of lost leaves apart

Lines call_lost, leaf_alive and crash_count_merged, the age of the last crash in leaf_crashed, the fingerprint in request_refused, and a counter of lost leaves by outcome. They tell the hypotheses of the incident apart; no decision changes.

--- a/libs/gateway/src/sapphire_gateway/crashes.py
+++ b/libs/gateway/src/sapphire_gateway/crashes.py
@@ -7,6 +7,8 @@
 
 from sapphire_core.quarantine import CrashCount, Quarantine, Verdict
 
+from sapphire_gateway import telemetry
+
 # A request that was running in two separate crashes is refused for this long.
 QUARANTINE_S = 60.0
 # A crash counts only if it comes at least this long after the previous one
@@ -17,7 +19,7 @@
 MAX_SHARED_RECORDS = 50
 
 
-def fingerprint(
+def request_fingerprint(
     method: bytes, host: bytes, target: bytes, body: bytes, caller_host: str
 ) -> str:
     """Returns a hash that is equal for repeated requests of one caller.
@@ -53,6 +55,11 @@
         verdict = self._quarantine.verdict(fingerprint, now)
         return verdict is Verdict.QUARANTINED
 
+    def since_last_crash_s(self, fingerprint: str, now: float) -> float | None:
+        """Returns the age of the last crash of a request, counted or not."""
+        last = self._last_crash_at.get(fingerprint)
+        return None if last is None else now - last
+
     def record_crash(self, fingerprint: str, now: float) -> Verdict:
         """Records that a leaf crashed while it ran the request."""
         last = self._last_crash_at.get(fingerprint)
@@ -82,7 +89,18 @@
 
     def merge(self, records: Iterable[CrashCount], now: float) -> None:
         """Merges the records of another VM."""
-        self._quarantine.merge(records, now)
+        for record in records:
+            before = self._quarantine.verdict(record.fingerprint, now)
+            self._quarantine.merge([record], now)
+            after = self._quarantine.verdict(record.fingerprint, now)
+            if after is not before:
+                telemetry.event(
+                    "crash_count_merged",
+                    fingerprint=record.fingerprint,
+                    crashes=record.crashes,
+                    before=before.value,
+                    verdict=after.value,
+                )
 
     def _forget_expired(self, now: float) -> None:
         expired = [
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -244,6 +244,9 @@
         """
         now = trio.current_time()
         for fingerprint in suspects:
+            since_last_s = self.view.crashes.since_last_crash_s(
+                fingerprint, now
+            )
             verdict = self.view.crashes.record_crash(fingerprint, now)
             telemetry.event(
                 "leaf_crashed",
@@ -251,6 +254,7 @@
                 service=entry.service,
                 fingerprint=fingerprint,
                 verdict=verdict.value,
+                since_last_s=since_last_s,
             )
 
     def _cold_rate(self, entry: LeafEntry) -> float:
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -12,7 +12,7 @@
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.callers import HEAD, Caller
-from sapphire_gateway.crashes import QUARANTINE_S, fingerprint
+from sapphire_gateway.crashes import QUARANTINE_S, request_fingerprint
 from sapphire_gateway.execution import RequestExecution
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.headernames import HOP_BY_HOP_HEADERS
@@ -71,7 +71,12 @@
             job.fingerprint, trio.current_time()
         ):
             return self._refuse(
-                request, 503, "crashes leaves", RETRY_QUARANTINED_S, route
+                request,
+                503,
+                "crashes leaves",
+                RETRY_QUARANTINED_S,
+                route,
+                fingerprint=job.fingerprint,
             )
         reply_times = self._reply_times_of(route)
         execution = RequestExecution(job, self._fleet, reply_times)
@@ -144,7 +149,7 @@
             self._leaf_request_head(request),
             request.body,
             request.method == HEAD,
-            fingerprint(
+            request_fingerprint(
                 request.method,
                 header(request.headers, b"host") or b"",
                 request.target,
@@ -261,6 +266,7 @@
         retry_after_s: float | None = None,
         route: Route | None = None,
         load_forecast: Forecast | None = None,
+        fingerprint: str | None = None,
     ) -> Response:
         request_id = header(
             request.headers, self._header_names.request_id.lower()
@@ -276,6 +282,7 @@
                 "route": name,
                 "status": status,
                 "reason": reason,
+                "fingerprint": fingerprint,
                 "retry_after_s": retry_after_s,
                 "needed_ms": load_forecast
                 and round(load_forecast.needed_s * 1000, 1),
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -12,6 +12,7 @@
 from sapphire_core.latency import RunningQuantile
 from sapphire_core.leafset import LeafEntry
 
+from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallResult, parse_load_report
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.pool import LeafEndpoint
@@ -234,6 +235,8 @@
             )
             self._reply_times.add(elapsed)
             return
+        if result.failure is Failure.LOST and result.was_sent:
+            self._log_lost_call(call, entry, result, now)
         if call.is_cancelled or not result.was_sent:
             load.waiting.pop(call.number, None)
             return
@@ -245,6 +248,23 @@
         if result.reply is not None and result.failure is Failure.NOT_RUN:
             self._fleet.handle_rejection(entry, result.reply)
 
+    def _log_lost_call(
+        self, call: Call, entry: LeafEntry, result: CallResult, now: float
+    ) -> None:
+        telemetry.lost_call(
+            {
+                "request": call.request_id.decode("latin-1"),
+                "fingerprint": call.fingerprint,
+                "leaf": entry.leaf_id,
+                "service": entry.service,
+                "reason": result.detail,
+                "ran_ms": round((now - call.sent_at) * 1000, 1),
+                "closed_by_leaf": result.is_closed_by_server,
+                "silent": result.is_silent,
+                "caller_left": call.is_cancelled,
+            }
+        )
+
 
 def _ignore_result(result: CallResult) -> None:
     """Placeholder that is replaced before the call is sent."""
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -11,6 +11,7 @@
 from sapphire_core.fanout import Failure
 from sapphire_core.leafset import LeafEntry
 
+from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallResult, classify_reply
 from sapphire_gateway.connection import Connection
 from sapphire_gateway.headernames import HeaderNames
@@ -216,6 +217,13 @@
         if any(
             connection.was_established for connection in endpoint.connections
         ):
+            telemetry.LOST_LEAVES.labels("alive").inc(len(endpoint.suspects))
+            telemetry.event(
+                "leaf_alive",
+                leaf=endpoint.entry.leaf_id,
+                fingerprints=sorted(endpoint.suspects),
+                connections=len(endpoint.connections),
+            )
             endpoint.suspects.clear()
         elif not endpoint.connections:
             self._open(endpoint, None)
@@ -224,6 +232,7 @@
         """Reports a crash if requests were running on the leaf."""
         if endpoint.suspects:
             suspects, endpoint.suspects = endpoint.suspects, set()
+            telemetry.LOST_LEAVES.labels("crashed").inc(len(suspects))
             self.on_crash(endpoint.entry, suspects)
 
     def _open(self, endpoint: LeafEndpoint, call: Call | None) -> None:
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -90,6 +90,13 @@
     "Configuration version in force.",
     registry=REGISTRY,
 )
+LOST_LEAVES = Counter(
+    "sapphirecross_lost_leaves_total",
+    "Requests that were running on a leaf when it closed the connection, by"
+    " what was found out about the leaf: alive or crashed.",
+    ["outcome"],
+    registry=REGISTRY,
+)
 REVISION = Gauge(
     "sapphirecross_revision",
     "Revision of the platform's store up to which changes were applied.",
@@ -175,6 +182,12 @@
 
 
 _REJECTION_LOG = RequestLogLimiter()
+_LOST_CALL_LOG = RequestLogLimiter()
+
+
+def lost_call(fields: Mapping[str, object]) -> None:
+    """Logs a call whose leaf may have crashed."""
+    _LOST_CALL_LOG.write(trio.current_time(), "call_lost", fields)
 
 
 def reject_message(kind: str, error: str, peer: str) -> None:
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -9,7 +9,7 @@
     CRASH_GROUPING_S,
     QUARANTINE_S,
     CrashTracker,
-    fingerprint,
+    request_fingerprint,
 )
 
 
@@ -55,13 +55,13 @@
 
 def test_fingerprint_differs_by_caller_host_target_and_body():
     """Requests of other callers, hosts, targets or bodies have others."""
-    known = fingerprint(b"GET", b"h", b"/a/1", b"", "10.0.0.1")
-    assert known == fingerprint(b"GET", b"h", b"/a/1", b"", "10.0.0.1")
+    known = request_fingerprint(b"GET", b"h", b"/a/1", b"", "10.0.0.1")
+    assert known == request_fingerprint(b"GET", b"h", b"/a/1", b"", "10.0.0.1")
     others = {
-        fingerprint(b"GET", b"h", b"/a/1", b"", "10.0.0.2"),
-        fingerprint(b"GET", b"h", b"/a/2", b"", "10.0.0.1"),
-        fingerprint(b"GET", b"i", b"/a/1", b"", "10.0.0.1"),
-        fingerprint(b"POST", b"h", b"/a/1", b"x", "10.0.0.1"),
+        request_fingerprint(b"GET", b"h", b"/a/1", b"", "10.0.0.2"),
+        request_fingerprint(b"GET", b"h", b"/a/2", b"", "10.0.0.1"),
+        request_fingerprint(b"GET", b"i", b"/a/1", b"", "10.0.0.1"),
+        request_fingerprint(b"POST", b"h", b"/a/1", b"x", "10.0.0.1"),
     }
     assert known not in others
     assert len(others) == 4
