tests: Show crash requests that are not kept from leaves, failing

The soak gains a request that ends each leaf which starts it, repeated at one or any gateway, lost failure domains, and the checks of both: repetitions that reach leaves late, and harmless requests that are refused.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import json
 from dataclasses import dataclass
@@ -16,6 +17,7 @@
 from sapphire_gateway.connection import Connection
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Reply
+from sapphire_gateway.replyreader import ReplyReader
 from sapphire_gateway.store import StoreUnavailableError
 
 from soak.operator import HOST, Operator, SoakRoute
@@ -189,5 +191,48 @@
         )
 
 
+async def send_crash_request(
+    gateway: Gateway, route: SoakRoute, path: str
+) -> Attempt:
+    """Sends a request to a gateway, on a connection of its own.
+
+    Args:
+        gateway: The gateway, whether callers are directed to it or not.
+        route: The route of the path.
+        path: Path that crashes the leaves that execute the request.
+    """
+    request_id = f"{next(_REQUEST_IDS):08x}"
+    head = (
+        f"{route.method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"Request-Id: {request_id}\r\nContent-Length: 0\r\n"
+        f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n\r\n"
+    )
+    started_at = trio.current_time()
+    reader = ReplyReader()
+    was_sent = False
+    with (
+        trio.move_on_after(DEADLINE_S + LATE_REPLY_S),
+        contextlib.suppress(OSError, trio.BrokenResourceError),
+    ):
+        host, _, port = gateway.callers_address.rpartition(":")
+        async with await trio.open_tcp_stream(host, int(port)) as stream:
+            was_sent = True
+            await stream.send_all(head.encode())
+            while reader.reply is None:
+                data = await stream.receive_some()
+                if not data:
+                    break
+                reader.feed(data)
+    return Attempt(
+        request_id,
+        route,
+        gateway,
+        started_at,
+        trio.current_time(),
+        reader.reply,
+        was_unsent=not was_sent,
+    )
+
+
 def _accept_any_reply(reply: Reply, call: Call) -> CallResult:
     return CallResult(reply, None)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,16 +7,19 @@
 
 from __future__ import annotations
 
+import functools
+import itertools
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 
 import trio
 
+from soak.callers import send_crash_request
 from soak.guarantees import Observations
-from soak.leaves import Leaf
-from soak.operator import Operator
+from soak.leaves import CRASH_PATH, Leaf
+from soak.operator import FETCH, SEARCH, Operator, SoakRoute
 from soak.processes import Gateway
 from soak.proxy import Mode, Proxy
 from soak.store import Store
@@ -44,6 +47,14 @@
 # Probability that a reply has status 500 and, independently, that it has a
 # wrong request id.
 FAULTY_REPLY_SHARE = 0.3
+# Time for which a request that crashes leaves is repeated, possible pauses
+# between the repetitions of one caller, and numbers of callers.
+CRASH_REPETITION_S = 8.0
+CRASH_PAUSES_S = (0.02, 0.1, 0.3, 1.0)
+CRASH_CALLER_COUNTS = (1, 4)
+# Time from the crash of a leaf to its next start.
+CRASH_RESTART_S = 0.5
+_CRASH_REQUEST_NUMBERS = itertools.count(1)
 
 
 @dataclass
@@ -306,6 +317,72 @@
     proxy.set_mode(Mode.FORWARD)
 
 
+async def _crash_leaf(environment: Environment, leaf: Leaf) -> None:
+    """Ends a leaf, whose entry stays, until it restarts with a new id."""
+    proxy = environment.leaf_proxies[leaf.address]
+    if proxy.mode is Mode.REFUSE:
+        return
+    proxy.set_mode(Mode.REFUSE)
+    await trio.sleep(CRASH_RESTART_S)
+    environment.observations.withdrawn_at.setdefault(
+        leaf.leaf_id, trio.current_time()
+    )
+    leaf.restart()
+    environment.observations.leaf_failure_domains[leaf.leaf_id] = leaf.domain
+    proxy.set_mode(Mode.FORWARD)
+
+
+async def _crash_failure_domain(environment: Environment) -> None:
+    """Ends all leaves of a failure domain at once."""
+    domain = environment.random_gateway().failure_domain
+    async with trio.open_nursery() as nursery:
+        for leaf in environment.leaves:
+            if leaf.domain == domain:
+                nursery.start_soon(_crash_leaf, environment, leaf)
+
+
+async def _repeat_crash_fetch(environment: Environment) -> None:
+    await _repeat_crash_request(environment, FETCH, environment.gateways)
+
+
+async def _repeat_crash_fetch_at_one_gateway(environment: Environment) -> None:
+    gateway = environment.random_gateway()
+    await _repeat_crash_request(environment, FETCH, [gateway])
+
+
+async def _repeat_crash_search(environment: Environment) -> None:
+    await _repeat_crash_request(environment, SEARCH, environment.gateways)
+
+
+async def _repeat_crash_request(
+    environment: Environment, route: SoakRoute, gateways: Sequence[Gateway]
+) -> None:
+    """Repeats a request that crashes leaves, at any of some gateways."""
+    rng = environment.rng
+    number = next(_CRASH_REQUEST_NUMBERS)
+    path = f"{route.prefix}{number}{CRASH_PATH.decode()}"
+    attempts = environment.observations.crash_attempts.setdefault(path, [])
+    ends_at = trio.current_time() + CRASH_REPETITION_S
+
+    async def repeat(pause_s: float) -> None:
+        while trio.current_time() < ends_at:
+            attempts.append(
+                await send_crash_request(rng.choice(gateways), route, path)
+            )
+            await trio.sleep(pause_s)
+
+    async with trio.open_nursery() as crash_nursery:
+        for leaf in environment.leaves:
+            leaf.on_crash = functools.partial(
+                crash_nursery.start_soon, _crash_leaf, environment, leaf
+            )
+        async with trio.open_nursery() as callers:
+            for _ in range(rng.choice(CRASH_CALLER_COUNTS)):
+                callers.start_soon(repeat, rng.choice(CRASH_PAUSES_S))
+        for leaf in environment.leaves:
+            leaf.on_crash = lambda: None
+
+
 async def _drain_leaf(environment: Environment) -> None:
     """Drains a leaf, which keeps serving meanwhile, then restarts it at once.
 
@@ -378,6 +455,10 @@
     "leaf_slow": _slow_leaf,
     "leaf_faulty_replies": _send_faulty_leaf_replies,
     "leaf_restarts": _restart_leaf,
+    "failure_domain_crashes": _crash_failure_domain,
+    "crash_fetch": _repeat_crash_fetch,
+    "crash_fetch_at_one_gateway": _repeat_crash_fetch_at_one_gateway,
+    "crash_search": _repeat_crash_search,
     "leaf_drains": _drain_leaf,
     "leaf_removed": _remove_leaf,
     "configuration": _change_configuration,
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -26,6 +26,13 @@
 EVACUATION_LIMIT_S = 5.0
 # HTTP statuses of a reply that state that no leaf has executed the request.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
+# Requests that crash leaves: from this time after the third crash on, no more
+# than MAX_LATE_CRASH_REQUESTS of the repetitions may reach leaves.
+CRASH_LIMIT_S = 4.0
+CRASHES_BEFORE_LIMIT = 3
+MAX_LATE_CRASH_REQUESTS = 3
+# Body of the refusal of a request that crashes leaves.
+QUARANTINE_BODY = b"crashes leaves"
 # Smallest share of requests that has to be served after the recovery time.
 MIN_SERVED_SHARE = 0.9
 
@@ -41,6 +48,8 @@
             have to adopt each of them.
         attempts: The callers' requests that have ended. Callers send each
             request once and with an id of its own.
+        crash_attempts: By path, the ended repetitions of a request that crashes
+            leaves, which are not in `attempts`.
         withdrawn_at: By leaf id, the time at which the leaf first announced in
             the store that it is draining, or removed its entry. Evacuations
             of its failure domain are not included.
@@ -53,6 +62,7 @@
     ledger: Ledger
     operator: Operator
     attempts: list[Attempt] = field(default_factory=list)
+    crash_attempts: dict[str, list[Attempt]] = field(default_factory=dict)
     withdrawn_at: dict[str, float] = field(default_factory=dict)
     evacuations: list[tuple[str, float, float]] = field(default_factory=list)
     leaf_failure_domains: dict[str, str] = field(default_factory=dict)
@@ -68,6 +78,8 @@
         _check_configurations,
         _check_requests_answered,
         _check_recovery,
+        _check_crash_requests,
+        _check_no_harmless_request_is_quarantined,
     )
     return [line for check in checks for line in check(observations)]
 
@@ -309,3 +321,55 @@
             f" recovery time, expected at least {MIN_SERVED_SHARE:.0%}"
         ]
     return []
+
+
+def _check_crash_requests(observations: Observations) -> list[str]:
+    """Checks that a request which crashes leaves is kept from them in time.
+
+    A repetition that crashes several leaves at once, as a search can, counts
+    once when the crashes are counted.
+    """
+    started_at: dict[str, float] = {}
+    for execution in observations.ledger.executions:
+        started_at.setdefault(execution.request_id, execution.started_at)
+    violations = []
+    for path, attempts in observations.crash_attempts.items():
+        reached = sorted(
+            (
+                (started_at[attempt.request_id], attempt)
+                for attempt in attempts
+                if attempt.request_id in started_at
+            ),
+            key=lambda pair: pair[0],
+        )
+        if len(reached) < CRASHES_BEFORE_LIMIT:
+            continue
+        limit_at = reached[CRASHES_BEFORE_LIMIT - 1][0] + CRASH_LIMIT_S
+        late = [
+            at
+            for at, attempt in reached
+            if at > limit_at
+            and attempt.gateway.was_undisturbed(at - UNDISTURBED_S, at)
+        ]
+        if len(late) > MAX_LATE_CRASH_REQUESTS:
+            violations.append(
+                f"{len(reached)} repetitions of {path} reached leaves,"
+                f" {len(late)} of them too late"
+            )
+    return violations
+
+
+def _check_no_harmless_request_is_quarantined(
+    observations: Observations,
+) -> list[str]:
+    """Checks that lost leaves do not quarantine what was running there."""
+    refused = [
+        attempt
+        for attempt in observations.attempts
+        if attempt.reply is not None
+        and attempt.reply.status == 503
+        and attempt.reply.body == QUARANTINE_BODY
+    ]
+    if not refused:
+        return []
+    return [f"{len(refused)} harmless requests were refused as quarantined"]
--- a/tests/soak/leaves.py
+++ b/tests/soak/leaves.py
@@ -10,6 +10,7 @@
 
 import hashlib
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import NamedTuple
@@ -27,6 +28,10 @@
 # MAX_RUNNING, and rejects the others.
 SLOTS = 4
 MAX_RUNNING = 2 * SLOTS
+# A request whose path ends with this crashes each leaf that starts to execute
+# it.
+CRASH_PATH = b"crash"
+CRASH_REPLY_DELAY_S = 0.05
 # Start times in Unix milliseconds. They are counted instead of read from the
 # clock, so that each start of a leaf has a later one and thus an id of its own.
 _START_TIMES_MS = itertools.count(1_700_000_000_000)
@@ -97,6 +102,8 @@
         # Share of the replies with status 500 and, drawn independently, of the
         # replies that repeat a wrong request id.
         self.faulty_share = 0.0
+        # Called when a request crashes the leaf.
+        self.on_crash: Callable[[], None] = lambda: None
         self.leaf_id = ""
         self.restart()
 
@@ -160,6 +167,11 @@
                 request_id, self.service, self.leaf_id, trio.current_time()
             )
         )
+        if request.target.endswith(CRASH_PATH):
+            self.on_crash()
+            # Its connections are being closed, so nobody gets this reply.
+            await trio.sleep(CRASH_REPLY_DELAY_S)
+            return Response(500, [])
         self._running += 1
         try:
             await trio.sleep(
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -27,6 +27,8 @@
     STALL_REPLIES = "stall_replies"
     # Closes open connections, and new ones as soon as they are accepted.
     RESET = "reset"
+    # Closes open connections and refuses new ones, as after a crash.
+    REFUSE = "refuse"
 
 
 class Proxy:
@@ -48,6 +50,7 @@
         self.delay_s = 0.0
         self._mode_changed = trio.Event()
         self._connection_scopes: set[trio.CancelScope] = set()
+        self._listen_scope = trio.CancelScope()
         # Connections whose replies are held back until they are closed.
         self._silenced: set[trio.CancelScope] = set()
 
@@ -58,8 +61,10 @@
         # once, so later changes need a new one.
         self._mode_changed.set()
         self._mode_changed = trio.Event()
-        if mode is Mode.RESET:
+        if mode in {Mode.RESET, Mode.REFUSE}:
             self.close_all()
+        if mode is Mode.REFUSE:
+            self._listen_scope.cancel()
 
     def silence_replies(self, rng: Random, share: float) -> None:
         """Holds back the replies of some open connections for good.
@@ -80,11 +85,23 @@
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Listens until cancelled."""
+        """Listens until cancelled, except in the mode REFUSE."""
         host, _, port = self._listen_address.rpartition(":")
-        listeners = await trio.open_tcp_listeners(int(port), host=host)
-        task_status.started()
-        await trio.serve_listeners(self._forward, listeners)
+        async with trio.open_nursery() as connections:
+            is_started = False
+            while True:
+                with trio.CancelScope() as self._listen_scope:
+                    listeners = await trio.open_tcp_listeners(
+                        int(port), host=host
+                    )
+                    if not is_started:
+                        task_status.started()
+                        is_started = True
+                    await trio.serve_listeners(
+                        self._forward, listeners, handler_nursery=connections
+                    )
+                while self.mode is Mode.REFUSE:
+                    await self._mode_changed.wait()
 
     async def _forward(self, client: trio.SocketStream) -> None:
         if self.mode is Mode.RESET:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -51,8 +51,10 @@
 SCHEDULING_CHECK_INTERVAL_S = 0.05
 # The gateways' proxies of the store have the ports after this one.
 STORE_PORT = 9000
+LEAVES_PER_SERVICE = 2
 # Port of the first leaf of the first service.
 FIRST_LEAF_PORT = 9100
+PORTS_PER_SERVICE = 20
 # Distance of the port of a leaf's proxy from that of the leaf.
 PROXY_PORT_OFFSET = 1000
 
@@ -84,6 +86,7 @@
     fault_phase_s: float,
     folder: pathlib.Path,
     fault_names: Sequence[str] = tuple(FAULTS),
+    unsharded_leaves: int = LEAVES_PER_SERVICE,
 ) -> Result:
     """Injects the faults of a seed and checks the guarantees.
 
@@ -94,9 +97,13 @@
             last faults may end later, and FAULT_FREE_S follows.
         folder: Folder for settings and logs.
         fault_names: Faults to choose from, in FAULTS.
+        unsharded_leaves: Number of leaves of UNSHARDED_SERVICE.
     """
     result = Result(seed)
-    async with _running_environment(seed, folder) as (environment, nursery):
+    async with _running_environment(seed, folder, unsharded_leaves) as (
+        environment,
+        nursery,
+    ):
         nursery.start_soon(_watch_scheduling_delays, environment, result)
         await _wait_until_ready(environment, nursery)
         for _ in range(CALLER_COUNT):
@@ -172,7 +179,7 @@
 
 @contextlib.asynccontextmanager
 async def _running_environment(
-    seed: int, folder: pathlib.Path
+    seed: int, folder: pathlib.Path, unsharded_leaves: int
 ) -> AsyncIterator[tuple[Environment, trio.Nursery]]:
     rng = Random(seed)
     store = Store()
@@ -206,7 +213,7 @@
                 environment.store_proxies[gateway.name] = proxy
                 cores = CORES_OF_VMS[number % len(CORES_OF_VMS)]
                 gateway.write_settings(proxy_address, cores)
-            await _start_leaves(environment, subnet, nursery)
+            await _start_leaves(environment, subnet, nursery, unsharded_leaves)
             with killed_on_exit(gateways):
                 for gateway in gateways:
                     gateway.start()
@@ -214,19 +221,24 @@
 
 
 async def _start_leaves(
-    environment: Environment, subnet: str, nursery: trio.Nursery
+    environment: Environment,
+    subnet: str,
+    nursery: trio.Nursery,
+    unsharded_leaves: int,
 ) -> None:
-    """Starts two leaves, in different failure domains, of each service.
+    """Starts the leaves of each service, spread over the failure domains.
 
-    Each shard is a service of its own, and UNSHARDED_SERVICE is not sharded. A
-    leaf registers the address of its proxy as its own.
+    Each shard is a service of its own, with LEAVES_PER_SERVICE leaves, and
+    UNSHARDED_SERVICE is not sharded. A leaf registers the address of its proxy
+    as its own.
     """
     for index, service in enumerate((*SHARDS, UNSHARDED_SERVICE)):
-        for replica in range(2):
+        count = LEAVES_PER_SERVICE if service in SHARDS else unsharded_leaves
+        for replica in range(count):
             failure_domain = FAILURE_DOMAINS[
                 (index + replica) % len(FAILURE_DOMAINS)
             ]
-            port = FIRST_LEAF_PORT + 10 * index + replica
+            port = FIRST_LEAF_PORT + PORTS_PER_SERVICE * index + replica
             leaf_address = f"{subnet}.2:{port}"
             proxy_address = f"{subnet}.2:{port + PROXY_PORT_OFFSET}"
             leaf = Leaf(
@@ -273,6 +285,7 @@
     fault_phase_s: float,
     output_folder: str | None = None,
     fault_names: Sequence[str] = tuple(FAULTS),
+    unsharded_leaves: int = LEAVES_PER_SERVICE,
 ) -> Result:
     """Runs a seed in an event loop of its own.
 
@@ -282,12 +295,18 @@
         output_folder: Folder in which a folder `seed-<seed>` with settings and
             logs is created; without it they are removed after the run.
         fault_names: Faults to choose from, in FAULTS.
+        unsharded_leaves: Number of leaves of UNSHARDED_SERVICE.
     """
+    arguments = (tuple(fault_names), unsharded_leaves)
     if output_folder is not None:
         folder = pathlib.Path(output_folder) / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        return trio.run(run_in_folder, seed, fault_phase_s, folder, fault_names)
+        return trio.run(run_in_folder, seed, fault_phase_s, folder, *arguments)
     with tempfile.TemporaryDirectory() as name:
         return trio.run(
-            run_in_folder, seed, fault_phase_s, pathlib.Path(name), fault_names
+            run_in_folder,
+            seed,
+            fault_phase_s,
+            pathlib.Path(name),
+            *arguments,
         )
