--- /dev/null
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -0,0 +1,395 @@
+"""Which requests may crash leaves, as known to one VM; does no I/O.
+
+A request is suspected when a leaf crashes while it runs there. So is whatever
+else ran on the leaf, and whatever ran in a failure domain that is lost. What
+tells a crashing request from a harmless one is what happens when it runs again:
+a harmless one is answered. A suspected request is therefore held back, then run
+once more at a single leaf, as a canary. A reply clears it. If the canary
+crashes its leaf too, the request is quarantined, unless that crash may be the
+work of another request that ran on the same leaf.
+
+Harmless requests are mostly cleared at once, by the reply to their retry.
+
+Crashes are told apart by the leaf, so that VMs can add up what each has seen.
+All times are in seconds of one monotonic clock.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from sapphire_core.rendezvous import MAX_WEIGHT, ranking, weight
+
+# A request is quarantined only if so many leaves have crashed under it.
+QUARANTINE_CRASHES = 2
+# Quarantine after the last time that the request was sent.
+QUARANTINE_S = 600.0
+# Time after the last crash for which a suspected request is remembered.
+SUSPICION_S = 60.0
+# Time after a crash before a canary may run, so that leaves which are lost
+# together are known to be lost.
+HOLD_S = 0.4
+# The VMs may run their canaries one after the other at this interval, so that
+# the first result can reach the others.
+CANARY_INTERVAL_S = 0.1
+MAX_CANARY_DELAY_S = 1.6
+# Random part of that time, which differs by request: a harmless request and the
+# one that crashed its leaf would else run their canaries at the same moment.
+CANARY_JITTER_S = 0.4
+# Time after the crash of a canary in which other VMs tell what else ran on the
+# leaf, and replies to retries clear what is harmless.
+SETTLING_S = 0.25
+# Leaves that are remembered for each request, and told to other VMs.
+MAX_LEAVES = 64
+MAX_SHARED_LEAVES = 8
+MAX_ENTRIES = 10_000
+
+
+class CrashVerdict(enum.Enum):
+    """Whether and how a request may run."""
+
+    CLEAR = "clear"
+    # Suspected; it must not run yet.
+    HELD = "held"
+    # Suspected; it may run, first at a single leaf.
+    CANARY = "canary"
+    QUARANTINED = "quarantined"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class CrashedLeaf:
+    """A leaf that crashed while it ran a request.
+
+    Attributes:
+        service: Service of the leaf.
+        incarnation: Identity of the leaf, with the time of its start.
+    """
+
+    service: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """What a VM knows of a suspected request, for other VMs.
+
+    Attributes:
+        fingerprint: Equal for equal requests of one caller.
+        leaves: Leaves that crashed under it, the last MAX_SHARED_LEAVES.
+        is_quarantined: Whether it must not run.
+        expires_in_s: Time until the record is forgotten.
+        cleared: Leaves that crashed under it and are not put down to it any
+            more, the last MAX_SHARED_LEAVES.
+    """
+
+    fingerprint: str
+    leaves: tuple[CrashedLeaf, ...]
+    is_quarantined: bool
+    expires_in_s: float
+    cleared: tuple[CrashedLeaf, ...] = ()
+
+
+@dataclass(slots=True)
+class _Entry:
+    """A suspected request.
+
+    Attributes:
+        expires: Time at which it is forgotten.
+        canary_at: Time from which a canary may run.
+        leaves: Leaves whose crashes count against it, oldest first.
+        cleared: Leaves whose crashes do not count any more, oldest first.
+        canaries: Times of the crashes in `leaves` that ended a canary.
+        is_quarantined: Whether the request must not run.
+    """
+
+    expires: float
+    canary_at: float
+    leaves: dict[CrashedLeaf, None] = field(default_factory=dict)
+    cleared: dict[CrashedLeaf, None] = field(default_factory=dict)
+    canaries: dict[CrashedLeaf, float] = field(default_factory=dict)
+    is_quarantined: bool = False
+
+    def clear(self, leaves: Iterable[CrashedLeaf]) -> bool:
+        """Clears crashes; returns whether the last one was cleared."""
+        known = [leaf for leaf in leaves if leaf in self.leaves]
+        for leaf in known:
+            del self.leaves[leaf]
+            self.canaries.pop(leaf, None)
+            self.cleared[leaf] = None
+        return bool(known) and not self.leaves
+
+
+class CrashSuspects:
+    """The suspected requests, by fingerprint."""
+
+    def __init__(self, member: str) -> None:
+        """Starts without suspects.
+
+        Args:
+            member: Name of this VM among the members.
+        """
+        self._member = member
+        self._members: tuple[str, ...] = (member,)
+        self._entries: dict[str, _Entry] = {}
+
+    def set_members(self, members: Iterable[str]) -> None:
+        """Sets the names of all VMs that may run canaries."""
+        self._members = tuple(sorted({*members, self._member}))
+
+    def verdict(self, fingerprint: str, now: float) -> CrashVerdict:
+        """Returns whether and how a request may run."""
+        entry = self._unexpired(fingerprint, now)
+        if entry is None:
+            return CrashVerdict.CLEAR
+        self._quarantine_if_due(fingerprint, entry, now)
+        if entry.is_quarantined:
+            return CrashVerdict.QUARANTINED
+        if not entry.leaves:
+            return CrashVerdict.CLEAR
+        if now < entry.canary_at:
+            return CrashVerdict.HELD
+        return CrashVerdict.CANARY
+
+    def record_refusal(self, fingerprint: str, now: float) -> float:
+        """Records that a request was sent and refused.
+
+        As long as its caller keeps sending it, a quarantined request stays
+        quarantined.
+
+        Returns:
+            Time in seconds after which the request may run again.
+        """
+        entry = self._unexpired(fingerprint, now)
+        if entry is None:
+            return 0.0
+        if entry.is_quarantined:
+            entry.expires = now + QUARANTINE_S
+            return QUARANTINE_S
+        return max(0.0, entry.canary_at - now)
+
+    def begin_canary(self, fingerprint: str, ends_at: float) -> None:
+        """Holds the request back for others while a canary runs.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            ends_at: Time at which the canary ends at the latest.
+        """
+        entry = self._entries.get(fingerprint)
+        if entry is not None:
+            entry.canary_at = ends_at
+
+    def end_canary(self, fingerprint: str, now: float) -> None:
+        """Allows the next canary, once a crash of this one would be known."""
+        entry = self._entries.get(fingerprint)
+        if entry is not None:
+            entry.canary_at = now + HOLD_S
+
+    def canary_order(
+        self, fingerprint: str, services: Iterable[str]
+    ) -> list[str]:
+        """Returns services in the order in which a canary should call them.
+
+        Services whose leaves have crashed come first. Their order differs by
+        request, for the reason given at CANARY_JITTER_S.
+        """
+        entry = self._entries.get(fingerprint)
+        suspects = {leaf.service for leaf in entry.leaves} if entry else set()
+        return sorted(
+            services,
+            key=lambda service: (
+                service not in suspects,
+                weight(fingerprint, service),
+            ),
+        )
+
+    def record_crash(
+        self, fingerprint: str, leaf: CrashedLeaf, is_canary: bool, now: float
+    ) -> bool:
+        """Records that a leaf crashed while it ran the request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            leaf: The leaf.
+            is_canary: Whether the request was suspected when it was sent.
+            now: Present time.
+
+        Returns:
+            Whether the crash was not known yet.
+        """
+        is_new = self._add(fingerprint, [leaf], now + SUSPICION_S, now)
+        entry = self._entries[fingerprint]
+        # Another VM may have told of the leaf first.
+        if is_canary and leaf in entry.leaves:
+            entry.canaries.setdefault(leaf, now)
+        return is_new
+
+    def record_survival(
+        self, fingerprint: str, service: str, is_canary: bool
+    ) -> bool:
+        """Records that a leaf has answered the request.
+
+        It clears the crashes of this service. A canary clears all.
+
+        Returns:
+            Whether the request is no longer suspected.
+        """
+        entry = self._entries.get(fingerprint)
+        if entry is None or entry.is_quarantined:
+            return False
+        return entry.clear(
+            [
+                leaf
+                for leaf in entry.leaves
+                if is_canary or leaf.service == service
+            ]
+        )
+
+    def records(self, now: float) -> list[CrashRecord]:
+        """Returns what to tell other VMs, quarantined requests first.
+
+        After them come the suspected requests, then those that were cleared.
+        """
+        self._remove_expired(now)
+        records = []
+        for fingerprint, entry in self._entries.items():
+            self._quarantine_if_due(fingerprint, entry, now)
+            records.append(
+                CrashRecord(
+                    fingerprint,
+                    tuple(entry.leaves)[-MAX_SHARED_LEAVES:],
+                    entry.is_quarantined,
+                    entry.expires - now,
+                    tuple(entry.cleared)[-MAX_SHARED_LEAVES:],
+                )
+            )
+        records.sort(
+            key=lambda record: (
+                not record.is_quarantined,
+                not record.leaves,
+                -record.expires_in_s,
+            )
+        )
+        return records
+
+    def merge(
+        self, records: Iterable[CrashRecord], now: float
+    ) -> list[tuple[str, CrashVerdict]]:
+        """Merges what another VM has told.
+
+        Returns:
+            Fingerprints of which this VM has learned something, each with its
+            verdict from now on.
+        """
+        changed = []
+        for record in records:
+            if record.expires_in_s > 0 and self._merge_one(record, now):
+                verdict = self.verdict(record.fingerprint, now)
+                changed.append((record.fingerprint, verdict))
+        return changed
+
+    def _merge_one(self, record: CrashRecord, now: float) -> bool:
+        limit_s = QUARANTINE_S if record.is_quarantined else SUSPICION_S
+        expires = now + min(record.expires_in_s, limit_s)
+        has_new = self._add(record.fingerprint, record.leaves, expires, now)
+        entry = self._entries.get(record.fingerprint)
+        if entry is None:
+            entry = _Entry(expires, now)
+            self._store(record.fingerprint, entry, now)
+        is_cleared = entry.clear(record.cleared)
+        for leaf in record.cleared[: MAX_LEAVES - len(entry.cleared)]:
+            entry.cleared.setdefault(leaf)
+        is_newly_quarantined = (
+            record.is_quarantined and not entry.is_quarantined
+        )
+        if record.is_quarantined:
+            entry.is_quarantined = True
+            entry.expires = max(entry.expires, expires)
+        return has_new or is_cleared or is_newly_quarantined
+
+    def _add(
+        self,
+        fingerprint: str,
+        leaves: Iterable[CrashedLeaf],
+        expires: float,
+        now: float,
+    ) -> bool:
+        """Adds crashes to an entry; returns whether any of them is new."""
+        entry = self._unexpired(fingerprint, now)
+        new = [
+            leaf
+            for leaf in leaves
+            if entry is None
+            or (leaf not in entry.leaves and leaf not in entry.cleared)
+        ]
+        if not new:
+            return False
+        if entry is None:
+            entry = _Entry(expires, now)
+            self._store(fingerprint, entry, now)
+        entry.leaves.update(dict.fromkeys(new))
+        while len(entry.leaves) > MAX_LEAVES:
+            entry.leaves.pop(next(iter(entry.leaves)))
+        entry.expires = max(entry.expires, expires)
+        delay_s = HOLD_S + self._canary_delay_s(fingerprint)
+        entry.canary_at = max(entry.canary_at, now + delay_s)
+        return True
+
+    def _canary_delay_s(self, fingerprint: str) -> float:
+        position = ranking(fingerprint, self._members).index(self._member)
+        jitter = weight(fingerprint, "canary") / MAX_WEIGHT
+        return min(
+            position * CANARY_INTERVAL_S + jitter * CANARY_JITTER_S,
+            MAX_CANARY_DELAY_S,
+        )
+
+    def _quarantine_if_due(
+        self, fingerprint: str, entry: _Entry, now: float
+    ) -> None:
+        if entry.is_quarantined or len(entry.leaves) < QUARANTINE_CRASHES:
+            return
+        for leaf, crashed_at in entry.canaries.items():
+            is_settled = now >= crashed_at + SETTLING_S
+            if is_settled and not self._is_explained(fingerprint, entry, leaf):
+                entry.is_quarantined = True
+                entry.expires = now + QUARANTINE_S
+                return
+
+    def _is_explained(
+        self, fingerprint: str, entry: _Entry, leaf: CrashedLeaf
+    ) -> bool:
+        """Returns whether a leaf's crash may be the work of another request.
+
+        It may be if the other request ran there too, was not cleared, and has
+        as many crashed leaves.
+        """
+        return any(
+            leaf in other.leaves and len(other.leaves) >= len(entry.leaves)
+            for name, other in self._entries.items()
+            if name != fingerprint
+        )
+
+    def _store(self, fingerprint: str, entry: _Entry, now: float) -> None:
+        if len(self._entries) >= MAX_ENTRIES:
+            self._remove_expired(now)
+        if len(self._entries) >= MAX_ENTRIES:
+            del self._entries[min(self._entries, key=self._eviction_rank)]
+        self._entries[fingerprint] = entry
+
+    def _eviction_rank(self, fingerprint: str) -> tuple[bool, bool, float]:
+        entry = self._entries[fingerprint]
+        is_dangerous = entry.is_quarantined or bool(entry.canaries)
+        return is_dangerous, bool(entry.leaves), entry.expires
+
+    def _unexpired(self, fingerprint: str, now: float) -> _Entry | None:
+        entry = self._entries.get(fingerprint)
+        if entry is not None and entry.expires <= now:
+            del self._entries[fingerprint]
+            return None
+        return entry
+
+    def _remove_expired(self, now: float) -> None:
+        expired = [f for f, e in self._entries.items() if e.expires <= now]
+        for fingerprint in expired:
+            del self._entries[fingerprint]
--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -11,7 +11,7 @@
 from collections.abc import Container, Mapping
 from dataclasses import dataclass
 
-from sapphire_core.quarantine import CrashCount
+from sapphire_core.crashsuspects import CrashRecord
 from sapphire_core.rendezvous import ranking
 
 # Time for which a member whose entry is missing from the store is still
@@ -51,9 +51,8 @@
         domain: Failure domain.
         leaving: Whether it is being stopped and must not be advertised.
         cores: Available processor time, as a number of cores.
-        suspects: Crash counts of the requests that were running when leaves
-            crashed. They are part of the entry so that the other VMs receive
-            them for their `quarantine.Quarantine`.
+        suspects: Requests under which leaves crashed. They are part of the
+            entry so that VMs which start later receive them.
         peer_address: Address for requests from other VMs; empty if the VM
             accepts no such requests.
     """
@@ -63,7 +62,7 @@
     domain: str
     leaving: bool = False
     cores: float = 1.0
-    suspects: tuple[CrashCount, ...] = ()
+    suspects: tuple[CrashRecord, ...] = ()
     peer_address: str = ""
 
 
@@ -103,18 +102,21 @@
 
     def live(self, now: float) -> list[Member]:
         """Returns the members that may be advertised to callers."""
-        for name in [n for n, s in self._states.items() if _is_expired(s, now)]:
-            del self._states[name]
-        return [
-            state.member
-            for state in self._states.values()
-            if not state.member.leaving
-        ]
+        return [member for member in self.all(now) if not member.leaving]
+
+    def all(self, now: float) -> list[Member]:
+        """Returns the members, also those that are being stopped."""
+        self._remove_expired(now)
+        return [state.member for state in self._states.values()]
 
     def names(self, now: float) -> list[str]:
         """Returns the names of the live members and of this VM."""
         return sorted({m.name for m in self.live(now)} | {self._self_name})
 
+    def _remove_expired(self, now: float) -> None:
+        for name in [n for n, s in self._states.items() if _is_expired(s, now)]:
+            del self._states[name]
+
 
 class RecentPeak:
     """Greatest count that was current within the last PEAK_WINDOW_S."""
--- a/libs/core/src/sapphire_core/rendezvous.py
+++ b/libs/core/src/sapphire_core/rendezvous.py
@@ -6,6 +6,9 @@
 import hashlib
 from collections.abc import Iterable
 
+# All weights are below this.
+MAX_WEIGHT = 1 << 64
+
 
 @functools.lru_cache(maxsize=1 << 16)
 def weight(key: str, member: str) -> int:
--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -53,6 +53,7 @@
             connection then ends it.
         on_end: Called once with the result.
         created_at: Time at which the call was created.
+        is_canary: Whether the request is suspected of crashing leaves.
         sent_at: Time at which sending began, or 0.
         fingerprint: Equal for equal requests of one caller; empty for calls
             that do not forward a caller's request.
@@ -71,6 +72,7 @@
     on_end: Callable[[CallResult], None]
     created_at: float
     fingerprint: str = ""
+    is_canary: bool = False
     sent_at: float = 0.0
     is_over: bool = False
     is_cancelled: bool = False
--- a/libs/gateway/src/sapphire_gateway/crashes.py
+++ b/libs/gateway/src/sapphire_gateway/crashes.py
@@ -1,21 +1,21 @@
-"""Detection and quarantine of requests that crash leaves."""
+"""Requests that may crash leaves: fingerprints, log lines and sharing."""
 
 from __future__ import annotations
 
 import hashlib
 from collections.abc import Iterable
 
-from sapphire_core.quarantine import CrashCount, Quarantine, Verdict
+import trio
+from sapphire_core.crashsuspects import (
+    CrashedLeaf,
+    CrashRecord,
+    CrashSuspects,
+    CrashVerdict,
+)
 
 from sapphire_gateway import telemetry
 
-# A request that was running in two separate crashes is refused for this long.
-QUARANTINE_S = 60.0
-# A crash counts only if it comes at least this long after the previous one
-# during the same request: a search runs on many leaves at once, and the leaves
-# of a failure domain can fail together.
-CRASH_GROUPING_S = 0.4
-# Maximum number of CrashCount records in a member's entry.
+# Records in a member's entry and in a message to another VM.
 MAX_SHARED_RECORDS = 50
 
 
@@ -39,74 +39,90 @@
 
 
 class CrashTracker:
-    """Counts the leaf crashes during which each request was running.
+    """The suspected requests of this VM, with log lines for each change.
 
-    VMs exchange these counts through their member entries, so that a request
-    with two crashes is refused at every VM that has received the counts.
+    Attributes:
+        suspects: Decides which requests may run.
     """
 
-    def __init__(self) -> None:
-        self._quarantine = Quarantine(QUARANTINE_S)
-        self._last_crash_at: dict[str, float] = {}
-        self._has_unshared = False
-
-    def is_refused(self, fingerprint: str, now: float) -> bool:
-        """Returns whether a request is quarantined."""
-        verdict = self._quarantine.verdict(fingerprint, now)
-        return verdict is Verdict.QUARANTINED
-
-    def since_last_crash_s(self, fingerprint: str, now: float) -> float | None:
-        """Returns the age of the last crash of a request, counted or not."""
-        last = self._last_crash_at.get(fingerprint)
-        return None if last is None else now - last
-
-    def record_crash(self, fingerprint: str, now: float) -> Verdict:
-        """Records that a leaf crashed while it ran the request."""
-        last = self._last_crash_at.get(fingerprint)
-        is_separate = last is None or now - last >= CRASH_GROUPING_S
-        self._forget_expired(now)
-        self._last_crash_at[fingerprint] = now
-        self._has_unshared = self._has_unshared or is_separate
-        # A separate crash counts even if the leaf ran other requests too, so
-        # `alone` does not have the meaning that Quarantine documents.
-        return self._quarantine.record_crash(
-            fingerprint, now, alone=is_separate
+    def __init__(self, self_name: str) -> None:
+        self.suspects = CrashSuspects(self_name)
+        self._is_unpublished = False
+        self._news = trio.Event()
+
+    def verdict(self, fingerprint: str, now: float) -> CrashVerdict:
+        """Returns whether and how a request may run."""
+        return self.suspects.verdict(fingerprint, now)
+
+    def record_crash(
+        self, fingerprint: str, leaf: CrashedLeaf, is_canary: bool, now: float
+    ) -> None:
+        """Records that a leaf crashed while it ran a request."""
+        is_new = self.suspects.record_crash(fingerprint, leaf, is_canary, now)
+        verdict = self.suspects.verdict(fingerprint, now)
+        telemetry.event(
+            "leaf_crashed",
+            leaf=leaf.incarnation,
+            service=leaf.service,
+            fingerprint=fingerprint,
+            canary=is_canary,
+            known=not is_new,
+            verdict=verdict.value,
         )
+        telemetry.CRASH_SUSPECTS.labels(verdict.value).inc()
+        if is_new:
+            self._is_unpublished = True
+            self._news.set()
+
+    def record_survival(
+        self, fingerprint: str, service: str, is_canary: bool
+    ) -> None:
+        """Records that a leaf has answered a request."""
+        if self.suspects.record_survival(fingerprint, service, is_canary):
+            telemetry.event(
+                "suspect_cleared",
+                fingerprint=fingerprint,
+                service=service,
+                canary=is_canary,
+            )
+            # Other VMs hold the request back until they know.
+            self._news.set()
+
+    def merge(
+        self, records: Iterable[CrashRecord], source: str, now: float
+    ) -> None:
+        """Merges the records of another VM, which is named for the log."""
+        for fingerprint, verdict in self.suspects.merge(records, now):
+            telemetry.event(
+                "crash_records_merged",
+                fingerprint=fingerprint,
+                member=source,
+                verdict=verdict.value,
+            )
+
+    def shared_records(self, now: float) -> tuple[CrashRecord, ...]:
+        """Returns up to MAX_SHARED_RECORDS, quarantined requests first."""
+        records = self.suspects.records(now)
+        left_out = max(0, len(records) - MAX_SHARED_RECORDS)
+        telemetry.CRASH_RECORDS_LEFT_OUT.inc(left_out)
+        return tuple(records[:MAX_SHARED_RECORDS])
 
-    def take_unshared(self, now: float) -> tuple[CrashCount, ...] | None:
-        """Returns all records if a crash was counted since the last call.
+    def take_unpublished(self, now: float) -> tuple[CrashRecord, ...] | None:
+        """Returns the records for the store if this VM saw a new crash.
 
-        Returns None otherwise. Records merged from other VMs are included, but
-        are no reason to share. If there are more than MAX_SHARED_RECORDS, those
-        that expire last are returned.
+        Returns None otherwise: what other VMs have told is no reason for
+        another call to the store.
         """
-        if not self._has_unshared:
+        if not self._is_unpublished:
             return None
-        self._has_unshared = False
-        records = self._quarantine.records(now)
-        records.sort(key=lambda record: -record.expires_in_s)
-        return tuple(records[:MAX_SHARED_RECORDS])
+        self._is_unpublished = False
+        return tuple(
+            record
+            for record in self.shared_records(now)
+            if record.leaves or record.is_quarantined
+        )
 
-    def merge(self, records: Iterable[CrashCount], now: float) -> None:
-        """Merges the records of another VM."""
-        for record in records:
-            before = self._quarantine.verdict(record.fingerprint, now)
-            self._quarantine.merge([record], now)
-            after = self._quarantine.verdict(record.fingerprint, now)
-            if after is not before:
-                telemetry.event(
-                    "crash_count_merged",
-                    fingerprint=record.fingerprint,
-                    crashes=record.crashes,
-                    before=before.value,
-                    verdict=after.value,
-                )
-
-    def _forget_expired(self, now: float) -> None:
-        expired = [
-            name
-            for name, at in self._last_crash_at.items()
-            if now - at > QUARANTINE_S
-        ]
-        for name in expired:
-            del self._last_crash_at[name]
+    async def wait_for_news(self) -> None:
+        """Waits until this VM has something to tell since the last call."""
+        await self._news.wait()
+        self._news = trio.Event()
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -14,8 +14,9 @@
 from sapphire_core.retrybudget import RetryBudgetPolicy
 from sapphire_core.routing import ClientLimits
 
-from sapphire_gateway import revisionexchange, telemetry
+from sapphire_gateway import crashexchange, revisionexchange, telemetry
 from sapphire_gateway.callers import Caller, CallerServer
+from sapphire_gateway.crashexchange import CrashExchange, CrashServer
 from sapphire_gateway.delegated_calls import HelperPool, HelperServer
 from sapphire_gateway.feed import FeedClient, FeedServer
 from sapphire_gateway.fleet import Fleet
@@ -85,17 +86,21 @@
         feed: FeedServer,
         helper: HelperServer,
         revisions: RevisionServer,
+        crashes: CrashServer,
     ) -> None:
         self._feed = feed
         self._helper = helper
         self._revisions = revisions
+        self._crashes = crashes
 
     async def handle(self, request: Request) -> Response:
         """Answers a request.
 
-        POST requests ask for calls to leaves, all others for the revision or
-        for changes.
+        POST requests tell of crashes or ask for calls to leaves, all others ask
+        for the revision or for changes.
         """
+        if request.target == crashexchange.PATH.encode():
+            return self._crashes.handle(request)
         if request.method == b"POST":
             return await self._helper.handle(request)
         if request.target.startswith(revisionexchange.PATH.encode()):
@@ -231,12 +236,14 @@
             ),
             HelperServer(fleet),
             RevisionServer(self._view.freshness),
+            CrashServer(self._view),
         )
         fleet.helpers = HelperPool(fleet, nursery)
         await self._listen(nursery, self._settings.peer_address, peers.handle)
         nursery.start_soon(sync.run)
         exchange = RevisionExchange(fleet, self_member, nursery)
         nursery.start_soon(exchange.run)
+        nursery.start_soon(CrashExchange(self._view, nursery).run)
         telemetry.DATA_AGE.set_function(
             lambda: self._view.freshness.age_s(trio.current_time())
         )
@@ -323,8 +330,8 @@
             telemetry.CONNECTIONS.set(pool.opened_count)
 
     def _publish_suspects(self, sync: Sync, now: float) -> None:
-        """Publishes the crash counts of requests if this VM has new ones."""
-        suspects = self._view.crashes.take_unshared(now)
+        """Publishes the suspected requests if this VM saw a new crash."""
+        suspects = self._view.crashes.take_unpublished(now)
         if suspects is not None:
             sync.own_entry.publish_suspects(suspects)
 
--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -20,6 +20,7 @@
 
 import msgspec
 import trio
+from sapphire_core.crashsuspects import CrashVerdict
 from sapphire_core.delegation import assign
 from sapphire_core.fanout import Failure
 from sapphire_core.members import Member
@@ -114,13 +115,23 @@
 
 
 class FailedPart(msgspec.Struct, array_like=True):
-    """A part whose call ended without a successful reply."""
+    """A part whose call ended without a successful reply.
+
+    Attributes:
+        part: Service that was called.
+        leaf_id: Id of the leaf; empty if there was none.
+        failure: Value of a Failure.
+        detail: Description for the log.
+        was_sent: Whether any byte of the request may have reached the leaf.
+        is_leaf_lost: Whether the leaf closed the connection during the call.
+    """
 
     part: str
     leaf_id: str
     failure: str
     detail: str
     was_sent: bool
+    is_leaf_lost: bool = False
 
 
 class RunningPart(msgspec.Struct, array_like=True):
@@ -142,6 +153,8 @@
         merged: Greatest records of all parts in `done`, if they were merged;
             the parts then have no records of their own.
         revision: Revision of the helper's copy of the store; 0 if it has none.
+        is_suspected: Whether the helper made no calls because the request may
+            crash leaves.
     """
 
     continuation_id: int
@@ -150,6 +163,7 @@
     running: list[RunningPart]
     merged: bytes = b""
     revision: int = 0
+    is_suspected: bool = False
 
 
 _DELEGATION_REQUEST = msgspec.msgpack.Decoder(DelegationRequest)
@@ -239,7 +253,12 @@
             failure = result.failure or Failure.LOST
             self._failed.append(
                 FailedPart(
-                    part, leaf_id, failure.value, result.detail, result.was_sent
+                    part,
+                    leaf_id,
+                    failure.value,
+                    result.detail,
+                    result.was_sent,
+                    result.is_closed_by_server,
                 )
             )
         self._call_ended.set()
@@ -283,6 +302,8 @@
         self._freshness.learn_revision(request.revision, now)
         if self._freshness.age_s(now) > MAX_DATA_AGE_S:
             return Response(503, [])
+        if self._is_suspected(request, now):
+            return _encoded(_declined(request))
         self._discard_expired(now)
         calls = _DelegatedCalls(request, self._fleet)
         spec = CallSpec(
@@ -323,6 +344,23 @@
             self._unfinished[request.continuation_id] = calls
         return _encoded(response)
 
+    def _is_suspected(self, request: DelegationRequest, now: float) -> bool:
+        """Returns whether a request may crash leaves.
+
+        The VM that received it decides whether to run it once more.
+        """
+        crashes = self._fleet.view.crashes
+        verdict = crashes.verdict(request.fingerprint, now)
+        if verdict is CrashVerdict.CLEAR:
+            return False
+        telemetry.event(
+            "delegation_declined",
+            request=request.request_id.decode("latin-1"),
+            fingerprint=request.fingerprint,
+            verdict=verdict.value,
+        )
+        return True
+
     def _discard_expired(self, now: float) -> None:
         expired = [
             n for n, calls in self._unfinished.items() if calls.ends_at < now
@@ -331,6 +369,15 @@
             del self._unfinished[continuation_id]
 
 
+def _declined(request: DelegationRequest) -> HelperResponse:
+    kind = Failure.NOT_RUN.value
+    failed = [
+        FailedPart(part, "", kind, "may crash leaves", was_sent=False)
+        for part in request.parts
+    ]
+    return HelperResponse(0, [], failed, [], is_suspected=True)
+
+
 def _encoded(response: HelperResponse) -> Response:
     headers = [(b"Content-Type", CONTENT_TYPE.encode())]
     return Response(OK, headers, msgspec.msgpack.encode(response))
--- a/libs/gateway/src/sapphire_gateway/delegated_parts.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_parts.py
@@ -52,6 +52,9 @@
     def record_delegation(self, part: str) -> None:
         """Records that a part was delegated; counts as its first call."""
 
+    def record_suspicion(self) -> None:
+        """Records that a helper suspects the request of crashing leaves."""
+
     def record_leaf(self, part: str, leaf_id: str) -> None:
         """Records the leaf that the helper has called for a part."""
 
@@ -164,6 +167,8 @@
             response.revision, trio.current_time()
         )
         self._deferred_parts.difference_update(delegation.request.parts)
+        if response.is_suspected:
+            self._sink.record_suspicion()
         # If a later response is missing, only the parts that are still running
         # at the helper have failed.
         delegation.pending = {running.part for running in response.running}
@@ -184,7 +189,11 @@
         for failed in response.failed:
             self._sink.record_leaf(failed.part, failed.leaf_id)
             result = CallResult(
-                None, Failure(failed.failure), failed.detail, failed.was_sent
+                None,
+                Failure(failed.failure),
+                failed.detail,
+                failed.was_sent,
+                is_closed_by_server=failed.is_leaf_lost,
             )
             self._sink.handle_failure(failed.part, failed.leaf_id, result)
         # The id is 0 if the remaining parts can't be requested any more.
--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -8,6 +8,9 @@
 a call that was never sent is limited by MAX_UNSENT_CALLS instead, and is not
 counted in the Outcome. Both are spent from the budget.
 
+A lost leaf may mean that the request crashes leaves. Until a leaf has answered,
+further calls are then made one at a time (RepeatGate).
+
 Some parts of a search may be delegated: another VM of the fleet (a helper)
 makes their first calls. The request itself is passed in as a Job, which adds
 the route and the deadlines.
@@ -22,8 +25,10 @@
 
 import trio
 from sapphire_core.choice import Estimate
+from sapphire_core.crashsuspects import CrashVerdict
 from sapphire_core.fanout import Failure, FanOut, Verdict
 from sapphire_core.leafset import LeafEntry
+from sapphire_core.repeatgate import RepeatGate, Repetition
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallResult
@@ -70,6 +75,9 @@
         self._leaf_caller = LeafCaller(fleet, _call_spec(job), reply_times)
         self._fanout = FanOut(job.parts, job.policy)
         self._attempts = {part: _Attempts() for part in job.parts}
+        self._gate = RepeatGate(job.is_canary)
+        # Parts that wait for the gate, with the purpose of their calls.
+        self._deferred: list[tuple[str, str]] = []
         self._planned: dict[str, LeafChoice] = {}
         self._calls: list[Call] = []
         self._replies: dict[str, Reply] = {}
@@ -112,16 +120,10 @@
             # The retry budget is kept by service, and a part has the name of
             # its service. Each request enlarges the budget.
             self._fleet.budget.record_request(part, now)
-            choice = self._planned.get(part)
-            if self._fanout.is_sent(part):
-                # A helper makes the first call of this part.
-                continue
-            if choice is not None:
-                self._send(part, choice, now, "first")
-            else:
-                # No leaf of the service may get a request now.
-                self._add_failure(f"{part}: no leaf")
-                self._fanout.abandon(part)
+        for part in self._first_calls():
+            if not self._fanout.is_sent(part):
+                self._call(part, "first", now)
+        self._planned.clear()
         verdict = await self._await_verdict()
         self._is_finished = True
         if self._is_cancelled:
@@ -148,6 +150,14 @@
             self._end_waiting_calls()
         return outcome
 
+    def _first_calls(self) -> list[str]:
+        """Returns the parts in the order of their first calls."""
+        if not self._job.is_canary:
+            return list(self._job.parts)
+        return self._fleet.view.crashes.suspects.canary_order(
+            self._job.fingerprint, self._job.parts
+        )
+
     async def _await_verdict(self) -> Verdict:
         while True:
             now = trio.current_time()
@@ -171,6 +181,8 @@
         # Helpers expect replies with a body, and replies to HEAD have none.
         if not self._job.is_search or self._job.is_to_head:
             return
+        if self._job.is_canary:
+            return
         call_timeout_s = min(
             self._job.policy.give_up_at - now,
             CALL_TIMEOUT_FACTOR * self._job.route.target_s,
@@ -182,6 +194,8 @@
 
     def _hedge(self, part: str, now: float) -> None:
         """Sends a part to a second leaf if its reply could still be used."""
+        if not self._gate.is_open or self._is_quarantined(now):
+            return
         if not self._fleet.budget.allows_extra_call(part, now, RETRY_RESERVE):
             return
         choice = self._choose(part, now)
@@ -198,13 +212,44 @@
             self._send(part, choice, now, "hedge")
             self._hedges += 1
 
-    def _retry(self, part: str, now: float) -> bool:
-        choice = self._choose(part, now)
+    def _call(self, part: str, purpose: str, now: float) -> None:
+        """Makes a first call or a retry, defers it, or abandons the part."""
+        repetition = (
+            Repetition.DENIED
+            if self._is_quarantined(now)
+            else self._gate.request_call(part)
+        )
+        if repetition is Repetition.DEFERRED:
+            self._deferred.append((part, purpose))
+            return
+        if repetition is Repetition.ALLOWED:
+            if self._try_call(part, purpose, now):
+                return
+            self._gate.record_failure(part, is_lost=False)
+        self._fanout.abandon(part)
+
+    def _try_call(self, part: str, purpose: str, now: float) -> bool:
+        planned = self._planned.pop(part, None)
+        choice = planned or self._choose(part, now)
         if choice is None:
+            # No leaf of the service may get a request now.
+            self._add_failure(f"{part}: no leaf")
             return False
-        self._send(part, choice, now, "retry")
+        self._send(part, choice, now, purpose)
+        self._retries += purpose == "retry"
         return True
 
+    def _release_deferred(self, now: float) -> None:
+        """Makes the deferred calls that the gate lets pass."""
+        deferred, self._deferred = self._deferred, []
+        for part, purpose in deferred:
+            if self._fanout.are_open([part]):
+                self._call(part, purpose, now)
+
+    def _is_quarantined(self, now: float) -> bool:
+        verdict = self._fleet.view.crashes.verdict(self._job.fingerprint, now)
+        return verdict is CrashVerdict.QUARANTINED
+
     def _send(
         self, part: str, choice: LeafChoice, now: float, purpose: str
     ) -> None:
@@ -239,6 +284,10 @@
         """Records that a part was delegated; counts as its first call."""
         self._fanout.record_sent(part)
 
+    def record_suspicion(self) -> None:
+        """Records that a helper suspects the request of crashing leaves."""
+        self._gate.suspect()
+
     def record_leaf(self, part: str, leaf_id: str) -> None:
         """Records the leaf that a helper has called for a part."""
         self._attempts[part].leaf_ids.add(leaf_id)
@@ -249,6 +298,8 @@
             return
         self._replies[part] = reply
         now = trio.current_time()
+        self._gate.record_answer()
+        self._release_deferred(now)
         if self._fanout.successful_parts == self._job.policy.min_parts:
             self._min_parts_at = now
         self._wake_if_needed(now)
@@ -271,7 +322,9 @@
             self._fanout.record_failure(part, result.failure or Failure.LOST)
             return
         now = trio.current_time()
+        self._gate.record_failure(part, _is_leaf_lost(result))
         self._retry_or_abandon(part, callee, result, now)
+        self._release_deferred(now)
         self._wake_if_needed(now)
 
     def _wake_if_needed(self, now: float) -> None:
@@ -299,22 +352,19 @@
             self._handle_unsent_result(part, now)
             return
         may_retry = self._fanout.record_failure(part, failure)
-        if (
-            may_retry
-            and self._fleet.budget.allows_extra_call(part, now)
-            and self._retry(part, now)
-        ):
-            self._retries += 1
-            return
-        self._fanout.abandon(part)
+        if may_retry and self._fleet.budget.allows_extra_call(part, now):
+            self._call(part, "retry", now)
+        else:
+            self._fanout.abandon(part)
 
     def _handle_unsent_result(self, part: str, now: float) -> None:
         """Retries or abandons a part whose call ended before it was sent."""
         self._fanout.record_unsent(part)
         attempts = self._attempts[part]
         attempts.unsent_calls += 1
-        is_allowed = attempts.unsent_calls <= MAX_UNSENT_CALLS
-        if not (is_allowed and self._retry(part, now)):
+        if attempts.unsent_calls <= MAX_UNSENT_CALLS:
+            self._call(part, "resend", now)
+        else:
             self._fanout.abandon(part)
 
     def _add_failure(self, text: str) -> None:
@@ -351,6 +401,11 @@
                 )
 
 
+def _is_leaf_lost(result: CallResult) -> bool:
+    """Returns whether the leaf of a failed call may have crashed."""
+    return result.failure is Failure.LOST and result.is_closed_by_server
+
+
 def _call_spec(job: Job) -> CallSpec:
     call_timeout_s = (
         CALL_TIMEOUT_FACTOR * job.route.target_s if job.is_search else math.inf
@@ -365,4 +420,5 @@
         target_s=job.route.target_s,
         ends_at=job.policy.give_up_at,
         call_timeout_s=call_timeout_s,
+        is_canary=job.is_canary,
     )
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -8,6 +8,7 @@
 
 import trio
 from sapphire_core.coldshare import ColdLeafLimiter
+from sapphire_core.crashsuspects import CrashedLeaf
 from sapphire_core.leafset import LeafEntry, RegisteredLeaf
 from sapphire_core.members import (
     Member,
@@ -23,7 +24,7 @@
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.headernames import HeaderNames
 from sapphire_gateway.messages import Reply
-from sapphire_gateway.pool import CONNECTION_SHARE, LeafPool
+from sapphire_gateway.pool import CONNECTION_SHARE, LeafPool, LostCall
 
 if TYPE_CHECKING:
     from sapphire_gateway.delegated_calls import HelperPool
@@ -101,6 +102,7 @@
         self._serving_expires_at = -math.inf
         members = self.view.members
         self._cold_limiter.set_members(members.names(now))
+        self.view.crashes.suspects.set_members(members.names(now))
         serving = self.serving_members(now)
         self._is_serving = any(
             member.name == self.view.self_name for member in serving
@@ -232,29 +234,15 @@
                 "leaf_misdirected", leaf=entry.leaf_id, address=entry.address
             )
 
-    def _record_crash(self, entry: LeafEntry, suspects: set[str]) -> None:
-        """Records a crash for each request that was running on the leaf.
-
-        Logs one line per request, with the verdict: whether requests with this
-        fingerprint may still run.
-
-        Args:
-            entry: The leaf.
-            suspects: Fingerprints of the requests.
-        """
+    def _record_crash(
+        self, entry: LeafEntry, lost_calls: list[LostCall]
+    ) -> None:
+        """Records a crash for each request that was running on the leaf."""
+        leaf = CrashedLeaf(entry.service, f"{entry.leaf_id}@{entry.born_ms}")
         now = trio.current_time()
-        for fingerprint in suspects:
-            since_last_s = self.view.crashes.since_last_crash_s(
-                fingerprint, now
-            )
-            verdict = self.view.crashes.record_crash(fingerprint, now)
-            telemetry.event(
-                "leaf_crashed",
-                leaf=entry.leaf_id,
-                service=entry.service,
-                fingerprint=fingerprint,
-                verdict=verdict.value,
-                since_last_s=since_last_s,
+        for call in lost_calls:
+            self.view.crashes.record_crash(
+                call.fingerprint, leaf, call.is_canary, now
             )
 
     def _cold_rate(self, entry: LeafEntry) -> float:
--- a/libs/gateway/src/sapphire_gateway/fleet_view.py
+++ b/libs/gateway/src/sapphire_gateway/fleet_view.py
@@ -84,7 +84,7 @@
         registry: Leaves and evacuated domains.
         members: The VMs that run the gateway.
         splits: Chooses the service of a request whose route has several.
-        crashes: Crash counts of requests, with those of other VMs.
+        crashes: Requests under which leaves crashed, at this VM or another.
         freshness: How current the view is.
         revision: Revision of the change that is applied, for the log.
         is_own_entry_missing: Whether this VM's entry was removed from the
@@ -95,7 +95,7 @@
         self.registry = LeafRegistry()
         self.members = Members(self_name)
         self.splits = SplitChooser()
-        self.crashes = CrashTracker()
+        self.crashes = CrashTracker(self_name)
         self._configuration: Configuration | None = None
         self._table = RouteTable(())
         self.freshness = Freshness()
@@ -200,8 +200,8 @@
     view.members.put(update.member)
     if update.member.name == view.self_name:
         view.is_own_entry_missing = False
-    else:
-        view.crashes.merge(update.member.suspects, now)
+    # The own entry may have been written before a restart.
+    view.crashes.merge(update.member.suspects, update.member.name, now)
     telemetry.event(
         "member",
         member=update.member.name,
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -5,6 +5,7 @@
 import random
 
 import trio
+from sapphire_core.crashsuspects import CrashVerdict
 from sapphire_core.fanout import FanOutPolicy, Verdict, min_parts_for_share
 from sapphire_core.margin import AnswerMargin
 from sapphire_core.overload import Forecast, forecast
@@ -12,7 +13,7 @@
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.callers import HEAD, Caller
-from sapphire_gateway.crashes import QUARANTINE_S, request_fingerprint
+from sapphire_gateway.crashes import request_fingerprint
 from sapphire_gateway.execution import RequestExecution
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.headernames import HOP_BY_HOP_HEADERS
@@ -25,7 +26,11 @@
 RETRY_UNCONFIGURED_S = 0.3
 RETRY_NO_LEAF_S = 0.5
 RETRY_FULL_S = 0.1
-RETRY_QUARANTINED_S = QUARANTINE_S
+# Reasons for which suspected requests are refused.
+CRASH_REFUSALS = {
+    CrashVerdict.HELD: "may crash leaves",
+    CrashVerdict.QUARANTINED: "crashes leaves",
+}
 # Hedges are sent when the time since the request's arrival exceeds the 95th
 # percentile of reply times, within these shares of the route's target latency.
 MIN_HEDGE_DELAY_SHARE = 0.15
@@ -66,18 +71,24 @@
         route = self._fleet.view.table.match(host.decode("latin-1"), target)
         if route is None:
             return self._refuse(request, 404, "no route")
-        job = self._create_job(request, request_id, route, caller.host)
-        if self._fleet.view.crashes.is_refused(
-            job.fingerprint, trio.current_time()
-        ):
+        fingerprint = request_fingerprint(
+            request.method, host, request.target, request.body, caller.host
+        )
+        suspects = self._fleet.view.crashes.suspects
+        verdict = suspects.verdict(fingerprint, trio.current_time())
+        if verdict in CRASH_REFUSALS:
             return self._refuse(
                 request,
                 503,
-                "crashes leaves",
-                RETRY_QUARANTINED_S,
+                CRASH_REFUSALS[verdict],
+                suspects.record_refusal(fingerprint, trio.current_time()),
                 route,
-                fingerprint=job.fingerprint,
+                fingerprint=fingerprint,
             )
+        is_canary = verdict is CrashVerdict.CANARY
+        job = self._create_job(
+            request, request_id, route, fingerprint, is_canary
+        )
         reply_times = self._reply_times_of(route)
         execution = RequestExecution(job, self._fleet, reply_times)
         now = trio.current_time()
@@ -101,7 +112,13 @@
                 route,
                 load_forecast,
             )
-        return await self._execute(request, job, execution, caller)
+        if not is_canary:
+            return await self._execute(request, job, execution, caller)
+        suspects.begin_canary(fingerprint, job.policy.give_up_at)
+        try:
+            return await self._execute(request, job, execution, caller)
+        finally:
+            suspects.end_canary(fingerprint, trio.current_time())
 
     def answer_sent(self, request: Request, now: float) -> None:
         """Records the delay of an answer that was due at a planned time."""
@@ -135,7 +152,8 @@
         request: Request,
         request_id: bytes,
         route: Route,
-        caller_host: str,
+        fingerprint: str,
+        is_canary: bool,
     ) -> Job:
         if route.gather is not None:
             parts = route.gather.shards
@@ -149,16 +167,11 @@
             self._leaf_request_head(request),
             request.body,
             request.method == HEAD,
-            request_fingerprint(
-                request.method,
-                header(request.headers, b"host") or b"",
-                request.target,
-                request.body,
-                caller_host,
-            ),
+            fingerprint,
             route,
             parts,
             policy,
+            is_canary,
         )
 
     def _create_policy(
--- a/libs/gateway/src/sapphire_gateway/job.py
+++ b/libs/gateway/src/sapphire_gateway/job.py
@@ -23,6 +23,8 @@
         fingerprint: Equal for equal requests of one caller.
         route: Route from the configuration in force on arrival.
         parts: Services that get the request; several if it is a search.
+        is_canary: Whether the request is suspected of crashing leaves, so that
+            it is first sent to a single leaf.
         policy: Deadlines and rules for retries, hedges and the answer.
     """
 
@@ -34,6 +36,7 @@
     route: Route
     parts: tuple[str, ...]
     policy: FanOutPolicy
+    is_canary: bool = False
 
     @property
     def is_search(self) -> bool:
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -15,7 +15,7 @@
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallResult, parse_load_report
 from sapphire_gateway.fleet import Fleet
-from sapphire_gateway.pool import LeafEndpoint
+from sapphire_gateway.pool import LeafEndpoint, LostCall
 
 # All reply times are dropped above this number of routes: routes of earlier
 # configurations are not removed one by one.
@@ -98,6 +98,7 @@
         body: Body for the leaves.
         request_id: Identifier that replies must repeat if they have one.
         fingerprint: Equal for equal requests of one caller.
+        is_canary: Whether the request is suspected of crashing leaves.
         is_to_head: Whether the method is HEAD, so that replies have no body.
         is_repeatable: Whether leaves may run the request more than once.
         target_s: Target latency of the whole request.
@@ -114,6 +115,7 @@
     target_s: float
     ends_at: float
     call_timeout_s: float
+    is_canary: bool = False
 
 
 class LeafCaller:
@@ -125,6 +127,8 @@
         self._fleet = fleet
         self._spec = spec
         self._reply_times = reply_times
+        # Services of which a leaf has answered.
+        self._answered: set[str] = set()
 
     def choose(
         self, service: str, tried: Container[str], now: float
@@ -202,6 +206,7 @@
             _ignore_result,
             now,
             spec.fingerprint,
+            spec.is_canary,
         )
 
     def _handle_result(
@@ -229,6 +234,10 @@
             if report is not None:
                 load.record_load(report.running, report.queued, now)
         if result.failure is None:
+            self._answered.add(entry.service)
+            self._fleet.view.crashes.record_survival(
+                call.fingerprint, entry.service, call.is_canary
+            )
             elapsed = now - (call.sent_at or call.created_at)
             load.record_reply(
                 call.number, elapsed, self._reply_times.median_s, now
@@ -236,21 +245,36 @@
             self._reply_times.add(elapsed)
             return
         if result.failure is Failure.LOST and result.was_sent:
-            self._log_lost_call(call, entry, result, now)
+            self._record_lost_call(call, entry, endpoint, result, now)
         if call.is_cancelled or not result.was_sent:
             load.waiting.pop(call.number, None)
             return
         load.record_failure(call.number, now)
-        if result.failure is Failure.LOST and result.is_closed_by_server:
-            endpoint.suspects.add(call.fingerprint)
         if result.is_silent:
             load.record_unreachable(now)
         if result.reply is not None and result.failure is Failure.NOT_RUN:
             self._fleet.handle_rejection(entry, result.reply)
 
-    def _log_lost_call(
-        self, call: Call, entry: LeafEntry, result: CallResult, now: float
+    def _record_lost_call(
+        self,
+        call: Call,
+        entry: LeafEntry,
+        endpoint: LeafEndpoint,
+        result: CallResult,
+        now: float,
     ) -> None:
+        """Records that a leaf may have crashed while it ran the request.
+
+        Whether the caller has left makes no difference to that.
+        """
+        is_lost = result.is_closed_by_server or result.is_silent
+        if is_lost and entry.service not in self._answered:
+            endpoint.lost_calls[call.fingerprint] = LostCall(
+                call.fingerprint,
+                call.is_canary,
+                not result.is_closed_by_server,
+                now,
+            )
         telemetry.lost_call(
             {
                 "request": call.request_id.decode("latin-1"),
--- a/libs/gateway/src/sapphire_gateway/ownentry.py
+++ b/libs/gateway/src/sapphire_gateway/ownentry.py
@@ -6,8 +6,8 @@
 from dataclasses import replace
 
 import trio
+from sapphire_core.crashsuspects import CrashRecord
 from sapphire_core.members import Member
-from sapphire_core.quarantine import CrashCount
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.fleet_view import FleetView
@@ -68,14 +68,10 @@
         """Publishes that this VM is leaving the fleet."""
         self._replace(replace(self._member, leaving=True))
 
-    def publish_suspects(self, suspects: tuple[CrashCount, ...]) -> None:
+    def publish_suspects(self, suspects: tuple[CrashRecord, ...]) -> None:
         """Publishes which requests may crash leaves.
 
-        Other VMs use this to refuse such requests.
-
-        Args:
-            suspects: For each request that was running when a leaf crashed, by
-                fingerprint, the number of those crashes.
+        VMs that start later use this to refuse such requests.
         """
         self._replace(replace(self._member, suspects=suspects))
 
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -25,6 +25,9 @@
 # connection that was idle for less than this: a leaf may drop an idle
 # connection without notice.
 MAX_IDLE_IF_NOT_REPEATABLE_S = 1.0
+# Closing all connections of a crashed leaf is noticed within this time.
+CLOSING_DELAY_S = 0.05
+MAX_LOGGED_FINGERPRINTS = 10
 # A call without a reply is ended this long after its expiry.
 EXPIRY_GRACE_S = 0.1
 # Assumed time to connect to a leaf before the first measurement.
@@ -34,6 +37,23 @@
 _CONNECT_AVERAGE_WEIGHT = 0.2
 
 
+@dataclass(frozen=True, slots=True)
+class LostCall:
+    """A call whose leaf closed the connection or fell silent.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        is_canary: Whether the request was suspected when it was sent.
+        is_silent: Whether the leaf fell silent and closed nothing.
+        lost_at: Time at which the call ended.
+    """
+
+    fingerprint: str
+    is_canary: bool
+    is_silent: bool
+    lost_at: float
+
+
 @dataclass(slots=True)
 class LeafEndpoint:
     """One incarnation of a leaf: its connections, waiting calls and load.
@@ -45,9 +65,8 @@
         free_connections: Established connections without a call; the last one
             was used most recently.
         queue: Calls waiting for a connection.
-        suspects: Fingerprints of requests that were running when their
-            connection was lost, until it is known whether the leaf crashed.
-            Added by LeafCaller.
+        lost_calls: By fingerprint, the last call that was lost, until it is
+            known whether the leaf crashed. Added by LeafCaller.
         average_connect_s: Moving average of the time to connect, in seconds.
     """
 
@@ -56,7 +75,7 @@
     connections: list[Connection] = field(default_factory=list)
     free_connections: list[Connection] = field(default_factory=list)
     queue: collections.deque[Call] = field(default_factory=collections.deque)
-    suspects: set[str] = field(default_factory=set)
+    lost_calls: dict[str, LostCall] = field(default_factory=dict)
     average_connect_s: float = INITIAL_CONNECT_S
 
     def take_free(self, call: Call, now: float) -> Connection | None:
@@ -89,8 +108,8 @@
     Attributes:
         max_connections: Returns the maximum number of connections to a leaf.
             Set by Fleet, from the configuration and the number of VMs.
-        on_crash: Called with a leaf that has crashed and the fingerprints of
-            the requests that were running on it. Set by Fleet.
+        on_crash: Called with a leaf that has crashed and the calls that were
+            running on it. Set by Fleet.
     """
 
     def __init__(
@@ -104,8 +123,8 @@
         self.max_connections: Callable[[LeafEntry], int] = lambda _: (
             INITIAL_MAX_CONNECTIONS
         )
-        self.on_crash: Callable[[LeafEntry, set[str]], None] = (
-            lambda _entry, _suspects: None
+        self.on_crash: Callable[[LeafEntry, list[LostCall]], None] = (
+            lambda _entry, _lost_calls: None
         )
 
     @property
@@ -136,8 +155,8 @@
 
         The leaf was removed, has restarted, or another leaf has its address.
         Idle connections close and queued calls fail. Running calls continue;
-        their connections close after the reply. If connections with running
-        requests were lost before, the leaf is taken to have crashed.
+        their connections close after the reply. If calls were lost before or
+        are lost then, the leaf is taken to have crashed.
         """
         endpoint = self._endpoints.pop(leaf_id, None)
         if endpoint is None:
@@ -193,8 +212,8 @@
             if call is not None and call.expires_at < limit:
                 connection.close("no reply in time")
         for endpoint in list(self._endpoints.values()):
-            if endpoint.suspects:
-                self._check_is_alive(endpoint)
+            if endpoint.lost_calls:
+                self._check_is_alive(endpoint, now)
             while endpoint.queue and endpoint.queue[0].expires_at < limit:
                 expired = endpoint.queue.popleft()
                 expired.complete(
@@ -206,34 +225,57 @@
                     )
                 )
 
-    def _check_is_alive(self, endpoint: LeafEndpoint) -> None:
-        """Checks whether a leaf that lost running calls is alive.
+    def _check_is_alive(self, endpoint: LeafEndpoint, now: float) -> None:
+        """Checks whether a leaf that closed connections of calls is alive.
 
-        It is alive if it still has an established connection: a process that
-        crashes loses all of them. If the leaf has no connection left, a new one
-        is opened. If that succeeds, the next check finds the leaf alive; if it
+        A process that crashes closes all its connections, so a leaf is alive if
+        one is still established a moment later. If none is left, a new one is
+        opened. If that succeeds, the next check finds the leaf alive; if it
         fails, _on_closed reports a crash.
         """
-        if any(
-            connection.was_established for connection in endpoint.connections
-        ):
-            telemetry.LOST_LEAVES.labels("alive").inc(len(endpoint.suspects))
-            telemetry.event(
-                "leaf_alive",
-                leaf=endpoint.entry.leaf_id,
-                fingerprints=sorted(endpoint.suspects),
-                connections=len(endpoint.connections),
-            )
-            endpoint.suspects.clear()
-        elif not endpoint.connections:
+        if not any(c.was_established for c in endpoint.connections):
+            self._probe_if_lost(endpoint)
+            return
+        alive = [
+            call.fingerprint
+            for call in endpoint.lost_calls.values()
+            if not call.is_silent and now - call.lost_at >= CLOSING_DELAY_S
+        ]
+        self._record_alive(endpoint, alive, "connected")
+
+    def _probe_if_lost(self, endpoint: LeafEndpoint) -> None:
+        """Connects to a leaf that has closed all connections during a call.
+
+        It is done at once: after some seconds, another process may have the
+        leaf's address.
+        """
+        is_closed = any(not c.is_silent for c in endpoint.lost_calls.values())
+        if is_closed and not endpoint.connections:
             self._open(endpoint, None)
 
+    def _record_alive(
+        self, endpoint: LeafEndpoint, fingerprints: list[str], reason: str
+    ) -> None:
+        if not fingerprints:
+            return
+        for fingerprint in fingerprints:
+            del endpoint.lost_calls[fingerprint]
+        telemetry.LOST_LEAVES.labels("alive").inc(len(fingerprints))
+        telemetry.event(
+            "leaf_alive",
+            leaf=endpoint.entry.leaf_id,
+            fingerprints=sorted(fingerprints)[:MAX_LOGGED_FINGERPRINTS],
+            count=len(fingerprints),
+            reason=reason,
+        )
+
     def _report_crash(self, endpoint: LeafEndpoint) -> None:
         """Reports a crash if requests were running on the leaf."""
-        if endpoint.suspects:
-            suspects, endpoint.suspects = endpoint.suspects, set()
-            telemetry.LOST_LEAVES.labels("crashed").inc(len(suspects))
-            self.on_crash(endpoint.entry, suspects)
+        if endpoint.lost_calls:
+            lost_calls = list(endpoint.lost_calls.values())
+            endpoint.lost_calls.clear()
+            telemetry.LOST_LEAVES.labels("crashed").inc(len(lost_calls))
+            self.on_crash(endpoint.entry, lost_calls)
 
     def _open(self, endpoint: LeafEndpoint, call: Call | None) -> None:
         def classify(reply: Reply, completed_call: Call) -> CallResult:
@@ -257,6 +299,12 @@
 
     def _on_free(self, endpoint: LeafEndpoint, connection: Connection) -> None:
         self._busy.discard(connection)
+        silent = [
+            call.fingerprint
+            for call in endpoint.lost_calls.values()
+            if call.is_silent
+        ]
+        self._record_alive(endpoint, silent, "answered")
         if connection.connect_time_s:
             # A new connection sets connect_time_s once; it is reset here, so
             # that each time enters the average once.
@@ -282,8 +330,13 @@
         endpoint.connections.remove(connection)
         if connection in endpoint.free_connections:
             endpoint.free_connections.remove(connection)
+        is_dropped = self._endpoints.get(endpoint.entry.leaf_id) is not endpoint
         if not connection.was_established:
             endpoint.load.record_unreachable(trio.current_time())
             self._report_crash(endpoint)
+        elif is_dropped:
+            self._report_crash(endpoint)
+        else:
+            self._probe_if_lost(endpoint)
         if endpoint.queue and not endpoint.connections:
             self._open(endpoint, endpoint.queue.popleft())
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -43,13 +43,15 @@
 )  # fmt: skip
 CALLS = Counter(
     "sapphirecross_leaf_calls_total",
-    "Calls to leaves by purpose: first, hedge or retry.",
+    "Calls to leaves by purpose: first, hedge, retry, or resend after a call"
+    " that was never sent.",
     ["purpose"],
     registry=REGISTRY,
 )
 # Label lookup costs more than the increment, so children are looked up once.
 CALLS_BY_PURPOSE = {
-    purpose: CALLS.labels(purpose) for purpose in ("first", "hedge", "retry")
+    purpose: CALLS.labels(purpose)
+    for purpose in ("first", "hedge", "retry", "resend")
 }
 # "Entries" are the VMs that received the requests (see delegated_parts).
 HELPED_CALLS = Counter(
@@ -97,6 +99,25 @@
     ["outcome"],
     registry=REGISTRY,
 )
+CRASH_SUSPECTS = Counter(
+    "sapphirecross_crash_suspects_total",
+    "Crashes of leaves under a request, by what is done with the request then:"
+    " clear, held, canary or quarantined.",
+    ["verdict"],
+    registry=REGISTRY,
+)
+CRASH_RECORDS_LEFT_OUT = Counter(
+    "sapphirecross_crash_records_left_out_total",
+    "Suspected requests that were left out of messages because of the limit.",
+    registry=REGISTRY,
+)
+CRASH_EXCHANGES = Counter(
+    "sapphirecross_crash_exchanges_total",
+    "Suspected requests exchanged with other VMs, by result: ok, rejected,"
+    " unreadable or failed.",
+    ["result"],
+    registry=REGISTRY,
+)
 REVISION = Gauge(
     "sapphirecross_revision",
     "Revision of the platform's store up to which changes were applied.",
--- a/libs/gateway/tests/gateway_harness.py
+++ b/libs/gateway/tests/gateway_harness.py
@@ -70,6 +70,8 @@
         self.closed = 0
         self.address = ""
         self._running = trio.CancelScope()
+        # Cancelled to end the listener only.
+        self.listening = trio.CancelScope()
 
     async def serve(self, stream):
         with contextlib.suppress(
@@ -86,7 +88,14 @@
     async def run(self, task_status):
         """Serves connections until crash is called."""
         with self._running:
-            await trio.serve_tcp(self.serve, 0, task_status=task_status)
+            async with trio.open_nursery() as connections:
+                with self.listening:
+                    await trio.serve_tcp(
+                        self.serve,
+                        0,
+                        handler_nursery=connections,
+                        task_status=task_status,
+                    )
 
     def crash(self):
         """Closes all connections and the listening socket."""
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -2,55 +2,69 @@
 
 from __future__ import annotations
 
+import msgspec
+import pytest
 import trio
-from gateway_harness import reply, single_leaf_route
-from sapphire_core.quarantine import CrashCount, Verdict
-from sapphire_gateway.crashes import (
-    CRASH_GROUPING_S,
+from gateway_harness import (
+    Leaf,
+    reply,
+    request_bytes,
+    search_route,
+    serve_peer,
+    single_leaf_route,
+)
+from sapphire_core.crashsuspects import (
+    CANARY_JITTER_S,
+    HOLD_S,
     QUARANTINE_S,
-    CrashTracker,
-    request_fingerprint,
+    CrashedLeaf,
+    CrashRecord,
+    CrashVerdict,
 )
+from sapphire_core.members import Member
+from sapphire_gateway import delegated_calls
+from sapphire_gateway.crashes import CrashTracker, request_fingerprint
+from sapphire_gateway.crashexchange import CrashExchange, CrashServer
+from sapphire_gateway.delegated_calls import DelegationRequest, HelperServer
+from sapphire_gateway.fleet_view import FleetView, MemberUpdate, apply_update
+from sapphire_gateway.messages import Request
 
+POISON = "/a/poison"
+# Longest hold of a VM that knows no others, until a canary may run.
+MAX_HOLD_S = HOLD_S + CANARY_JITTER_S
+# Covers connecting to a leaf to find out whether it lives.
+DETECTION_S = 0.1
 
-def test_leaves_that_fail_together_count_once():
-    """Leaves that fail together count as one crash.
 
-    Otherwise the loss of a failure domain would quarantine every request that
-    was running there.
-    """
-    tracker = CrashTracker()
-    for index in range(5):
-        tracker.record_crash("a", 10.0 + index * CRASH_GROUPING_S / 10)
-    assert not tracker.is_refused("a", 11.0)
-
-
-def test_second_crash_is_refused_for_a_time():
-    """A request is refused after two crashes, until the quarantine ends."""
-    tracker = CrashTracker()
-    assert tracker.record_crash("a", 10.0) is Verdict.SUSPECT
-    assert tracker.record_crash("a", 12.0) is Verdict.QUARANTINED
-    assert tracker.is_refused("a", 12.0)
-    assert not tracker.is_refused("b", 12.0)
-    assert not tracker.is_refused("a", 12.0 + QUARANTINE_S)
-
-
-def test_crash_at_another_vm_counts():
-    """Crashes seen by different VMs add up to the limit of two."""
-    first, second = CrashTracker(), CrashTracker()
-    first.record_crash("a", 10.0)
-    shared = first.take_unshared(10.1)
-    assert shared is not None
-    assert first.take_unshared(10.2) is None
-    second.merge(shared, 10.5)
-    assert second.record_crash("a", 12.0) is Verdict.QUARANTINED
-
-
-def test_shared_quarantine_applies_to_vms_that_saw_no_crash():
+def test_only_new_crashes_are_published():
+    """Guards against calls to the store for what other VMs have told."""
+    tracker = CrashTracker("vm1")
+    leaf = CrashedLeaf("s", "i-1@1")
+    tracker.merge([CrashRecord("b", (leaf,), False, 30.0)], "vm2", 10.0)
+    assert tracker.take_unpublished(10.0) is None
+    tracker.record_crash("a", leaf, False, 10.0)
+    published = tracker.take_unpublished(10.1)
+    assert {record.fingerprint for record in published} == {"a", "b"}
+    assert tracker.take_unpublished(10.2) is None
+
+
+def test_quarantine_of_another_vm_applies():
     """A VM refuses requests that other VMs have quarantined."""
-    tracker = CrashTracker()
-    tracker.merge([CrashCount("a", 2, 30.0)], 10.0)
-    assert tracker.is_refused("a", 11.0)
+    tracker = CrashTracker("vm1")
+    tracker.merge([CrashRecord("a", (), True, 30.0)], "vm2", 10.0)
+    assert tracker.verdict("a", 11.0) is CrashVerdict.QUARANTINED
+    assert tracker.verdict("b", 11.0) is CrashVerdict.CLEAR
+
+
+def test_vm_learns_from_entries_in_the_store_and_its_own_earlier_one():
+    """Guards against a restart that forgets what the VM had published."""
+    view = FleetView("vm1")
+    for name, fingerprint in (("vm1", "a"), ("vm2", "b")):
+        suspects = (CrashRecord(fingerprint, (), True, 30.0),)
+        member = Member(name, "127.0.0.1:1", "z1", suspects=suspects)
+        apply_update(MemberUpdate(member), view, 10.0)
+        verdict = view.crashes.verdict(fingerprint, 10.0)
+        assert verdict is CrashVerdict.QUARANTINED
 
 
 def test_fingerprint_differs_by_caller_host_target_and_body():
@@ -67,36 +81,169 @@
     assert len(others) == 4
 
 
-async def _wait_for_crash_detection():
-    """Waits until the pool has determined which leaves crashed."""
-    await trio.sleep(CRASH_GROUPING_S + 0.2)
+class CrashingLeaves:
+    """Leaves of a harness that end when they get a request for POISON."""
 
+    def __init__(self, harness, is_silent=False) -> None:
+        self._harness = harness
+        self._is_silent = is_silent
+        self._leaves = []
+        self.crashes = 0
 
-def test_request_that_crashes_leaves_is_refused(run_with_harness):
-    """A request that crashed two leaves does not reach a third one."""
+    async def add(self, service, count=1, **more: object):
+        for _ in range(count):
+            leaf = Leaf(None)
+            leaf.make_reply = self._make_reply(leaf)
+            self._leaves.append(leaf)
+            await self._harness.leaf(service, leaf, **more)
+
+    def _make_reply(self, leaf):
+        async def answer(request):
+            if POISON.encode() not in request:
+                return reply(request, b"r" * 16)
+            self.crashes += 1
+            if self._is_silent:
+                # The listener ends at once and connections stay open.
+                leaf.listening.cancel()
+                await trio.sleep(3.0)
+            leaf.crash()
+            return None
+
+        return answer
+
+
+@pytest.mark.parametrize("pause_s", [0.05, 0.3, 0.38, 0.6])
+def test_request_that_crashes_leaves_is_refused(run_with_harness, pause_s):
+    """A request that crashed two leaves does not reach a third one.
+
+    Guards against a series of crashes in quick succession that counts as one.
+    """
 
     async def test(harness):
-        leaves = []
+        leaves = CrashingLeaves(harness)
+        await leaves.add("s", 10)
+        harness.configure(single_leaf_route(max_attempts=1))
+        statuses = []
+        for _ in range(10):
+            answer = await harness.request(POISON)
+            statuses.append(answer.status)
+            if answer.status == 503:
+                assert float(answer.headers["retry-after"]) > 0
+            await trio.sleep(pause_s)
+        assert leaves.crashes <= 2
+        assert set(statuses[1:]) <= {502, 503}
+        assert (await harness.request("/a/other")).status == 200
+
+    run_with_harness(test)
 
-        async def answer(request):
-            if b"/a/poison" not in request:
-                return reply(request, b"fine")
-            for leaf in leaves:
-                if request in leaf.requests:
-                    leaf.crash()
-            return (b"",)
 
+def test_quarantine_names_its_end_to_the_caller(run_with_harness):
+    """Guards against callers that are told to come back while it lasts."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness)
+        await leaves.add("s", 4)
         harness.configure(single_leaf_route(max_attempts=1))
         for _ in range(2):
-            leaves.append(await harness.leaf("s", answer))
-            assert (await harness.request("/a/poison")).status == 502
-            await _wait_for_crash_detection()
-        leaves.append(await harness.leaf("s", answer))
-        refused = await harness.request("/a/poison")
-        assert refused.status == 503
-        assert float(refused.headers["retry-after"]) > 0
-        assert leaves[2].requests == []
-        assert (await harness.request("/a/other")).status == 200
+            assert (await harness.request(POISON)).status == 502
+            await trio.sleep(MAX_HOLD_S + DETECTION_S)
+        refused = await harness.request(POISON)
+        assert float(refused.headers["retry-after"]) == QUARANTINE_S
+        assert leaves.crashes == 2
+
+    run_with_harness(test)
+
+
+def test_one_request_crashes_two_leaves_at_most(run_with_harness):
+    """Guards against retries and hedges of a request that crashes leaves."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness)
+        await leaves.add("s", 6)
+        harness.configure(single_leaf_route(max_attempts=5))
+        assert (await harness.request(POISON)).status == 502
+        assert leaves.crashes == 2
+
+    run_with_harness(test)
+
+
+def test_search_that_crashes_leaves_is_not_repeated_at_each_shard(
+    run_with_harness,
+):
+    """Guards against a search that ends two leaves of each shard."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness)
+        shards = [f"s{number}" for number in range(8)]
+        for shard in shards:
+            await leaves.add(shard, 2)
+        harness.configure(search_route(*shards))
+        assert (await harness.request(POISON)).status == 502
+        assert leaves.crashes == len(shards) + 1
+        await trio.sleep(MAX_HOLD_S + DETECTION_S)
+        # The canary goes to a single shard.
+        assert (await harness.request(POISON)).status == 502
+        assert leaves.crashes == len(shards) + 2
+        await trio.sleep(MAX_HOLD_S + DETECTION_S)
+        assert (await harness.request(POISON)).status == 503
+        harmless = await harness.request("/a/other")
+        assert harmless.status == 200
+
+    run_with_harness(test)
+
+
+def test_harmless_search_gets_all_parts_when_a_domain_is_lost(
+    run_with_harness,
+):
+    """Guards against lost coverage: the retries wait for one answer only."""
+
+    async def test(harness):
+        shards = [f"s{number}" for number in range(8)]
+        lost = []
+        for number, shard in enumerate(shards):
+            if number < 5:
+                lost.append(Leaf(None))
+                await harness.leaf(shard, lost[-1])
+            await harness.leaf(
+                shard, lambda r: reply(r, b"r" * 16), domain="z2"
+            )
+
+        async def end_all(request):
+            for leaf in lost:
+                leaf.crash()
+
+        for leaf in lost:
+            leaf.make_reply = end_all
+        harness.configure(search_route(*shards, target_s=1.0))
+        answer = await harness.request()
+        assert (answer.status, answer.headers["x-missing"]) == (200, "0")
+        await trio.sleep(DETECTION_S)
+        # It is answered again at once.
+        assert (await harness.request()).status == 200
+
+    run_with_harness(test)
+
+
+def test_suspected_search_that_is_harmless_gets_all_parts(run_with_harness):
+    """Guards against a canary that stays with its first shard."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness)
+        shards = [f"s{number}" for number in range(4)]
+        for shard in shards:
+            await leaves.add(shard)
+        harness.configure(search_route(*shards))
+        fingerprint = request_fingerprint(
+            b"GET", b"a.example", b"/a/x", b"", "127.0.0.1"
+        )
+        harness.view.crashes.record_crash(
+            fingerprint, CrashedLeaf("s2", "i-0@1"), False, trio.current_time()
+        )
+        assert (await harness.request()).status == 503
+        await trio.sleep(MAX_HOLD_S)
+        answer = await harness.request()
+        assert (answer.status, answer.headers["x-missing"]) == (200, "0")
+        assert (await harness.request()).status == 200
 
     run_with_harness(test)
 
@@ -109,6 +256,153 @@
         harness.configure(single_leaf_route(max_attempts=1))
         for _ in range(3):
             assert (await harness.request("/a/x")).status == 502
-            await _wait_for_crash_detection()
+            await trio.sleep(DETECTION_S)
+
+    run_with_harness(test)
+
+
+def test_leaf_that_ends_after_its_caller_left_counts(run_with_harness):
+    """Guards against callers that leave before the leaf has ended."""
+
+    async def test(harness):
+        left = trio.Event()
+
+        async def end_later(request):
+            await left.wait()
+            await trio.sleep(0.02)
+            leaf.crash()
+
+        leaf = await harness.leaf("s", end_later)
+        harness.configure(single_leaf_route(max_attempts=1))
+        async with await harness.connect() as stream:
+            await stream.send_all(request_bytes(POISON))
+            await trio.sleep(0.05)
+        left.set()
+        await trio.sleep(DETECTION_S)
+        await harness.leaf("s", lambda r: reply(r, b""))
+        assert (await harness.request(POISON)).status == 503
+
+    run_with_harness(test)
+
+
+def test_leaf_that_falls_silent_and_is_gone_counts(run_with_harness):
+    """Guards against leaves that end without closing their connections."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness, is_silent=True)
+        await leaves.add("s")
+        harness.configure(single_leaf_route(max_attempts=1, target_s=0.1))
+        assert (await harness.request(POISON, left=200)).status == 504
+        # The call ends some time after its request; connecting then fails.
+        await trio.sleep(0.3)
+        assert (await harness.request("/a/other", left=200)).status != 200
+        await leaves.add("s")
+        assert (await harness.request(POISON)).status == 503
+        assert leaves.crashes == 1
+
+    run_with_harness(test)
+
+
+def test_next_user_of_the_address_does_not_clear_the_request(run_with_harness):
+    """Guards against a leaf that ends while another gets its address."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness)
+        await leaves.add("s")
+        (entry,) = [leaf.entry for leaf in harness.view.registry.leaves]
+        harness.configure(single_leaf_route(max_attempts=1))
+        assert (await harness.request(POISON)).status == 502
+        await trio.sleep(DETECTION_S)
+        host, _, port = entry.address.partition(":")
+        listeners = await trio.open_tcp_listeners(int(port), host=host)
+        harness.nursery.start_soon(trio.serve_listeners, _idle, listeners)
+        await harness.request("/a/other", left=100)
+        await leaves.add("s")
+        assert (await harness.request(POISON)).status == 503
+        assert leaves.crashes == 1
+
+    run_with_harness(test)
+
+
+async def _idle(stream):
+    await trio.sleep_forever()
+
+
+def _add_member(view, name, address):
+    member = Member(name, "127.0.0.1:1", "z1", peer_address=address)
+    apply_update(MemberUpdate(member), view, trio.current_time())
+
+
+def test_crash_is_told_to_other_vms_without_the_store(run_with_harness):
+    """Guards against counts that only the store carries, a second late."""
+
+    async def test(harness):
+        views = [FleetView(f"vm{n}") for n in range(4)]
+        addresses = []
+        for view in views:
+            server = CrashServer(view)
+
+            async def handle(request, caller, server=server):
+                return server.handle(request)
+
+            addresses.append(await serve_peer(harness.nursery, handle))
+        for view in views:
+            for name, address in zip("0123", addresses, strict=True):
+                _add_member(view, f"vm{name}", address)
+            exchange = CrashExchange(view, harness.nursery)
+            harness.nursery.start_soon(exchange.run)
+        now = trio.current_time()
+        views[0].crashes.record_crash("a", CrashedLeaf("s", "1"), False, now)
+        await trio.sleep(DETECTION_S)
+        now = trio.current_time()
+        assert {view.crashes.verdict("a", now) for view in views} == {
+            CrashVerdict.HELD
+        }
+        # A VM that starts later, and knows one that saw nothing itself.
+        late = FleetView("vm9")
+        _add_member(late, "vm3", addresses[3])
+        exchange = CrashExchange(late, harness.nursery)
+        harness.nursery.start_soon(exchange.run)
+        await trio.sleep(1.2)
+        now = trio.current_time()
+        assert late.crashes.verdict("a", now) is not CrashVerdict.CLEAR
+
+    run_with_harness(test)
+
+
+def test_unreadable_crash_records_are_rejected():
+    request = Request(b"POST", b"/crashes", [], b"\xc1", True)
+    assert CrashServer(FleetView("vm1")).handle(request).status == 400
+
+
+def test_helper_declines_a_suspected_request(run_with_harness):
+    """Guards against calls of a suspected request for another VM."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness)
+        await leaves.add("s")
+        harness.configure(search_route("s"))
+        now = trio.current_time()
+        crashes = harness.view.crashes
+        crashes.record_crash("a", CrashedLeaf("s", "i-0@1"), False, now)
+        harness.view.freshness.record_current(1, now)
+        request = DelegationRequest(
+            "search", b"GET /a/x HTTP/1.1\r\n", b"", b"r1", "a", ["s"],
+            300.0, 300.0, 100.0, 200.0, 4,
+        )  # fmt: skip
+        response = await HelperServer(harness.fleet).handle(
+            Request(
+                b"POST",
+                delegated_calls.CALLS_PATH.encode(),
+                [],
+                msgspec.msgpack.encode(request),
+                True,
+            )
+        )
+        decoded = msgspec.msgpack.decode(
+            response.body, type=delegated_calls.HelperResponse
+        )
+        assert decoded.is_suspected
+        assert [part.was_sent for part in decoded.failed] == [False]
 
     run_with_harness(test)
--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -13,9 +13,9 @@
 import pytest
 from adapter import decode
 from sample_values import CONFIG, LEAF, ROUTE
+from sapphire_core.crashsuspects import CrashedLeaf, CrashRecord
 from sapphire_core.leafset import LeafState
 from sapphire_core.members import Member
-from sapphire_core.quarantine import CrashCount
 from sapphire_core.routing import Kind
 from sapphire_gateway.fleet_view import (
     ConfigurationUpdate,
@@ -166,8 +166,11 @@
 
 
 def test_member_entry_round_trip():
-    # Crash counts of requests that may have crashed leaves, by fingerprint.
-    suspects = (CrashCount("f1", crashes=2, expires_in_s=59.5),)
+    leaves = (CrashedLeaf("s", "i-1@1"),)
+    suspects = (
+        CrashRecord("f1", leaves, is_quarantined=False, expires_in_s=59.5),
+        CrashRecord("f2", (), is_quarantined=True, expires_in_s=599.5),
+    )
     member = Member("vm1", "10.0.0.1:80", "z1", leaving=True, suspects=suspects)
     value = decode.encode_member(member)
     assert decode.decode_write("members/vm1", value) == MemberUpdate(member)
@@ -176,3 +179,21 @@
 def test_valid_values_yield_updates():
     assert isinstance(decode_leaf(), LeafUpdate)
     assert isinstance(decode_config(), ConfigurationUpdate)
+
+
+def test_member_entry_of_an_earlier_version():
+    """Guards against a lost quarantine while VMs are being replaced."""
+    value = json.dumps(
+        {
+            "address": "10.0.0.1:80",
+            "failure_domain": "z1",
+            "leaving": False,
+            "suspects": [
+                {"fingerprint": "f1", "crashes": 2, "expires_in_s": 30.0},
+                {"fingerprint": "f2", "crashes": 1, "expires_in_s": 30.0},
+            ],
+        }
+    ).encode()
+    update = decode.decode_write("members/vm1", value)
+    quarantined = [s.is_quarantined for s in update.member.suspects]
+    assert quarantined == [True, False]
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -39,8 +39,10 @@
 def test_crash_request_repeated_at_any_gateway_is_kept_from_leaves(
     monkeypatch, callers
 ):
-    """Guards against gateways that do not add up their crashes, and against
-    harmless requests that are refused for having run beside the crashing one.
+    """Guards against gateways that do not add up their crashes.
+
+    Also guards against harmless requests that are refused because they ran
+    beside the crashing one.
     """
     names = ("crash_fetch",)
     assert _violations(monkeypatch, names, QUICK_PAUSE_S, callers) == []
