--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import itertools
+import math
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -12,6 +14,8 @@
 from sapphire_gateway.messages import Reply
 
 MISDIRECTED = 421
+# A decimal number without sign or exponent, and of limited size.
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _call_numbers = itertools.count(1)
 
 
@@ -140,3 +144,16 @@
         return LoadReport(int(numbers[0]), int(numbers[1]))
     except (ValueError, IndexError):
         return None
+
+
+def parse_limit(reply: Reply, header_names: HeaderNames) -> float | None:
+    """Returns the limit that a reply names, in requests a second.
+
+    Returns infinity if it names none, and None if the header is malformed.
+    """
+    value = reply.get(header_names.limit.lower())
+    if value is None:
+        return math.inf
+    if _DECIMAL.fullmatch(value) is None:
+        return None
+    return float(value)
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -328,6 +328,7 @@
             self._publish_suspects(sync, trio.current_time())
             self._fleet.remove_expired_leaves(trio.current_time())
             telemetry.CONNECTIONS.set(pool.opened_count)
+            telemetry.LIMITED_LEAVES.set(pool.limited_count)
 
     def _publish_suspects(self, sync: Sync, now: float) -> None:
         """Publishes the suspected requests if this VM saw a new crash."""
--- a/libs/gateway/src/sapphire_gateway/headernames.py
+++ b/libs/gateway/src/sapphire_gateway/headernames.py
@@ -16,6 +16,7 @@
         target_leaf: Id of the only leaf that may run the request.
         leaf_id: Id of the leaf that sent the reply.
         load: Running and queued requests of a leaf, and its capacity.
+        limit: Requests a second that the leaf takes from all VMs together.
         not_executed: Present only if the leaf did not run the request.
         signatures: Signatures of the parts of a merged answer.
         missing_parts: Number of parts missing from a merged answer.
@@ -27,6 +28,7 @@
     target_leaf: bytes
     leaf_id: bytes
     load: bytes
+    limit: bytes
     not_executed: bytes
     signatures: bytes
     missing_parts: bytes
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from collections.abc import Callable, Container
 from dataclasses import dataclass
 
@@ -13,8 +14,15 @@
 from sapphire_core.leafset import LeafEntry
 
 from sapphire_gateway import telemetry
-from sapphire_gateway.calls import Call, CallResult, parse_load_report
+from sapphire_gateway.calls import (
+    MISDIRECTED,
+    Call,
+    CallResult,
+    parse_limit,
+    parse_load_report,
+)
 from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.messages import Reply
 from sapphire_gateway.pool import LeafEndpoint, LostCall
 
 # All reply times are dropped above this number of routes: routes of earlier
@@ -177,6 +185,8 @@
         """Sends a call; on_end is called once with its result."""
         if choice.is_cold:
             self._fleet.record_cold_request(choice.entry, now)
+        if choice.endpoint.terms.has_limit:
+            telemetry.LIMITED_CALLS.inc()
         call = self._create_call(choice.entry, now)
         call.on_end = functools.partial(
             self._handle_result, call, choice.entry, choice.endpoint, on_end
@@ -233,6 +243,8 @@
             report = parse_load_report(result.reply, self._fleet.header_names)
             if report is not None:
                 load.record_load(report.running, report.queued, now)
+            if result.reply.status != MISDIRECTED:
+                self._record_terms(entry, endpoint, result.reply)
         if result.failure is None:
             self._answered.add(entry.service)
             self._fleet.view.crashes.record_survival(
@@ -255,6 +267,28 @@
         if result.reply is not None and result.failure is Failure.NOT_RUN:
             self._fleet.handle_rejection(entry, result.reply)
 
+    def _record_terms(
+        self, entry: LeafEntry, endpoint: LeafEndpoint, reply: Reply
+    ) -> None:
+        """Records what the leaf asks for in an answer."""
+        limit_per_s = parse_limit(reply, self._fleet.header_names)
+        if limit_per_s is None:
+            telemetry.reject_message(
+                "reply", "the limit is not a decimal number", entry.address
+            )
+            return
+        terms = endpoint.terms
+        before = terms.limit_per_s
+        if terms.record_limit(limit_per_s):
+            telemetry.leaf_terms(
+                {
+                    "leaf": entry.leaf_id,
+                    "service": entry.service,
+                    "limit_per_s": _for_log(limit_per_s),
+                    "before": _for_log(before),
+                }
+            )
+
     def _record_lost_call(
         self,
         call: Call,
@@ -290,5 +324,9 @@
         )
 
 
+def _for_log(limit_per_s: float) -> float | None:
+    return limit_per_s if math.isfinite(limit_per_s) else None
+
+
 def _ignore_result(result: CallResult) -> None:
     """Placeholder that is replaced before the call is sent."""
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -10,6 +10,7 @@
 from sapphire_core.choice import LeafLoad
 from sapphire_core.fanout import Failure
 from sapphire_core.leafset import LeafEntry
+from sapphire_core.leafterms import LeafTerms
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallResult, classify_reply
@@ -65,6 +66,7 @@
         free_connections: Established connections without a call; the last one
             was used most recently.
         queue: Calls waiting for a connection.
+        terms: What the leaf asks for in its answers.
         lost_calls: By fingerprint, the last call that was lost, until it is
             known whether the leaf crashed. Added by LeafCaller.
         average_connect_s: Moving average of the time to connect, in seconds.
@@ -75,6 +77,7 @@
     connections: list[Connection] = field(default_factory=list)
     free_connections: list[Connection] = field(default_factory=list)
     queue: collections.deque[Call] = field(default_factory=collections.deque)
+    terms: LeafTerms = field(default_factory=LeafTerms)
     lost_calls: dict[str, LostCall] = field(default_factory=dict)
     average_connect_s: float = INITIAL_CONNECT_S
 
@@ -127,6 +130,11 @@
             lambda _entry, _lost_calls: None
         )
 
+    @property
+    def limited_count(self) -> int:
+        """Number of leaves that name a limit."""
+        return sum(e.terms.has_limit for e in self._endpoints.values())
+
     @property
     def opened_count(self) -> int:
         """Number of attempts to open a connection since the start."""
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -59,6 +59,16 @@
     "Calls to leaves that this VM made for entries of other domains.",
     registry=REGISTRY,
 )
+LIMITED_LEAVES = Gauge(
+    "sapphirecross_limited_leaves",
+    "Leaves that name a limit of requests a second.",
+    registry=REGISTRY,
+)
+LIMITED_CALLS = Counter(
+    "sapphirecross_limited_leaf_calls_total",
+    "Calls to leaves that name a limit.",
+    registry=REGISTRY,
+)
 FAILED_CALLS = Counter(
     "sapphirecross_leaf_calls_failed_total",
     "Calls to leaves without a good reply, by kind of failure.",
@@ -204,6 +214,12 @@
 
 _REJECTION_LOG = RequestLogLimiter()
 _LOST_CALL_LOG = RequestLogLimiter()
+_TERMS_LOG = RequestLogLimiter()
+
+
+def leaf_terms(fields: Mapping[str, object]) -> None:
+    """Logs a change of what a leaf asks for in its answers."""
+    _TERMS_LOG.write(trio.current_time(), "leaf_terms", fields)
 
 
 def lost_call(fields: Mapping[str, object]) -> None:
--- a/libs/gateway/tests/gateway_harness.py
+++ b/libs/gateway/tests/gateway_harness.py
@@ -31,6 +31,7 @@
     b"X-Target",
     b"X-Leaf",
     b"X-Load",
+    b"X-Limit",
     b"X-Not-Run",
     b"X-Signatures",
     b"X-Missing",
