--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -19,7 +19,13 @@
 from soak.callers import send_crash_request
 from soak.guarantees import Observations
 from soak.leaves import CRASH_PATH, Leaf
-from soak.operator import FETCH, SEARCH, Operator, SoakRoute
+from soak.operator import (
+    FETCH,
+    SEARCH,
+    UNSHARDED_SERVICE,
+    Operator,
+    SoakRoute,
+)
 from soak.processes import Gateway
 from soak.proxy import Mode, Proxy
 from soak.store import Store
@@ -54,6 +60,9 @@
 CRASH_CALLER_COUNTS = (1, 4)
 # Time from the crash of a leaf to its next start.
 CRASH_RESTART_S = 0.5
+# Limits that a leaf names, in requests a second, and for how long.
+LEAF_LIMITS_PER_S = (1.0, 4.0, 12.0)
+LIMITED_RANGE_S = (6.0, 11.0)
 _CRASH_REQUEST_NUMBERS = itertools.count(1)
 
 
@@ -383,6 +392,27 @@
             leaf.on_crash = lambda: None
 
 
+async def _limit_leaf(environment: Environment) -> None:
+    """Lets a leaf of the unsharded service name a limit, which may change.
+
+    Parts of searches are left out, as gateways also call them for each other.
+    """
+    leaf = environment.rng.choice(
+        [
+            leaf
+            for leaf in environment.leaves
+            if leaf.service == UNSHARDED_SERVICE
+        ]
+    )
+    if leaf.limit_per_s is not None:
+        return
+    duration_s = environment.rng.uniform(*LIMITED_RANGE_S)
+    leaf.limit_named_since = trio.current_time()
+    leaf.limit_per_s = environment.rng.choice(LEAF_LIMITS_PER_S)
+    await trio.sleep(duration_s)
+    leaf.limit_per_s = None
+
+
 async def _drain_leaf(environment: Environment) -> None:
     """Drains a leaf, which keeps serving meanwhile, then restarts it at once.
 
@@ -459,6 +489,7 @@
     "crash_fetch": _repeat_crash_fetch,
     "crash_fetch_at_one_gateway": _repeat_crash_fetch_at_one_gateway,
     "crash_search": _repeat_crash_search,
+    "leaf_limited": _limit_leaf,
     "leaf_drains": _drain_leaf,
     "leaf_removed": _remove_leaf,
     "configuration": _change_configuration,
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -33,6 +33,14 @@
 MAX_LATE_CRASH_REQUESTS = 3
 # Body of the refusal of a request that crashes leaves.
 QUARANTINE_BODY = b"crashes leaves"
+# A leaf that names a limit: from LIMIT_CONTACT_S after it first did, it may get
+# in any LIMIT_WINDOW_S no more than LIMIT_FACTOR times what the limit allows,
+# and LIMIT_SLACK, from gateways that it had told LIMIT_TOLD_S before.
+LIMIT_CONTACT_S = 4.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+LIMIT_TOLD_S = 0.5
 # Smallest share of requests that has to be served after the recovery time.
 MIN_SERVED_SHARE = 0.9
 
@@ -80,6 +88,7 @@
         _check_recovery,
         _check_crash_requests,
         _check_no_harmless_request_is_quarantined,
+        _check_leaf_limits,
     )
     return [line for check in checks for line in check(observations)]
 
@@ -373,3 +382,46 @@
     if not refused:
         return []
     return [f"{len(refused)} harmless requests were refused as quarantined"]
+
+
+def _check_leaf_limits(observations: Observations) -> list[str]:
+    """Checks that gateways together keep the limit that a leaf names.
+
+    A gateway was told of the limit when an earlier request through it has
+    ended. Disturbed gateways are left out.
+    """
+    attempts_by_id = {a.request_id: a for a in observations.attempts}
+    arrivals_by_leaf = collections.defaultdict(list)
+    for arrival in observations.ledger.limited_arrivals:
+        key = (arrival.leaf_id, arrival.named_since)
+        arrivals_by_leaf[key].append(arrival)
+    violations = []
+    for (leaf_id, named_since), arrivals in arrivals_by_leaf.items():
+        told_at: dict[str, float] = {}
+        counted: collections.deque[float] = collections.deque()
+        worst = 0
+        for arrival in arrivals:
+            attempt = attempts_by_id.get(arrival.request_id)
+            if attempt is None:
+                continue
+            at = arrival.arrived_at
+            name = attempt.gateway.name
+            told_at[name] = min(told_at.get(name, math.inf), attempt.ended_at)
+            if (
+                at < named_since + LIMIT_CONTACT_S
+                or at < told_at[name] + LIMIT_TOLD_S
+                or not attempt.gateway.was_undisturbed(at - UNDISTURBED_S, at)
+            ):
+                continue
+            counted.append(at)
+            while counted[0] <= at - LIMIT_WINDOW_S:
+                counted.popleft()
+            worst = max(worst, len(counted))
+        limit_per_s = arrivals[0].limit_per_s
+        allowed = LIMIT_FACTOR * limit_per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        if worst > allowed:
+            violations.append(
+                f"leaf {leaf_id} named a limit of {limit_per_s}/s and got"
+                f" {worst} requests in {LIMIT_WINDOW_S} s"
+            )
+    return violations
--- a/tests/soak/leaves.py
+++ b/tests/soak/leaves.py
@@ -17,7 +17,7 @@
 
 import trio
 from sapphire_gateway.callers import Caller
-from sapphire_gateway.messages import Request, Response, header
+from sapphire_gateway.messages import Headers, Request, Response, header
 
 from soak.store import Store
 
@@ -47,6 +47,24 @@
     started_at: float
 
 
+class LimitedArrival(NamedTuple):
+    """A request that reached a leaf while the leaf named a limit.
+
+    Attributes:
+        request_id: Id of the request.
+        leaf_id: Id of the leaf.
+        limit_per_s: The limit, in requests a second.
+        named_since: Time from which the leaf has named a limit.
+        arrived_at: Time at which the request arrived.
+    """
+
+    request_id: str
+    leaf_id: str
+    limit_per_s: float
+    named_since: float
+    arrived_at: float
+
+
 class SignedReply(NamedTuple):
     """Content of a leaf's reply, for comparison with the gateway's answer."""
 
@@ -60,6 +78,7 @@
     """Log of the executions that all leaves started and of their replies."""
 
     executions: list[Execution] = field(default_factory=list)
+    limited_arrivals: list[LimitedArrival] = field(default_factory=list)
     # Replies by their signature, an id that no other reply has. Gateways pass
     # it on in their answers; it is not cryptographic.
     signed_replies: dict[str, SignedReply] = field(default_factory=dict)
@@ -102,6 +121,9 @@
         # Share of the replies with status 500 and, drawn independently, of the
         # replies that repeat a wrong request id.
         self.faulty_share = 0.0
+        # Limit that the leaf names, in requests a second, and since when.
+        self.limit_per_s: float | None = None
+        self.limit_named_since = 0.0
         # Called when a request crashes the leaf.
         self.on_crash: Callable[[], None] = lambda: None
         self.leaf_id = ""
@@ -159,9 +181,21 @@
         if target_id is None or target_id.decode() != self.leaf_id:
             # Most likely for the leaf's id before its restart.
             return Response(421, [(b"Not-Executed", b"1")])
-        if self._running >= MAX_RUNNING:
-            return Response(503, [(b"Not-Executed", b"1")])
         request_id = (header(request.headers, b"request-id") or b"").decode()
+        if self.limit_per_s is not None:
+            self._ledger.limited_arrivals.append(
+                LimitedArrival(
+                    request_id,
+                    self.leaf_id,
+                    self.limit_per_s,
+                    self.limit_named_since,
+                    trio.current_time(),
+                )
+            )
+        if self._running >= MAX_RUNNING:
+            return Response(
+                503, [(b"Not-Executed", b"1"), *self._limit_headers()]
+            )
         self._ledger.executions.append(
             Execution(
                 request_id, self.service, self.leaf_id, trio.current_time()
@@ -181,6 +215,11 @@
             self._running -= 1
         return self._reply(request_id)
 
+    def _limit_headers(self) -> Headers:
+        if self.limit_per_s is None:
+            return []
+        return [(b"Server-Limit", b"%.1f" % self.limit_per_s)]
+
     def _reply(self, request_id: str) -> Response:
         reply_number = len(self._ledger.signed_replies)
         records = [
@@ -206,5 +245,6 @@
             (b"Request-Id", echoed_id.encode()),
             # Running and queued requests, and slots; there is no queue.
             (b"Server-Load", b"%d,0,%d" % (self._running, SLOTS)),
+            *self._limit_headers(),
         ]
         return Response(status, headers, b"".join(records))
