gateway: Keep to the limit that a leaf names

Each VM now keeps to its share: the limit divided by the recent peak of the number of serving VMs, with a burst that keeps all bursts together within what the rule leaves. If the limit is lower than a few VMs' bursts, the VMs that rank first for the leaf share it and the others only try it now and then, each at another time. The leaf is left out of every choice (first calls, hedges, retries and calls for other VMs choose by the same function), so that work goes to another leaf. If none has room the request is refused at once with the time until one has; a search leaves the part out, as long as enough are left.

--- a/libs/core/src/sapphire_core/leafterms.py
+++ b/libs/core/src/sapphire_core/leafterms.py
@@ -1,9 +1,69 @@
-"""What a leaf has asked of its callers; does no I/O."""
+"""What a leaf has asked of its callers; does no I/O.
+
+A leaf may name the rate of requests that it takes from all VMs together. Each
+VM keeps to a share of it, so that the shares add up to the limit while members
+come and go.
+"""
 
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from sapphire_core.rendezvous import ranking
+
+# A leaf that names a lower limit, or 0, gets a request now and then, as only
+# its answers tell when the limit ends.
+MIN_LIMIT_PER_S = 0.1
+# A limit leaves room for simultaneous requests of a few VMs, each of which can
+# send one after a pause: for so many, and one more for each request a second.
+MIN_SENDERS = 3
+# The other VMs try a leaf once in this time, to learn whether the limit ended,
+# and each of them by so much later than the one before it.
+TRIAL_INTERVAL_S = 30.0
+TRIAL_SPACING_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class RateShare:
+    """A VM's share of a leaf's limit.
+
+    Attributes:
+        rate_per_s: Requests a second.
+        burst: Requests that may be sent at once after a pause.
+    """
+
+    rate_per_s: float
+    burst: float
+
+
+def limit_share(
+    leaf_id: str,
+    limit_per_s: float,
+    member: str,
+    members: Iterable[str],
+    member_count: int,
+) -> RateShare:
+    """Returns a VM's share of a leaf's limit.
+
+    Args:
+        leaf_id: The leaf.
+        limit_per_s: Requests a second that the leaf takes from all VMs.
+        member: The VM.
+        members: The VMs that serve callers, by name.
+        member_count: Number by which the limit is divided. It may be larger
+            than that of the members, which may be missing for a moment.
+    """
+    limit_per_s = max(limit_per_s, MIN_LIMIT_PER_S)
+    max_senders = int(limit_per_s) + MIN_SENDERS
+    position = ranking(leaf_id, {*members, member}).index(member)
+    if position >= max_senders:
+        spacing_s = (position - max_senders) * TRIAL_SPACING_S
+        return RateShare(1.0 / (TRIAL_INTERVAL_S + spacing_s), 1.0)
+    senders = max(1, min(member_count, max_senders))
+    burst = max(1.0, max_senders / 2 / senders)
+    return RateShare(limit_per_s / senders, burst)
 
 
 @dataclass(slots=True)
@@ -16,18 +76,47 @@
     """
 
     limit_per_s: float = math.inf
+    # Requests that may be sent at once, as of _refilled_at.
+    _allowance: float = field(default=0.0, repr=False)
+    _refilled_at: float = field(default=0.0, repr=False)
 
-    def record_limit(self, limit_per_s: float) -> bool:
+    @property
+    def has_limit(self) -> bool:
+        """Whether the leaf limits the requests to it."""
+        return math.isfinite(self.limit_per_s)
+
+    def record_limit(self, limit_per_s: float, now: float) -> bool:
         """Records the limit in an answer, infinity if it names none.
 
         Returns:
             Whether the limit has changed.
         """
+        if not self.has_limit:
+            # Nothing may be sent at once: requests are still under way.
+            self._allowance = 0.0
+            self._refilled_at = now
         has_changed = limit_per_s != self.limit_per_s
         self.limit_per_s = limit_per_s
         return has_changed
 
-    @property
-    def has_limit(self) -> bool:
-        """Whether the leaf limits the requests to it."""
-        return math.isfinite(self.limit_per_s)
+    def room_at(self, share: RateShare, now: float) -> float:
+        """Returns the time from which the leaf may get a request."""
+        if not self.has_limit:
+            return now
+        missing = 1.0 - self._refill(share, now)
+        return now + max(0.0, missing / share.rate_per_s)
+
+    def may_send(self, share: RateShare, now: float) -> bool:
+        """Returns whether the leaf may get a request now."""
+        return not self.has_limit or self._refill(share, now) >= 1.0
+
+    def record_sent(self, share: RateShare, now: float) -> None:
+        """Records a request to the leaf."""
+        if self.has_limit:
+            self._allowance = self._refill(share, now) - 1.0
+
+    def _refill(self, share: RateShare, now: float) -> float:
+        refill = max(0.0, now - self._refilled_at) * share.rate_per_s
+        self._allowance = min(share.burst, self._allowance + refill)
+        self._refilled_at = now
+        return self._allowance
--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -110,6 +110,21 @@
                 self._planned[part] = choice
         return [choice.estimate for choice in self._planned.values()]
 
+    def room_wait_s(self, now: float) -> float:
+        """Returns when enough parts are expected to have room at a leaf.
+
+        Returns:
+            Time in seconds from now, or infinity, if the missing leaves are
+            not only busy with the limits that they name.
+        """
+        missing = self._job.policy.min_parts - len(self._planned)
+        times = sorted(
+            self._leaf_caller.room_at(part, now)
+            for part in self._job.parts
+            if part not in self._planned
+        )
+        return times[missing - 1] - now
+
     async def execute(self) -> Outcome:
         """Sends the planned calls and waits for the outcome."""
         now = trio.current_time()
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -10,6 +10,7 @@
 from sapphire_core.coldshare import ColdLeafLimiter
 from sapphire_core.crashsuspects import CrashedLeaf
 from sapphire_core.leafset import LeafEntry, RegisteredLeaf
+from sapphire_core.leafterms import RateShare, limit_share
 from sapphire_core.members import (
     Member,
     RecentPeak,
@@ -24,7 +25,12 @@
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.headernames import HeaderNames
 from sapphire_gateway.messages import Reply
-from sapphire_gateway.pool import CONNECTION_SHARE, LeafPool, LostCall
+from sapphire_gateway.pool import (
+    CONNECTION_SHARE,
+    LeafEndpoint,
+    LeafPool,
+    LostCall,
+)
 
 if TYPE_CHECKING:
     from sapphire_gateway.delegated_calls import HelperPool
@@ -47,7 +53,8 @@
 
     Members are the VMs that run the gateway. Callers are directed to some of
     them, the serving members. The limits concern extra calls (hedges and
-    retries), requests to cold leaves and connections to each leaf. FleetView
+    retries), requests to cold leaves and to leaves that name a limit, and
+    connections to each leaf. FleetView
     has what the store says about the fleet; this class adds connections,
     limits, and decisions that are based on the view.
 
@@ -211,6 +218,38 @@
             return True
         return self._cold_limiter.may_send(leaf.entry.leaf_id, rate, now)
 
+    def limit_share(self, endpoint: LeafEndpoint, now: float) -> RateShare:
+        """Returns this VM's share of the limit that a leaf names."""
+        return limit_share(
+            endpoint.entry.leaf_id,
+            endpoint.terms.limit_per_s,
+            self.view.self_name,
+            [member.name for member in self.serving_members(now)],
+            self._serving_count,
+        )
+
+    def has_room(self, endpoint: LeafEndpoint, now: float) -> bool:
+        """Returns whether a leaf may get a request within its limit."""
+        terms = endpoint.terms
+        return not terms.has_limit or terms.may_send(
+            self.limit_share(endpoint, now), now
+        )
+
+    def room_at(self, endpoint: LeafEndpoint, now: float) -> float:
+        """Returns the time from which a leaf may get a request."""
+        terms = endpoint.terms
+        if not terms.has_limit:
+            return now
+        return terms.room_at(self.limit_share(endpoint, now), now)
+
+    def record_limited_request(
+        self, endpoint: LeafEndpoint, now: float
+    ) -> None:
+        """Counts a request to a leaf, if the leaf names a limit."""
+        if endpoint.terms.has_limit:
+            telemetry.LIMITED_CALLS.inc()
+            endpoint.terms.record_sent(self.limit_share(endpoint, now), now)
+
     def record_cold_request(self, entry: LeafEntry, now: float) -> None:
         """Counts a request to a cold leaf.
 
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import trio
@@ -26,6 +27,7 @@
 RETRY_UNCONFIGURED_S = 0.3
 RETRY_NO_LEAF_S = 0.5
 RETRY_FULL_S = 0.1
+MAX_RETRY_LIMITED_S = 2.0
 # Reasons for which suspected requests are refused.
 CRASH_REFUSALS = {
     CrashVerdict.HELD: "may crash leaves",
@@ -94,9 +96,7 @@
         now = trio.current_time()
         estimates = execution.plan(now)
         if len(estimates) < job.policy.min_parts:
-            return self._refuse(
-                request, 503, "too few leaves", RETRY_NO_LEAF_S, route
-            )
+            return self._refuse_without_leaves(request, route, execution, now)
         load_forecast = forecast(
             estimates,
             job.policy.min_parts,
@@ -120,6 +120,30 @@
         finally:
             suspects.end_canary(fingerprint, trio.current_time())
 
+    def _refuse_without_leaves(
+        self,
+        request: Request,
+        route: Route,
+        execution: RequestExecution,
+        now: float,
+    ) -> Response:
+        wait_s = execution.room_wait_s(now)
+        if not 0.0 < wait_s < math.inf:
+            return self._refuse(
+                request, 503, "too few leaves", RETRY_NO_LEAF_S, route
+            )
+        # Callers who come back at the same moment would be refused again.
+        retry_after_s = min(
+            MAX_RETRY_LIMITED_S, wait_s * (1.0 + random.random())
+        )
+        return self._refuse(
+            request,
+            503,
+            "leaves are at the limit that they name",
+            retry_after_s,
+            route,
+        )
+
     def answer_sent(self, request: Request, now: float) -> None:
         """Records the delay of an answer that was due at a planned time."""
         if request.planned_at is not None:
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -147,14 +147,19 @@
         and already has a call without a reply.
         """
         fleet = self._fleet
-        leaves = [
-            leaf
-            for leaf in fleet.view.registry.candidates(service, now)
-            if leaf.entry.leaf_id not in tried and fleet.may_send(leaf, now)
-        ]
+        leaves = []
+        endpoints = []
+        for leaf in fleet.view.registry.candidates(service, now):
+            if leaf.entry.leaf_id in tried or not fleet.may_send(leaf, now):
+                continue
+            endpoint = fleet.pool.get_or_create(leaf.entry)
+            if fleet.has_room(endpoint, now):
+                leaves.append(leaf)
+                endpoints.append(endpoint)
+            else:
+                telemetry.PASSED_OVER.inc()
         if not leaves:
             return None
-        endpoints = [fleet.pool.get_or_create(leaf.entry) for leaf in leaves]
         leaf_candidates = [
             Candidate(
                 endpoint.load,
@@ -176,6 +181,21 @@
             leaf_candidates[index].is_cold,
         )
 
+    def room_at(self, service: str, now: float) -> float:
+        """Returns when a leaf of a service may get a request.
+
+        Returns infinity if none is expected to.
+        """
+        fleet = self._fleet
+        return min(
+            (
+                fleet.room_at(fleet.pool.get_or_create(leaf.entry), now)
+                for leaf in fleet.view.registry.candidates(service, now)
+                if fleet.may_send(leaf, now)
+            ),
+            default=math.inf,
+        )
+
     def send(
         self,
         choice: LeafChoice,
@@ -185,8 +205,7 @@
         """Sends a call; on_end is called once with its result."""
         if choice.is_cold:
             self._fleet.record_cold_request(choice.entry, now)
-        if choice.endpoint.terms.has_limit:
-            telemetry.LIMITED_CALLS.inc()
+        self._fleet.record_limited_request(choice.endpoint, now)
         call = self._create_call(choice.entry, now)
         call.on_end = functools.partial(
             self._handle_result, call, choice.entry, choice.endpoint, on_end
@@ -279,7 +298,7 @@
             return
         terms = endpoint.terms
         before = terms.limit_per_s
-        if terms.record_limit(limit_per_s):
+        if terms.record_limit(limit_per_s, trio.current_time()):
             telemetry.leaf_terms(
                 {
                     "leaf": entry.leaf_id,
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -69,6 +69,11 @@
     "Calls to leaves that name a limit.",
     registry=REGISTRY,
 )
+PASSED_OVER = Counter(
+    "sapphirecross_leaves_passed_over_total",
+    "Leaves that were not chosen for a call because of the limit they name.",
+    registry=REGISTRY,
+)
 FAILED_CALLS = Counter(
     "sapphirecross_leaf_calls_failed_total",
     "Calls to leaves without a good reply, by kind of failure.",
--- a/libs/gateway/tests/test_gateway.py
+++ b/libs/gateway/tests/test_gateway.py
@@ -400,3 +400,88 @@
                 await harness.connect()
 
     run_with_harness(test)
+
+
+def test_leaf_gets_no_more_than_the_limit_it_names(run_with_harness):
+    """Guards against leaves that name a limit and get as many as before."""
+
+    async def test(harness):
+        limited = await harness.leaf(
+            "s", lambda r: reply(r, A, extra=["X-Limit: 4.0"])
+        )
+        other = await harness.leaf("s", lambda r: reply(r, B), domain="z2")
+        harness.configure(single_leaf_route())
+        for _ in range(60):
+            assert (await harness.request()).status == 200
+            await trio.sleep(0.02)
+        # The calls took over a second, and a burst is allowed.
+        assert 2 <= len(limited.requests) <= 10
+        assert len(limited.requests) + len(other.requests) == 60
+
+    run_with_harness(test)
+
+
+def test_request_without_room_at_any_leaf_is_refused_at_once(run_with_harness):
+    """Guards against callers that wait for a leaf which takes no more."""
+
+    async def test(harness):
+        leaf = await harness.leaf(
+            "s", lambda r: reply(r, A, extra=["X-Limit: 0.5"])
+        )
+        harness.configure(single_leaf_route())
+        assert (await harness.request()).status == 200
+        started_at = trio.current_time()
+        refused = await harness.request()
+        assert refused.status == 503
+        assert 0 < float(refused.headers["retry-after"]) <= 2.0
+        assert trio.current_time() - started_at < 0.5
+        assert len(leaf.requests) == 1
+
+    run_with_harness(test)
+
+
+def test_search_leaves_out_a_shard_without_room(run_with_harness):
+    """Guards against calls for a part beyond its leaf's limit."""
+
+    async def test(harness):
+        await harness.leaf("s", lambda r: reply(r, A))
+        limited = await harness.leaf(
+            "t", lambda r: reply(r, B, extra=["X-Limit: 0.5"])
+        )
+        harness.configure(search_route("s", "t", min_share=0.5))
+        assert (await harness.request()).headers["x-missing"] == "0"
+        answer = await harness.request()
+        assert (answer.status, answer.headers["x-missing"]) == (200, "1")
+        assert len(limited.requests) == 1
+
+    run_with_harness(test)
+
+
+def test_limit_that_ends_or_cannot_be_read(run_with_harness):
+    """Guards against limits that are believed after the leaf has ended them."""
+
+    async def test(harness):
+        values = iter(["2.0", "1e400", "-1", "nan", "0x1", "Sat, 05 Dec", None])
+
+        def answer(request):
+            value = next(values, None)
+            return reply(request, A, extra=[f"X-Limit: {value}"] * bool(value))
+
+        leaf = await harness.leaf("s", answer)
+        harness.configure(single_leaf_route())
+        assert (await harness.request()).status == 200
+        (endpoint,) = [
+            harness.pool.get_or_create(leaf.entry)
+            for leaf in harness.view.registry.leaves
+        ]
+        for _ in range(5):
+            # Odd values change nothing.
+            assert endpoint.terms.limit_per_s == 2.0
+            await trio.sleep(0.55)
+            assert (await harness.request()).status == 200
+        await trio.sleep(0.55)
+        assert (await harness.request()).status == 200
+        assert not endpoint.terms.has_limit
+        assert len(leaf.requests) == 7
+
+    run_with_harness(test)
