gateway: Survive deeply nested data of other writers

Callers saw processes that read the list of leaves end again and again. A reported case of other operators: an entry with 5,000 nested arrays in a field raises RecursionError in the decoder, which is no DecodeError, and nothing above caught it. The last good value stays in force; a leaf's entry names no leaf.

--- a/libs/gateway/src/sapphire_gateway/crashexchange.py
+++ b/libs/gateway/src/sapphire_gateway/crashexchange.py
@@ -17,6 +17,7 @@
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.crashes import CrashTracker
+from sapphire_gateway.decoding import DECODING_ERRORS
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Request, Response
@@ -113,7 +114,7 @@
         tracker = self._view.crashes
         try:
             _merge(request.body, tracker)
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             telemetry.event("question_unreadable", error=str(error))
             return Response(400, [])
         records = tracker.shared_records(trio.current_time())
@@ -195,7 +196,7 @@
         except StoreUnavailableError:
             telemetry.CRASH_EXCHANGES.labels("failed").inc()
             return
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             telemetry.CRASH_EXCHANGES.labels("unreadable").inc()
             telemetry.event("question_unreadable", error=str(error))
             return
--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -27,6 +27,7 @@
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import CallResult
+from sapphire_gateway.decoding import DECODING_ERRORS
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.httpclient import HttpClient, NoUsableReplyError
 from sapphire_gateway.leafcalls import (
@@ -166,8 +167,12 @@
     is_suspected: bool = False
 
 
-_DELEGATION_REQUEST = msgspec.msgpack.Decoder(DelegationRequest)
-_REMAINDER_REQUEST = msgspec.msgpack.Decoder(RemainderRequest)
+_REQUEST_DECODERS: dict[
+    bytes, msgspec.msgpack.Decoder[DelegationRequest | RemainderRequest]
+] = {
+    CALLS_PATH.encode(): msgspec.msgpack.Decoder(DelegationRequest),
+    REMAINDER_PATH.encode(): msgspec.msgpack.Decoder(RemainderRequest),
+}
 _RESPONSE = msgspec.msgpack.Decoder(HelperResponse)
 
 
@@ -283,19 +288,17 @@
 
     async def handle(self, request: Request) -> Response:
         """Handles a delegation request or a request for remaining parts."""
+        decoder = _REQUEST_DECODERS.get(request.target)
+        if decoder is None:
+            return Response(404, [])
         try:
-            if request.target == CALLS_PATH.encode():
-                return await self._handle_calls(
-                    _DELEGATION_REQUEST.decode(request.body)
-                )
-            if request.target == REMAINDER_PATH.encode():
-                return await self._handle_remainder(
-                    _REMAINDER_REQUEST.decode(request.body)
-                )
-        except msgspec.DecodeError as error:
+            decoded = decoder.decode(request.body)
+        except DECODING_ERRORS as error:
             telemetry.event("question_unreadable", error=str(error))
             return Response(400, [])
-        return Response(404, [])
+        if isinstance(decoded, DelegationRequest):
+            return await self._handle_calls(decoded)
+        return await self._handle_remainder(decoded)
 
     async def _handle_calls(self, request: DelegationRequest) -> Response:
         now = trio.current_time()
@@ -512,7 +515,7 @@
             )
         try:
             return _RESPONSE.decode(reply.body)
-        except msgspec.DecodeError as error:
+        except DECODING_ERRORS as error:
             raise NoUsableReplyError(
                 f"helper {self.helper.name} sent a response that cannot be"
                 f" decoded: {error}."
--- a/libs/gateway/src/sapphire_gateway/feed.py
+++ b/libs/gateway/src/sapphire_gateway/feed.py
@@ -17,6 +17,7 @@
 import msgspec
 import trio
 
+from sapphire_gateway.decoding import DECODING_ERRORS
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Request, Response
 from sapphire_gateway.store import (
@@ -270,7 +271,7 @@
         try:
             response = _RESPONSE.decode(reply.body)
             items = _decode_items(response)
-        except (msgspec.DecodeError, zlib.error) as error:
+        except (*DECODING_ERRORS, zlib.error) as error:
             raise StoreUnavailableError(
                 f"feed at {self._http.address} sent a response that cannot be"
                 f" decoded: {error}."
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -100,12 +100,12 @@
         unsharded_leaves: Number of leaves of UNSHARDED_SERVICE.
     """
     result = Result(seed)
-    async with _running_environment(seed, folder, unsharded_leaves) as (
+    async with running_environment(seed, folder, unsharded_leaves) as (
         environment,
         nursery,
     ):
         nursery.start_soon(_watch_scheduling_delays, environment, result)
-        await _wait_until_ready(environment, nursery)
+        await wait_until_ready(environment, nursery)
         for _ in range(CALLER_COUNT):
             caller = SimulatedCaller(
                 environment.gateways,
@@ -160,7 +160,7 @@
                 gateway.disturbances.append((due, due + late_s))
 
 
-async def _wait_until_ready(
+async def wait_until_ready(
     environment: Environment, nursery: trio.Nursery
 ) -> None:
     with trio.fail_after(READY_TIMEOUT_S):
@@ -178,7 +178,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _running_environment(
+async def running_environment(
     seed: int, folder: pathlib.Path, unsharded_leaves: int
 ) -> AsyncIterator[tuple[Environment, trio.Nursery]]:
     rng = Random(seed)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -100,7 +100,11 @@
 
     def write(self, key: str, value: Any) -> int:
         """Writes a value as JSON, without a lease; returns its revision."""
-        return self._put(key, json.dumps(value).encode(), 0)
+        return self.write_bytes(key, json.dumps(value).encode())
+
+    def write_bytes(self, key: str, value: bytes) -> int:
+        """Writes a value as it is, without a lease; returns its revision."""
+        return self._put(key, value, 0)
 
     def remove(self, key: str) -> int:
         """Removes a key if it exists; returns the store's revision."""
