--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -70,6 +70,13 @@
         {"WarmupLeftMs": -1},
         {"Sequence": "4"},
         {"born": "now"},
+        # Numbers that no leaf has.
+        {"Slots": 10**26},
+        {"WarmupLeftMs": 1e308},
+        {"Sequence": 10**26},
+        {"Sequence": -1},
+        {"born": 10**26},
+        {"born": -1},
     ],
 )
 def test_invalid_leaf_entry_removes_leaf(wrong):
