--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -83,6 +83,17 @@
     assert isinstance(decode_leaf(**wrong), LeafRemoval)
 
 
+@pytest.mark.parametrize(
+    "leaf_id",
+    ["", " ", "i-1\r\nX-Other: 1", "i-1\n", "i 1", "i-\x00", "i-é", "i" * 201],
+)
+def test_leaf_id_that_is_no_header_value_names_no_leaf(leaf_id):
+    """Guards against ids that add headers to the requests to a leaf."""
+    value = json.dumps(LEAF).encode()
+    update = decode.decode_write(f"servers/{leaf_id}", value)
+    assert isinstance(update, LeafRemoval)
+
+
 @pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"null", b"{"])
 def test_malformed_leaf_entry_removes_leaf(value):
     assert isinstance(decode.decode_write("servers/i-1", value), LeafRemoval)
