tests: Show that a reply which ends inside its head is no answer

A report of other operators: a leaf stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It does not happen here: nine cuts, with a length and without one, at a submission and in a search, and an interim reply without a final one.

--- a/libs/gateway/tests/test_gateway.py
+++ b/libs/gateway/tests/test_gateway.py
@@ -485,3 +485,51 @@
         assert len(leaf.requests) == 7
 
     run_with_harness(test)
+
+
+def _cut_in_head(request, cut, length):
+    head = reply(request, A, extra=["Connection: close"]).partition(
+        b"\r\n\r\n"
+    )[0]
+    if not length:
+        # Without a length, the end of the connection is the end of the body.
+        head = head.replace(b"Content-Length: 16\r\n", b"")
+    return (head[: int(len(head) * cut)] if cut < 1 else head + CUT_ENDS[cut],)
+
+
+# Ends of a head that lacks its empty line, by a number above 1.
+CUT_ENDS = {2: b"", 3: b"\r", 4: b"\r\n", 5: b"\r\n\r"}
+
+
+@pytest.mark.parametrize("length", [True, False], ids=["length", "no length"])
+@pytest.mark.parametrize("cut", [0.1, 0.3, 0.5, 0.7, 0.9, *CUT_ENDS])
+def test_reply_that_ends_inside_its_head_is_no_answer(
+    run_with_harness, cut, length
+):
+    """Guards against a 200 with an empty or short body, framed as whole."""
+
+    async def test(harness):
+        await harness.leaf("s", lambda r: _cut_in_head(r, cut, length))
+        harness.configure(single_leaf_route(kind=Kind.AT_MOST_ONCE))
+        assert (await harness.request(method="POST", body=b"b")).status == 502
+        harness.configure(search_route("s", "t"))
+        await harness.leaf("t", lambda r: reply(r, B))
+        answer = await harness.request("/a/search")
+        assert (answer.status, answer.headers["x-missing"]) == (200, "1")
+        assert answer.body == B
+
+    run_with_harness(test)
+
+
+def test_interim_reply_without_a_final_one_is_no_answer(run_with_harness):
+    """Guards against a leaf that ends after a status of 1xx."""
+
+    async def test(harness):
+        await harness.leaf(
+            "s",
+            lambda r: (b"HTTP/1.1 103 Early Hints\r\nX-Signature: s\r\n\r\n",),
+        )
+        harness.configure(single_leaf_route(max_attempts=1))
+        assert (await harness.request()).status == 502
+
+    run_with_harness(test)
