gateway: Answer every request that a stopping VM accepts

The process waited 0.4 s for whatever was still running, whatever a request needed, and no line told of what it cut.

A request is now refused at once, truthfully and with Connection: close, if what is left of the grace period is less than twice the 95th percentile of its route's reply times (four times if it must not be repeated). Shortly before the process ends, all requests that still run are answered with what has arrived: searches with their parts, others with 504. The line left tells what was cut.

--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -30,13 +30,16 @@
 from sapphire_gateway.sync import Sync
 
 TICK_S = 0.25
+BUSY_CHECK_INTERVAL_S = 0.02
 # Number of ticks between checks for changes of the settings file.
 RELOAD_TICKS = 8
 # The VM is taken to have been paused if a tick takes longer than this.
 PAUSE_THRESHOLD_S = 1.0
-# Time before SIGKILL at which the listening socket is closed, to finish the
-# last requests.
+# Times before SIGKILL at which the listening socket is closed, the remaining
+# requests are answered with what has arrived, and the process ends.
 CLOSE_MARGIN_S = 0.8
+ANSWER_MARGIN_S = 0.6
+END_MARGIN_S = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,7 +255,7 @@
         telemetry.event("serving", address=self._settings.callers_address)
         async for signal_number in signals:
             if signal_number == signal.SIGTERM:
-                await self._shut_down(sync, server)
+                await self._shut_down(sync, server, gateway)
                 return
             self._reload_settings(True)
 
@@ -278,23 +281,26 @@
         )
         await nursery.start(server.serve, address)
 
-    async def _shut_down(self, sync: Sync, server: CallerServer) -> None:
+    async def _shut_down(
+        self, sync: Sync, server: CallerServer, gateway: Gateway
+    ) -> None:
         """Withdraws this VM's address, then serves callers until the stop.
 
         Callers with cached addresses keep connecting, so the address is served
-        for as long as the grace period allows.
+        for as long as the grace period allows. Every request that is accepted
+        gets an answer before the process ends.
         """
-        started_at = trio.current_time()
+        killed_at = trio.current_time() + self._settings.grace_s
         self._is_shutting_down = True
         sync.own_entry.publish_leaving()
         telemetry.event("leaving", connections=server.connections)
-        end = started_at + self._settings.grace_s - CLOSE_MARGIN_S
-        await trio.sleep_until(end)
+        gateway.begin_stop(killed_at - ANSWER_MARGIN_S)
+        await trio.sleep_until(killed_at - CLOSE_MARGIN_S)
         server.stop()
-        with trio.move_on_after(CLOSE_MARGIN_S / 2):
-            while server.busy:
-                await trio.sleep(0.02)
-        telemetry.event("left", connections=server.connections)
+        await _wait_while_busy(server, killed_at - ANSWER_MARGIN_S)
+        gateway.end_requests()
+        await _wait_while_busy(server, killed_at - END_MARGIN_S)
+        telemetry.event("left", connections=server.connections, cut=server.busy)
 
     def _closes_connections(self) -> bool:
         return self._is_shutting_down
@@ -337,6 +343,13 @@
             sync.own_entry.publish_suspects(suspects)
 
 
+async def _wait_while_busy(server: CallerServer, until: float) -> None:
+    """Waits until no request is in progress, or a time has come."""
+    with trio.move_on_at(until):
+        while server.busy:
+            await trio.sleep(BUSY_CHECK_INTERVAL_S)
+
+
 def _read_clocks() -> tuple[float, float]:
     """Returns the monotonic clock without and with time in suspension."""
     return time.monotonic(), time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -87,6 +87,7 @@
         self._retries = 0
         self._is_finished = False
         self._is_cancelled = False
+        self._must_end = False
         # Time at which the minimum number of parts for an answer was reached;
         # infinity before.
         self._min_parts_at = float("inf")
@@ -98,6 +99,11 @@
         self._is_cancelled = True
         self._wake.set()
 
+    def end(self) -> None:
+        """Ends the request with what has arrived: the VM is being stopped."""
+        self._must_end = True
+        self._wake.set()
+
     def plan(self, now: float) -> list[Estimate]:
         """Chooses the first leaf of each part.
 
@@ -158,6 +164,7 @@
             waited_for_missing_parts=self._min_parts_at
             < self._job.policy.answer_at
             <= trio.current_time(),
+            was_ended=self._must_end,
         )
         if verdict is Verdict.GIVE_UP:
             # No leaf should start a request that has already failed, or whose
@@ -178,7 +185,8 @@
             now = trio.current_time()
             if self._is_cancelled:
                 return Verdict.GIVE_UP
-            verdict = self._fanout.verdict(now)
+            # Its verdict at the end of time is that of a request that must end.
+            verdict = self._fanout.verdict(math.inf if self._must_end else now)
             if verdict is not Verdict.WAIT:
                 return verdict
             for part in self._fanout.to_hedge(now):
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -28,6 +28,11 @@
 RETRY_NO_LEAF_S = 0.5
 RETRY_FULL_S = 0.1
 MAX_RETRY_LIMITED_S = 2.0
+# While the VM is being stopped, requests are refused unless so many times the
+# 95th percentile of reply times is left: for requests that may be repeated, and
+# for those that must not.
+STOP_FACTOR = 2.0
+STOP_FACTOR_ONCE = 4.0
 # Reasons for which suspected requests are refused.
 CRASH_REFUSALS = {
     CrashVerdict.HELD: "may crash leaves",
@@ -52,8 +57,24 @@
         self._request_log = telemetry.RequestLogLimiter()
         self._ranked_configuration: Configuration | None = None
         self._priorities: list[int] = []
+        self._running: set[RequestExecution] = set()
+        # Time at which all requests end; infinity unless the VM is stopping.
+        self._ends_at = math.inf
         self.margin = AnswerMargin()
 
+    def begin_stop(self, ends_at: float) -> None:
+        """Refuses from now on what would not be answered in time.
+
+        Args:
+            ends_at: Time at which `end_requests` is called.
+        """
+        self._ends_at = ends_at
+
+    def end_requests(self) -> None:
+        """Answers all requests with what has arrived."""
+        for execution in self._running:
+            execution.end()
+
     async def handle(self, request: Request, caller: Caller) -> Response:
         """Answers one request."""
         if request.is_first:
@@ -92,6 +113,8 @@
             request, request_id, route, fingerprint, is_canary
         )
         reply_times = self._reply_times_of(route)
+        if self._is_too_late(route, reply_times):
+            return self._refuse(request, 503, "the VM is stopping", 0.0, route)
         execution = RequestExecution(job, self._fleet, reply_times)
         now = trio.current_time()
         estimates = execution.plan(now)
@@ -160,7 +183,11 @@
             telemetry.RUNNING.track_inprogress(),
             caller.notify_on_disconnect(execution.cancel),
         ):
-            outcome = await execution.execute()
+            self._running.add(execution)
+            try:
+                outcome = await execution.execute()
+            finally:
+                self._running.discard(execution)
         now = trio.current_time()
         if (
             outcome.waited_for_missing_parts
@@ -171,6 +198,22 @@
         self._record_outcome(request, job, outcome, answer, now, caller)
         return answer
 
+    def _is_too_late(self, route: Route, reply_times: ReplyTimes) -> bool:
+        """Returns whether a request may not be answered before the VM stops.
+
+        A request that must not be repeated is refused earlier: if its answer is
+        lost, its caller does not know whether it took effect.
+        """
+        if self._ends_at == math.inf:
+            return False
+        is_repeatable = route.kind is Kind.IDEMPOTENT
+        if reply_times.is_learned:
+            factor = STOP_FACTOR if is_repeatable else STOP_FACTOR_ONCE
+            needed_s = factor * reply_times.p95_s
+        else:
+            needed_s = route.target_s if is_repeatable else route.timeout_s
+        return trio.current_time() + needed_s > self._ends_at
+
     def _create_job(
         self,
         request: Request,
@@ -266,6 +309,8 @@
             return _error_response(503, "the leaves are full", RETRY_FULL_S)
         if outcome.failure_reply is not None and not job.is_search:
             return self._forward_reply(outcome.failure_reply)
+        if outcome.was_ended:
+            return _error_response(504, "the VM is stopping")
         if now >= job.policy.give_up_at:
             return _error_response(504, "no reply in time")
         return _error_response(502, "the leaves failed")
--- a/libs/gateway/src/sapphire_gateway/job.py
+++ b/libs/gateway/src/sapphire_gateway/job.py
@@ -61,6 +61,7 @@
         waited_for_missing_parts: Whether there were enough parts before
             answer_at of the policy, and the answer waited until then for the
             missing ones.
+        was_ended: Whether it was ended because the VM is being stopped.
     """
 
     verdict: Verdict
@@ -72,3 +73,4 @@
     failures: list[str]
     delegated_count: int
     waited_for_missing_parts: bool
+    was_ended: bool
--- a/libs/gateway/tests/test_gateway.py
+++ b/libs/gateway/tests/test_gateway.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 
 import pytest
 import trio
@@ -533,3 +534,58 @@
         assert (await harness.request()).status == 502
 
     run_with_harness(test)
+
+
+@pytest.mark.parametrize("kind", [Kind.IDEMPOTENT, Kind.AT_MOST_ONCE])
+def test_request_that_a_stopping_vm_cannot_answer_is_refused(
+    run_with_harness, kind
+):
+    """Guards against requests that are passed on and cut at the stop."""
+
+    async def test(harness):
+        leaf = await harness.leaf("s", lambda r: reply(r, A))
+        harness.configure(single_leaf_route(kind=kind, target_s=0.5))
+        harness.is_shutting_down = True
+        harness.gateway.begin_stop(trio.current_time() + 5.0)
+        answer = await harness.request(method="POST", body=b"b")
+        assert answer.status == 200
+        harness.gateway.begin_stop(trio.current_time() + 0.1)
+        refused = await harness.request(method="POST", body=b"b")
+        assert refused.status == 503
+        assert refused.headers["connection"] == "close"
+        assert float(refused.headers["retry-after"]) == 0
+        assert len(leaf.requests) == 1
+
+    run_with_harness(test)
+
+
+def test_running_request_is_answered_at_the_stop(run_with_harness):
+    """Guards against requests that are still running when the VM ends."""
+
+    async def test(harness):
+        await harness.leaf("s", lambda r: None)
+        await harness.leaf("t", lambda r: reply(r, A))
+        harness.configure(
+            single_leaf_route(kind=Kind.AT_MOST_ONCE),
+            dataclasses.replace(
+                search_route("s", "t", target_s=1.0), prefix="/search/"
+            ),
+        )
+        answers = {}
+
+        async def send(path, **more: object):
+            answers[path] = await harness.request(path, **more)
+
+        with trio.fail_after(1.0):
+            async with trio.open_nursery() as requests:
+                requests.start_soon(
+                    functools.partial(send, "/a/x", method="POST", body=b"b")
+                )
+                requests.start_soon(send, "/search/x")
+                await trio.sleep(0.1)
+                harness.gateway.end_requests()
+        assert answers["/a/x"].status == 504
+        assert answers["/search/x"].status == 200
+        assert answers["/search/x"].headers["x-missing"] == "1"
+
+    run_with_harness(test)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -191,7 +191,7 @@
         )
 
 
-async def send_crash_request(
+async def send_request(
     gateway: Gateway, route: SoakRoute, path: str
 ) -> Attempt:
     """Sends a request to a gateway, on a connection of its own.
@@ -199,7 +199,7 @@
     Args:
         gateway: The gateway, whether callers are directed to it or not.
         route: The route of the path.
-        path: Path that crashes the leaves that execute the request.
+        path: Path of the request, with the route's prefix.
     """
     request_id = f"{next(_REQUEST_IDS):08x}"
     head = (
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,7 +16,7 @@
 
 import trio
 
-from soak.callers import send_crash_request
+from soak.callers import send_request
 from soak.guarantees import Observations
 from soak.leaves import CRASH_PATH, Leaf
 from soak.operator import (
@@ -376,7 +376,7 @@
     async def repeat(pause_s: float) -> None:
         while trio.current_time() < ends_at:
             attempts.append(
-                await send_crash_request(rng.choice(gateways), route, path)
+                await send_request(rng.choice(gateways), route, path)
             )
             await trio.sleep(pause_s)
 
