gateway: Heed leaves that leave or ask for a pause in their answers

Nothing read either sign, so that a leaf whose entry still said ready got requests until the end.

The account of what a leaf asks for (LeafTerms) gains the pause, the registry the leaving. Both belong to the leaf's incarnation and outlive an entry that vanishes in an outage; a new start knows nothing of them. Paused and leaving leaves are left out of every choice, calls queued for a paused leaf are sent elsewhere, and after a pause a VM sends one request at a time until the leaf has run one. Where all leaves of a service pause, the request is refused at once with the time of the first return. Malformed headers ask for nothing, and are logged and counted. Metrics: leaves that pause or leave, refusals by reason.

Not done: telling other VMs, and waiting for a short pause instead of a refusal.

--- a/libs/core/src/sapphire_core/leafset.py
+++ b/libs/core/src/sapphire_core/leafset.py
@@ -11,6 +11,8 @@
 # It is used within this time if its service has no other leaf. Entries that
 # lapsed during an outage of the store are back by then.
 LAST_RESORT_S = 2.0
+# Incarnations that are remembered after they have said they are leaving.
+MAX_SAID_LEAVING = 10_000
 
 
 class LeafState(enum.Enum):
@@ -71,6 +73,8 @@
         leaving_since: Time at which it was first seen draining or without an
             entry; minus infinity if it was draining when first seen.
         has_entry: Whether its entry is in the store.
+        has_said_leaving: Whether the leaf itself has said that it is leaving,
+            whatever its entry says.
         misdirected: Whether another leaf replied at its address.
     """
 
@@ -79,6 +83,7 @@
     leaving_since: float | None = None
     misdirected: bool = False
     has_entry: bool = True
+    has_said_leaving: bool = False
 
     def eligibility(self, now: float) -> Eligibility:
         """Returns whether the leaf may be used if its domain is in service."""
@@ -105,6 +110,9 @@
         self._leaves: dict[str, RegisteredLeaf] = {}
         self._by_service: dict[str, list[RegisteredLeaf]] = {}
         self._evacuated: frozenset[str] = frozenset()
+        # Incarnations that have said they are leaving, with the time. A leaf's
+        # entry may vanish and return in an outage of the store.
+        self._said_leaving: dict[tuple[str, int, str], float] = {}
 
     def __len__(self) -> int:
         return len(self._leaves)
@@ -114,6 +122,13 @@
         """All known leaves, including those that are leaving."""
         return self._leaves.values()
 
+    @property
+    def leaving_count(self) -> int:
+        """Number of known leaves that are leaving."""
+        return sum(
+            leaf.leaving_since is not None for leaf in self._leaves.values()
+        )
+
     @property
     def evacuated(self) -> frozenset[str]:
         """Failure domains whose leaves must not get requests."""
@@ -140,6 +155,9 @@
         leaf = RegisteredLeaf(entry, now + entry.warmup_left_s)
         if entry.state is LeafState.DRAINING:
             leaf.leaving_since = -math.inf
+        if entry.incarnation in self._said_leaving:
+            leaf.has_said_leaving = True
+            leaf.leaving_since = self._said_leaving[entry.incarnation]
         self._leaves[entry.leaf_id] = leaf
         self._by_service.setdefault(entry.service, []).append(leaf)
         return True
@@ -162,6 +180,26 @@
         if known is not None:
             known.misdirected = True
 
+    def record_leaving(
+        self, incarnation: tuple[str, int, str], now: float
+    ) -> bool:
+        """Records that a leaf has said itself that it is leaving.
+
+        Returns:
+            Whether it was not known yet.
+        """
+        if incarnation in self._said_leaving:
+            return False
+        if len(self._said_leaving) >= MAX_SAID_LEAVING:
+            del self._said_leaving[next(iter(self._said_leaving))]
+        self._said_leaving[incarnation] = now
+        known = self._leaves.get(incarnation[0])
+        if known is not None and known.entry.incarnation == incarnation:
+            known.has_said_leaving = True
+            if known.leaving_since is None:
+                known.leaving_since = now
+        return True
+
     def retain(self, leaf_ids: set[str], now: float) -> None:
         """Records as missing the leaves that are not in a full listing."""
         for leaf_id in self._leaves.keys() - leaf_ids:
@@ -223,7 +261,7 @@
         known.misdirected = False
         known.has_entry = True
         known.cold_until = now + entry.warmup_left_s
-        if entry.state is LeafState.READY:
+        if entry.state is LeafState.READY and not known.has_said_leaving:
             known.leaving_since = None
         elif known.leaving_since is None:
             known.leaving_since = now
--- a/libs/core/src/sapphire_core/leafterms.py
+++ b/libs/core/src/sapphire_core/leafterms.py
@@ -2,7 +2,10 @@
 
 A leaf may name the rate of requests that it takes from all VMs together. Each
 VM keeps to a share of it, so that the shares add up to the limit while members
-come and go.
+come and go. A leaf may also ask one VM for a pause. After it, the VM sends one
+request at a time until the leaf has answered one.
+
+That a leaf is leaving is recorded with its entry (`sapphire_core.leafset`).
 """
 
 from __future__ import annotations
@@ -23,6 +26,8 @@
 # and each of them by so much later than the one before it.
 TRIAL_INTERVAL_S = 30.0
 TRIAL_SPACING_S = 2.0
+# A leaf that asks for a longer pause is tried again after this time.
+MAX_PAUSE_S = 600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +43,9 @@
     burst: float
 
 
+UNLIMITED = RateShare(math.inf, math.inf)
+
+
 def limit_share(
     leaf_id: str,
     limit_per_s: float,
@@ -73,9 +81,13 @@
     Attributes:
         limit_per_s: Requests a second that the leaf takes from all VMs
             together; infinity if it names no limit.
+        paused_until: Time up to which the leaf wants no request from this VM.
     """
 
     limit_per_s: float = math.inf
+    paused_until: float = -math.inf
+    # Whether the leaf has answered no request since the last pause.
+    _is_returning: bool = field(default=False, repr=False)
     # Requests that may be sent at once, as of _refilled_at.
     _allowance: float = field(default=0.0, repr=False)
     _refilled_at: float = field(default=0.0, repr=False)
@@ -99,15 +111,35 @@
         self.limit_per_s = limit_per_s
         return has_changed
 
+    def record_pause(self, pause_s: float, now: float) -> None:
+        """Records that the leaf has turned a request away for a time."""
+        until = now + min(pause_s, MAX_PAUSE_S)
+        self.paused_until = max(self.paused_until, until)
+        self._is_returning = True
+
+    def record_answer(self, now: float) -> None:
+        """Records that the leaf has run a request."""
+        if now >= self.paused_until:
+            self._is_returning = False
+
     def room_at(self, share: RateShare, now: float) -> float:
         """Returns the time from which the leaf may get a request."""
+        start = max(now, self.paused_until)
         if not self.has_limit:
-            return now
+            return start
         missing = 1.0 - self._refill(share, now)
-        return now + max(0.0, missing / share.rate_per_s)
+        return max(start, now + missing / share.rate_per_s)
+
+    def may_send(self, share: RateShare, is_idle: bool, now: float) -> bool:
+        """Returns whether the leaf may get a request now.
 
-    def may_send(self, share: RateShare, now: float) -> bool:
-        """Returns whether the leaf may get a request now."""
+        Args:
+            share: This VM's share of the leaf's limit.
+            is_idle: Whether this VM has no request at the leaf.
+            now: Present time.
+        """
+        if now < self.paused_until or (self._is_returning and not is_idle):
+            return False
         return not self.has_limit or self._refill(share, now) >= 1.0
 
     def record_sent(self, share: RateShare, now: float) -> None:
--- a/libs/core/tests/test_leafterms.py
+++ b/libs/core/tests/test_leafterms.py
@@ -41,7 +41,9 @@
             if loses_state is not None and loses_state(name, now):
                 terms[name] = LeafTerms()
             share = limit_share("leaf", limit_per_s, name, names, vms)
-            if not wants(name, now) or not terms[name].may_send(share, now):
+            if not wants(name, now) or not terms[name].may_send(
+                share, True, now
+            ):
                 continue
             is_told = terms[name].has_limit
             terms[name].record_sent(share, now)
@@ -105,10 +107,10 @@
     share = RateShare(2.0, 1.0)
     assert terms.record_limit(2.0, 10.0)
     assert not terms.record_limit(2.0, 10.1)
-    assert not terms.may_send(share, 10.1)
+    assert not terms.may_send(share, True, 10.1)
     assert terms.room_at(share, 10.1) == pytest.approx(10.5)
     assert terms.record_limit(math.inf, 10.2)
-    assert terms.may_send(share, 10.2)
+    assert terms.may_send(share, True, 10.2)
     assert terms.room_at(share, 10.2) == 10.2
 
 
@@ -119,6 +121,52 @@
     slowest = min(shares, key=lambda share: share.rate_per_s)
     terms = LeafTerms()
     terms.record_limit(0.0, 10.0)
-    assert not terms.may_send(slowest, 11.0)
-    assert terms.may_send(slowest, 10.0 + 120.0)
+    assert not terms.may_send(slowest, True, 11.0)
+    assert terms.may_send(slowest, True, 10.0 + 120.0)
     assert max(1.0 / share.rate_per_s for share in shares) < 120.0
+
+
+def test_pause_ends_with_one_request_at_a_time():
+    """Guards against a burst at a leaf whose pause has just ended."""
+    terms = LeafTerms()
+    share = RateShare(2.0, 1.0)
+    terms.record_pause(3.0, 10.0)
+    assert not terms.may_send(share, True, 12.9)
+    assert terms.room_at(share, 11.0) == 13.0
+    # A reply to an earlier request says nothing of the pause.
+    terms.record_answer(11.0)
+    assert not terms.may_send(share, False, 13.0)
+    assert terms.may_send(share, True, 13.0)
+    terms.record_answer(13.1)
+    assert terms.may_send(share, False, 13.1)
+
+
+def test_shorter_pause_does_not_end_a_longer_one():
+    terms = LeafTerms()
+    terms.record_pause(5.0, 10.0)
+    terms.record_pause(0.5, 10.1)
+    assert terms.paused_until == 15.0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_random_pauses_are_kept(seed):
+    """Replays random answers against the rule for pauses."""
+    rng = Random(seed)
+    terms = LeafTerms()
+    share = RateShare(1.0, 1.0)
+    pauses = []
+    now = 100.0
+    in_flight = []
+    for _ in range(2_000):
+        now += rng.expovariate(50.0)
+        for ends_at in [at for at in in_flight if at <= now]:
+            in_flight.remove(ends_at)
+            if rng.random() < 0.3:
+                pause_s = rng.uniform(0.0, 1.5)
+                pauses.append((now + 0.5, now + pause_s))
+                terms.record_pause(pause_s, now)
+            else:
+                terms.record_answer(now)
+        if terms.may_send(share, not in_flight, now):
+            assert not any(begin < now < end for begin, end in pauses)
+            in_flight.append(now + rng.uniform(0.001, 0.1))
--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -14,6 +14,8 @@
 from sapphire_gateway.messages import Reply
 
 MISDIRECTED = 421
+FULL = 503
+_LEAVING = b"1"
 # A decimal number without sign or exponent, and of limited size.
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _call_numbers = itertools.count(1)
@@ -146,14 +148,46 @@
         return None
 
 
-def parse_limit(reply: Reply, header_names: HeaderNames) -> float | None:
-    """Returns the limit that a reply names, in requests a second.
+@dataclass(frozen=True, slots=True)
+class LeafStatement:
+    """What a leaf asks for in a reply.
 
-    Returns infinity if it names none, and None if the header is malformed.
+    Attributes:
+        limit_per_s: Requests a second that it takes from all VMs, infinity if
+            it names no limit, and None if the header is malformed.
+        is_leaving: Whether it is leaving.
+        pause_s: Seconds for which it wants no request; 0 for no pause.
+        defects: Descriptions of malformed headers, which are ignored.
     """
+
+    limit_per_s: float | None
+    is_leaving: bool
+    pause_s: float
+    defects: tuple[str, ...]
+
+
+def parse_statement(reply: Reply, header_names: HeaderNames) -> LeafStatement:
+    """Returns what a leaf asks for in a reply."""
+    defects = []
+    limit_per_s: float | None = math.inf
     value = reply.get(header_names.limit.lower())
-    if value is None:
-        return math.inf
-    if _DECIMAL.fullmatch(value) is None:
-        return None
-    return float(value)
+    if value is not None:
+        limit_per_s = _parse_decimal(value)
+        if limit_per_s is None:
+            defects.append("the limit is not a decimal number")
+    leaving = reply.get(header_names.leaving.lower())
+    if leaving not in {None, _LEAVING}:
+        defects.append("the header that says whether the leaf is leaving")
+    pause_s = 0.0
+    value = reply.get(header_names.pause.lower())
+    if value is not None and reply.status == FULL:
+        pause_s = _parse_decimal(value) or 0.0
+        if _parse_decimal(value) is None:
+            defects.append("the pause is not a decimal number")
+    return LeafStatement(
+        limit_per_s, leaving == _LEAVING, pause_s, tuple(defects)
+    )
+
+
+def _parse_decimal(value: bytes) -> float | None:
+    return float(value) if _DECIMAL.fullmatch(value) is not None else None
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -335,6 +335,8 @@
             self._fleet.remove_expired_leaves(trio.current_time())
             telemetry.CONNECTIONS.set(pool.opened_count)
             telemetry.LIMITED_LEAVES.set(pool.limited_count)
+            telemetry.PAUSED_LEAVES.set(pool.paused_count(trio.current_time()))
+            telemetry.LEAVING_LEAVES.set(self._view.registry.leaving_count)
 
     def _publish_suspects(self, sync: Sync, now: float) -> None:
         """Publishes the suspected requests if this VM saw a new crash."""
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -10,7 +10,7 @@
 from sapphire_core.coldshare import ColdLeafLimiter
 from sapphire_core.crashsuspects import CrashedLeaf
 from sapphire_core.leafset import LeafEntry, RegisteredLeaf
-from sapphire_core.leafterms import RateShare, limit_share
+from sapphire_core.leafterms import UNLIMITED, RateShare, limit_share
 from sapphire_core.members import (
     Member,
     RecentPeak,
@@ -220,6 +220,8 @@
 
     def limit_share(self, endpoint: LeafEndpoint, now: float) -> RateShare:
         """Returns this VM's share of the limit that a leaf names."""
+        if not endpoint.terms.has_limit:
+            return UNLIMITED
         return limit_share(
             endpoint.entry.leaf_id,
             endpoint.terms.limit_per_s,
@@ -229,18 +231,14 @@
         )
 
     def has_room(self, endpoint: LeafEndpoint, now: float) -> bool:
-        """Returns whether a leaf may get a request within its limit."""
-        terms = endpoint.terms
-        return not terms.has_limit or terms.may_send(
-            self.limit_share(endpoint, now), now
-        )
+        """Returns whether a leaf wants a request now."""
+        is_idle = not endpoint.load.waiting
+        share = self.limit_share(endpoint, now)
+        return endpoint.terms.may_send(share, is_idle, now)
 
     def room_at(self, endpoint: LeafEndpoint, now: float) -> float:
-        """Returns the time from which a leaf may get a request."""
-        terms = endpoint.terms
-        if not terms.has_limit:
-            return now
-        return terms.room_at(self.limit_share(endpoint, now), now)
+        """Returns the time from which a leaf wants a request."""
+        return endpoint.terms.room_at(self.limit_share(endpoint, now), now)
 
     def record_limited_request(
         self, endpoint: LeafEndpoint, now: float
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -162,7 +162,7 @@
         return self._refuse(
             request,
             503,
-            "leaves are at the limit that they name",
+            "leaves have asked for a pause or a limit",
             retry_after_s,
             route,
         )
@@ -356,6 +356,7 @@
         name = route.name if route else "none"
         priority = route.priority if route else None
         telemetry.count_request(name, priority, "refused")
+        telemetry.REFUSALS.labels(reason).inc()
         self._request_log.write(
             trio.current_time(),
             "request_refused",
--- a/libs/gateway/src/sapphire_gateway/headernames.py
+++ b/libs/gateway/src/sapphire_gateway/headernames.py
@@ -17,6 +17,9 @@
         leaf_id: Id of the leaf that sent the reply.
         load: Running and queued requests of a leaf, and its capacity.
         limit: Requests a second that the leaf takes from all VMs together.
+        leaving: Present with the value 1 if the leaf is leaving.
+        pause: Seconds for which a leaf that rejects a request wants no other
+            from the sender.
         not_executed: Present only if the leaf did not run the request.
         signatures: Signatures of the parts of a merged answer.
         missing_parts: Number of parts missing from a merged answer.
@@ -29,6 +32,8 @@
     leaf_id: bytes
     load: bytes
     limit: bytes
+    leaving: bytes
+    pause: bytes
     not_executed: bytes
     signatures: bytes
     missing_parts: bytes
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -18,8 +18,8 @@
     MISDIRECTED,
     Call,
     CallResult,
-    parse_limit,
     parse_load_report,
+    parse_statement,
 )
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.messages import Reply
@@ -263,7 +263,7 @@
             if report is not None:
                 load.record_load(report.running, report.queued, now)
             if result.reply.status != MISDIRECTED:
-                self._record_terms(entry, endpoint, result.reply)
+                self._record_terms(entry, endpoint, result.reply, now)
         if result.failure is None:
             self._answered.add(entry.service)
             self._fleet.view.crashes.record_survival(
@@ -287,24 +287,40 @@
             self._fleet.handle_rejection(entry, result.reply)
 
     def _record_terms(
-        self, entry: LeafEntry, endpoint: LeafEndpoint, reply: Reply
+        self,
+        entry: LeafEntry,
+        endpoint: LeafEndpoint,
+        reply: Reply,
+        now: float,
     ) -> None:
-        """Records what the leaf asks for in an answer."""
-        limit_per_s = parse_limit(reply, self._fleet.header_names)
-        if limit_per_s is None:
-            telemetry.reject_message(
-                "reply", "the limit is not a decimal number", entry.address
-            )
-            return
+        """Records what the leaf asks for in a reply."""
+        statement = parse_statement(reply, self._fleet.header_names)
+        for defect in statement.defects:
+            telemetry.reject_message("statement", defect, entry.address)
         terms = endpoint.terms
-        before = terms.limit_per_s
-        if terms.record_limit(limit_per_s, trio.current_time()):
+        before_per_s = terms.limit_per_s
+        has_changed = statement.limit_per_s is not None and terms.record_limit(
+            statement.limit_per_s, now
+        )
+        if statement.pause_s:
+            terms.record_pause(statement.pause_s, now)
+            self._fleet.pool.reject_queued(
+                endpoint, "the leaf asked for a pause"
+            )
+        elif reply.is_success:
+            terms.record_answer(now)
+        if statement.is_leaving:
+            registry = self._fleet.view.registry
+            has_changed |= registry.record_leaving(entry.incarnation, now)
+        if has_changed or statement.pause_s:
             telemetry.leaf_terms(
                 {
                     "leaf": entry.leaf_id,
                     "service": entry.service,
-                    "limit_per_s": _for_log(limit_per_s),
-                    "before": _for_log(before),
+                    "limit_per_s": _for_log(terms.limit_per_s),
+                    "limit_before": _for_log(before_per_s),
+                    "pause_s": statement.pause_s,
+                    "leaving": statement.is_leaving,
                 }
             )
 
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -29,6 +29,8 @@
 # Closing all connections of a crashed leaf is noticed within this time.
 CLOSING_DELAY_S = 0.05
 MAX_LOGGED_FINGERPRINTS = 10
+# Incarnations of leaves whose terms are kept.
+MAX_TERMS = 20_000
 # A call without a reply is ended this long after its expiry.
 EXPIRY_GRACE_S = 0.1
 # Assumed time to connect to a leaf before the first measurement.
@@ -62,11 +64,11 @@
     Attributes:
         entry: Latest registry entry of the leaf.
         load: Load and reply times observed in calls.
+        terms: What the leaf asks for in its answers.
         connections: All connections that are open or being opened.
         free_connections: Established connections without a call; the last one
             was used most recently.
         queue: Calls waiting for a connection.
-        terms: What the leaf asks for in its answers.
         lost_calls: By fingerprint, the last call that was lost, until it is
             known whether the leaf crashed. Added by LeafCaller.
         average_connect_s: Moving average of the time to connect, in seconds.
@@ -74,10 +76,10 @@
 
     entry: LeafEntry
     load: LeafLoad
+    terms: LeafTerms
     connections: list[Connection] = field(default_factory=list)
     free_connections: list[Connection] = field(default_factory=list)
     queue: collections.deque[Call] = field(default_factory=collections.deque)
-    terms: LeafTerms = field(default_factory=LeafTerms)
     lost_calls: dict[str, LostCall] = field(default_factory=dict)
     average_connect_s: float = INITIAL_CONNECT_S
 
@@ -121,6 +123,7 @@
         self._nursery = nursery
         self._header_names = header_names
         self._endpoints: dict[str, LeafEndpoint] = {}
+        self._terms: dict[tuple[str, int, str], LeafTerms] = {}
         self._busy: set[Connection] = set()
         self._opened_count = 0
         self.max_connections: Callable[[LeafEntry], int] = lambda _: (
@@ -135,6 +138,10 @@
         """Number of leaves that name a limit."""
         return sum(e.terms.has_limit for e in self._endpoints.values())
 
+    def paused_count(self, now: float) -> int:
+        """Number of leaves that have asked this VM for a pause."""
+        return sum(now < e.terms.paused_until for e in self._endpoints.values())
+
     @property
     def opened_count(self) -> int:
         """Number of attempts to open a connection since the start."""
@@ -154,7 +161,12 @@
             return endpoint
         if endpoint is not None:
             self.drop(entry.leaf_id, "the leaf restarted")
-        endpoint = LeafEndpoint(entry, LeafLoad(max(1, entry.slots)))
+        # A leaf's entry may vanish and return in an outage of the store; what
+        # the leaf has asked for still holds then.
+        terms = self._terms.setdefault(entry.incarnation, LeafTerms())
+        while len(self._terms) > MAX_TERMS:
+            del self._terms[next(iter(self._terms))]
+        endpoint = LeafEndpoint(entry, LeafLoad(max(1, entry.slots)), terms)
         self._endpoints[entry.leaf_id] = endpoint
         return endpoint
 
@@ -173,8 +185,13 @@
         for connection in list(endpoint.connections):
             if connection.call is None:
                 connection.close(reason)
-        while endpoint.queue:
-            call = endpoint.queue.popleft()
+        self.reject_queued(endpoint, reason)
+
+    def reject_queued(self, endpoint: LeafEndpoint, reason: str) -> None:
+        """Ends the calls that wait for a connection to a leaf."""
+        calls = list(endpoint.queue)
+        endpoint.queue.clear()
+        for call in calls:
             call.complete(
                 CallResult(None, Failure.NOT_RUN, reason, was_sent=False)
             )
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -64,6 +64,22 @@
     "Leaves that name a limit of requests a second.",
     registry=REGISTRY,
 )
+PAUSED_LEAVES = Gauge(
+    "sapphirecross_paused_leaves",
+    "Leaves that have asked this VM for a pause.",
+    registry=REGISTRY,
+)
+LEAVING_LEAVES = Gauge(
+    "sapphirecross_leaving_leaves",
+    "Leaves that are leaving, by their entry or their own answer.",
+    registry=REGISTRY,
+)
+REFUSALS = Counter(
+    "sapphirecross_refusals_total",
+    "Refused requests by reason.",
+    ["reason"],
+    registry=REGISTRY,
+)
 LIMITED_CALLS = Counter(
     "sapphirecross_limited_leaf_calls_total",
     "Calls to leaves that name a limit.",
@@ -71,7 +87,8 @@
 )
 PASSED_OVER = Counter(
     "sapphirecross_leaves_passed_over_total",
-    "Leaves that were not chosen for a call because of the limit they name.",
+    "Leaves that were not chosen for a call because of the limit they name or"
+    " the pause they asked for.",
     registry=REGISTRY,
 )
 FAILED_CALLS = Counter(
--- a/libs/gateway/tests/gateway_harness.py
+++ b/libs/gateway/tests/gateway_harness.py
@@ -32,6 +32,8 @@
     b"X-Leaf",
     b"X-Load",
     b"X-Limit",
+    b"X-Leaving",
+    b"X-Pause",
     b"X-Not-Run",
     b"X-Signatures",
     b"X-Missing",
