--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -323,7 +323,8 @@
         reply_times = self._reply_times_by_route.get_or_create(
             (request.route,), spec.target_s
         )
-        calls.start(request.parts, LeafCaller(self._fleet, spec, reply_times))
+        caller = LeafCaller(self._fleet, spec, reply_times, is_helper=True)
+        calls.start(request.parts, caller)
         await calls.wait(request.first_response_ms / MS_PER_S)
         continuation_id = next(self._continuation_ids)
         response = calls.take(continuation_id, is_merged=True)
--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -322,6 +322,7 @@
         self._replies[part] = reply
         now = trio.current_time()
         self._gate.record_answer()
+        self._leaf_caller.record_answer()
         self._release_deferred(now)
         if self._fanout.successful_parts == self._job.policy.min_parts:
             self._min_parts_at = now
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -130,13 +130,36 @@
     """Sends the calls of one request and evaluates their results."""
 
     def __init__(
-        self, fleet: Fleet, spec: CallSpec, reply_times: ReplyTimes
+        self,
+        fleet: Fleet,
+        spec: CallSpec,
+        reply_times: ReplyTimes,
+        is_helper: bool = False,
     ) -> None:
+        """Creates a caller that has sent nothing.
+
+        Args:
+            fleet: Leaves and their connections.
+            spec: Properties of all calls.
+            reply_times: Reply times of such calls.
+            is_helper: Whether the calls are made for another VM, which may
+                know of more replies to the request.
+        """
         self._fleet = fleet
         self._spec = spec
         self._reply_times = reply_times
         # Services of which a leaf has answered.
         self._answered: set[str] = set()
+        self._blames_silence = not is_helper
+
+    def record_answer(self) -> None:
+        """Records that some leaf has answered the request.
+
+        A leaf that falls silent then has another reason: unlike a crash, which
+        may be due to the data of its service, silence is mostly the fault of a
+        VM or of the network.
+        """
+        self._blames_silence = False
 
     def choose(
         self, service: str, tried: Container[str], now: float
@@ -336,7 +359,9 @@
 
         Whether the caller has left makes no difference to that.
         """
-        is_lost = result.is_closed_by_server or result.is_silent
+        is_lost = result.is_closed_by_server or (
+            result.is_silent and self._blames_silence
+        )
         if is_lost and entry.service not in self._answered:
             endpoint.lost_calls[call.fingerprint] = LostCall(
                 call.fingerprint,
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -303,6 +303,24 @@
     run_with_harness(test)
 
 
+def test_search_with_a_silent_leaf_is_not_held_back(run_with_harness):
+    """Guards against callers that are refused when a leaf falls silent."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness, is_silent=True)
+        await leaves.add("s")
+        await harness.leaf("t", lambda r: reply(r, b"r" * 16))
+        harness.configure(search_route("s", "t", target_s=0.1, min_share=1.0))
+        assert (await harness.request(POISON, left=300)).status == 504
+        await trio.sleep(0.5)
+        # The silent leaf is found to be gone.
+        await harness.request("/a/other", left=100)
+        await leaves.add("s")
+        assert (await harness.request(POISON, left=300)).status != 503
+
+    run_with_harness(test)
+
+
 def test_next_user_of_the_address_does_not_clear_the_request(run_with_harness):
     """Guards against a leaf that ends while another gets its address."""
 
