--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -63,6 +63,9 @@
 # Limits that a leaf names, in requests a second, and for how long.
 LEAF_LIMITS_PER_S = (1.0, 4.0, 12.0)
 LIMITED_RANGE_S = (6.0, 11.0)
+# Pauses that a leaf asks for, and for how long it rejects all requests.
+PAUSES_S = (0.7, 1.5, 3.0)
+PAUSING_RANGE_S = (2.0, 6.0)
 _CRASH_REQUEST_NUMBERS = itertools.count(1)
 
 
@@ -392,18 +395,45 @@
             leaf.on_crash = lambda: None
 
 
-async def _limit_leaf(environment: Environment) -> None:
-    """Lets a leaf of the unsharded service name a limit, which may change.
-
-    Parts of searches are left out, as gateways also call them for each other.
-    """
-    leaf = environment.rng.choice(
+def _unsharded_leaf(environment: Environment) -> Leaf:
+    return environment.rng.choice(
         [
             leaf
             for leaf in environment.leaves
             if leaf.service == UNSHARDED_SERVICE
         ]
     )
+
+
+async def _leave_by_answer(environment: Environment) -> None:
+    """Lets a leaf say in its replies only that it leaves, then restart."""
+    leaf = _unsharded_leaf(environment)
+    leaving_id = leaf.leaf_id
+    leaf.says_leaving = True
+    await trio.sleep(MIN_DRAIN_S + environment.random_duration_s())
+    if leaf.leaf_id != leaving_id:
+        return
+    environment.observations.withdrawn_at.setdefault(
+        leaving_id, trio.current_time()
+    )
+    leaf.restart()
+    environment.observations.leaf_failure_domains[leaf.leaf_id] = leaf.domain
+
+
+async def _pause_leaf(environment: Environment) -> None:
+    """Lets a leaf reject all requests and ask for a pause each time."""
+    leaf = _unsharded_leaf(environment)
+    leaf.pause_s = environment.rng.choice(PAUSES_S)
+    await trio.sleep(environment.rng.uniform(*PAUSING_RANGE_S))
+    leaf.pause_s = 0.0
+
+
+async def _limit_leaf(environment: Environment) -> None:
+    """Lets a leaf of the unsharded service name a limit, which may change.
+
+    Parts of searches are left out, as gateways also call them for each other.
+    """
+    leaf = _unsharded_leaf(environment)
     if leaf.limit_per_s is not None:
         return
     duration_s = environment.rng.uniform(*LIMITED_RANGE_S)
@@ -490,6 +520,8 @@
     "crash_fetch_at_one_gateway": _repeat_crash_fetch_at_one_gateway,
     "crash_search": _repeat_crash_search,
     "leaf_limited": _limit_leaf,
+    "leaf_leaves_by_answer": _leave_by_answer,
+    "leaf_pauses": _pause_leaf,
     "leaf_drains": _drain_leaf,
     "leaf_removed": _remove_leaf,
     "configuration": _change_configuration,
--- a/tests/soak/guarantees.py
+++ b/tests/soak/guarantees.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from soak.callers import Attempt
-from soak.leaves import Execution, Ledger
+from soak.leaves import Execution, Ledger, StatementArrival
 from soak.operator import MIN_SHARD_SHARE, SUBMIT, TOP_K, Operator
 
 # A gateway is disturbed when its process starts, ends or is paused, while a
@@ -41,6 +41,10 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 LIMIT_TOLD_S = 0.5
+# A leaf that asks a gateway for a pause: from this time after its reply to the
+# end of the pause it may get no more than MAX_PAUSE_REQUESTS from the gateway.
+PAUSE_NOTICE_S = 0.5
+MAX_PAUSE_REQUESTS = 2
 # Smallest share of requests that has to be served after the recovery time.
 MIN_SERVED_SHARE = 0.9
 
@@ -89,6 +93,8 @@
         _check_crash_requests,
         _check_no_harmless_request_is_quarantined,
         _check_leaf_limits,
+        _check_leaving_leaves,
+        _check_pauses,
     )
     return [line for check in checks for line in check(observations)]
 
@@ -425,3 +431,63 @@
                 f" {worst} requests in {LIMIT_WINDOW_S} s"
             )
     return violations
+
+
+def _check_leaving_leaves(observations: Observations) -> list[str]:
+    """Checks that gateways stop using leaves that said they are leaving.
+
+    The limit counts from the first reply with that sign which the gateway has
+    passed on to the request.
+    """
+    told_at: dict[tuple[str, str], float] = {}
+    violations = []
+    for arrival, attempt in _statement_arrivals(observations):
+        if arrival.pause_s:
+            continue
+        key = (arrival.leaf_id, attempt.gateway.name)
+        told_at[key] = min(told_at.get(key, math.inf), attempt.ended_at)
+        late_s = attempt.started_at - told_at[key]
+        if late_s > DRAIN_LIMIT_S and attempt.gateway.was_undisturbed(
+            told_at[key], arrival.arrived_at
+        ):
+            violations.append(
+                f"{attempt.gateway.name} used leaf {arrival.leaf_id}"
+                f" {late_s:.1f} s after it said that it is leaving"
+            )
+    return violations
+
+
+def _check_pauses(observations: Observations) -> list[str]:
+    """Checks that gateways keep the pauses that leaves ask for."""
+    arrivals_at = collections.defaultdict(list)
+    for arrival, attempt in _statement_arrivals(observations):
+        if arrival.pause_s:
+            key = (arrival.leaf_id, attempt.gateway.name)
+            arrivals_at[key].append((arrival, attempt.gateway))
+    violations = []
+    for (leaf_id, name), arrivals in arrivals_at.items():
+        for arrival, gateway in arrivals:
+            begins_at = arrival.arrived_at + PAUSE_NOTICE_S
+            ends_at = arrival.arrived_at + arrival.pause_s
+            count = sum(
+                begins_at < later.arrived_at < ends_at for later, _ in arrivals
+            )
+            if count > MAX_PAUSE_REQUESTS and gateway.was_undisturbed(
+                arrival.arrived_at, ends_at
+            ):
+                violations.append(
+                    f"{name} sent {count} requests to leaf {leaf_id} in a pause"
+                )
+    return violations
+
+
+def _statement_arrivals(
+    observations: Observations,
+) -> list[tuple[StatementArrival, Attempt]]:
+    """Returns the arrivals of requests that have ended, in order."""
+    attempts_by_id = {a.request_id: a for a in observations.attempts}
+    return [
+        (arrival, attempts_by_id[arrival.request_id])
+        for arrival in observations.ledger.statement_arrivals
+        if arrival.request_id in attempts_by_id
+    ]
--- a/tests/soak/leaves.py
+++ b/tests/soak/leaves.py
@@ -65,6 +65,22 @@
     arrived_at: float
 
 
+class StatementArrival(NamedTuple):
+    """A request that reached a leaf which leaves or asks for a pause.
+
+    Attributes:
+        request_id: Id of the request.
+        leaf_id: Id of the leaf.
+        arrived_at: Time at which the request arrived.
+        pause_s: Pause that the leaf asks for in its reply; 0 if it leaves.
+    """
+
+    request_id: str
+    leaf_id: str
+    arrived_at: float
+    pause_s: float
+
+
 class SignedReply(NamedTuple):
     """Content of a leaf's reply, for comparison with the gateway's answer."""
 
@@ -79,6 +95,7 @@
 
     executions: list[Execution] = field(default_factory=list)
     limited_arrivals: list[LimitedArrival] = field(default_factory=list)
+    statement_arrivals: list[StatementArrival] = field(default_factory=list)
     # Replies by their signature, an id that no other reply has. Gateways pass
     # it on in their answers; it is not cryptographic.
     signed_replies: dict[str, SignedReply] = field(default_factory=dict)
@@ -124,6 +141,10 @@
         # Limit that the leaf names, in requests a second, and since when.
         self.limit_per_s: float | None = None
         self.limit_named_since = 0.0
+        # Whether the leaf says in its replies only that it is leaving.
+        self.says_leaving = False
+        # Pause in seconds that it asks for while it rejects all requests.
+        self.pause_s = 0.0
         # Called when a request crashes the leaf.
         self.on_crash: Callable[[], None] = lambda: None
         self.leaf_id = ""
@@ -141,6 +162,7 @@
         self.leaf_id = f"i-{self.service}-{self._replica}-{start_ms % 100_000}"
         self._start_ms = start_ms
         self._sequence = 0
+        self.says_leaving = False
         self.state = "ready"
         self.register()
 
@@ -192,9 +214,18 @@
                     trio.current_time(),
                 )
             )
+        if self.says_leaving or self.pause_s:
+            self._ledger.statement_arrivals.append(
+                StatementArrival(
+                    request_id, self.leaf_id, trio.current_time(), self.pause_s
+                )
+            )
+        if self.pause_s:
+            pause = (b"Retry-After", b"%.2f" % self.pause_s)
+            return Response(503, [(b"Not-Executed", b"1"), pause])
         if self._running >= MAX_RUNNING:
             return Response(
-                503, [(b"Not-Executed", b"1"), *self._limit_headers()]
+                503, [(b"Not-Executed", b"1"), *self._statement_headers()]
             )
         self._ledger.executions.append(
             Execution(
@@ -215,10 +246,13 @@
             self._running -= 1
         return self._reply(request_id)
 
-    def _limit_headers(self) -> Headers:
-        if self.limit_per_s is None:
-            return []
-        return [(b"Server-Limit", b"%.1f" % self.limit_per_s)]
+    def _statement_headers(self) -> Headers:
+        headers = []
+        if self.limit_per_s is not None:
+            headers.append((b"Server-Limit", b"%.1f" % self.limit_per_s))
+        if self.says_leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
 
     def _reply(self, request_id: str) -> Response:
         reply_number = len(self._ledger.signed_replies)
@@ -245,6 +279,6 @@
             (b"Request-Id", echoed_id.encode()),
             # Running and queued requests, and slots; there is no queue.
             (b"Server-Load", b"%d,0,%d" % (self._running, SLOTS)),
-            *self._limit_headers(),
+            *self._statement_headers(),
         ]
         return Response(status, headers, b"".join(records))
--- a/tests/test_leaf_limits.py
+++ b/tests/test_leaf_statements.py
@@ -1,4 +1,4 @@
-"""Fleets of real gateway processes and leaves that name a limit."""
+"""Fleets of real gateway processes, and what leaves ask for in answers."""
 
 from __future__ import annotations
 
@@ -26,3 +26,11 @@
     names = ("leaf_limited", fault)
     result = run_seed(2, 2 * FAULT_PHASE_S, fault_names=names)
     assert result.violations == [], result.faults
+
+
+@pytest.mark.parametrize("fault", ["leaf_leaves_by_answer", "leaf_pauses"])
+def test_leaves_that_leave_or_pause_are_heeded(fault):
+    """Guards against signs in answers that the store does not repeat."""
+    names = (fault, "store_unreachable", "kill")
+    result = run_seed(3, 2 * FAULT_PHASE_S, fault_names=names)
+    assert result.violations == [], result.faults
