soak: Let leaves crash while several crash requests overlap

Its logs show the fault in the soak: the end of one fault that repeats a crash request switched off the crashes of all leaves, so that the repetitions of another one got an unsigned 500 from leaves that lived on. The crash of a leaf is now set once.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import functools
 import itertools
 import signal
 from collections.abc import Awaitable, Callable, Sequence
@@ -329,7 +328,7 @@
     proxy.set_mode(Mode.FORWARD)
 
 
-async def _crash_leaf(environment: Environment, leaf: Leaf) -> None:
+async def crash_leaf(environment: Environment, leaf: Leaf) -> None:
     """Ends a leaf, whose entry stays, until it restarts with a new id."""
     proxy = environment.leaf_proxies[leaf.address]
     if proxy.mode is Mode.REFUSE:
@@ -350,7 +349,7 @@
     async with trio.open_nursery() as nursery:
         for leaf in environment.leaves:
             if leaf.domain == domain:
-                nursery.start_soon(_crash_leaf, environment, leaf)
+                nursery.start_soon(crash_leaf, environment, leaf)
 
 
 async def _repeat_crash_fetch(environment: Environment) -> None:
@@ -383,16 +382,9 @@
             )
             await trio.sleep(pause_s)
 
-    async with trio.open_nursery() as crash_nursery:
-        for leaf in environment.leaves:
-            leaf.on_crash = functools.partial(
-                crash_nursery.start_soon, _crash_leaf, environment, leaf
-            )
-        async with trio.open_nursery() as callers:
-            for _ in range(rng.choice(CRASH_CALLER_COUNTS)):
-                callers.start_soon(repeat, rng.choice(CRASH_PAUSES_S))
-        for leaf in environment.leaves:
-            leaf.on_crash = lambda: None
+    async with trio.open_nursery() as callers:
+        for _ in range(rng.choice(CRASH_CALLER_COUNTS)):
+            callers.start_soon(repeat, rng.choice(CRASH_PAUSES_S))
 
 
 def _unsharded_leaf(environment: Environment) -> Leaf:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import pathlib
 import tempfile
 from collections.abc import AsyncIterator, Sequence
@@ -17,7 +18,7 @@
 from sapphire_gateway.store import StoreUnavailableError
 
 from soak.callers import SimulatedCaller
-from soak.faults import FAULTS, Environment
+from soak.faults import FAULTS, Environment, crash_leaf
 from soak.guarantees import UNDISTURBED_S, Observations, find_violations
 from soak.leaves import Leaf, Ledger
 from soak.operator import SHARDS, UNSHARDED_SERVICE, Operator
@@ -257,6 +258,10 @@
             proxy = Proxy(proxy_address, leaf_address)
             await nursery.start(proxy.run)
             environment.leaf_proxies[proxy_address] = proxy
+            # Set once: faults that repeat crash requests may overlap.
+            leaf.on_crash = functools.partial(
+                nursery.start_soon, crash_leaf, environment, leaf
+            )
             environment.leaves.append(leaf)
 
 
