--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -177,7 +177,7 @@
             defects.append("the limit is not a decimal number")
     leaving = reply.get(header_names.leaving.lower())
     if leaving not in {None, _LEAVING}:
-        defects.append("the header that says whether the leaf is leaving")
+        defects.append("the sign that the leaf is leaving is not 1")
     pause_s = 0.0
     value = reply.get(header_names.pause.lower())
     if value is not None and reply.status == FULL:
--- a/libs/gateway/src/sapphire_gateway/crashes.py
+++ b/libs/gateway/src/sapphire_gateway/crashes.py
@@ -60,7 +60,8 @@
         """Records that a leaf crashed while it ran a request."""
         is_new = self.suspects.record_crash(fingerprint, leaf, is_canary, now)
         verdict = self.suspects.verdict(fingerprint, now)
-        telemetry.event(
+        telemetry.leaf_event(
+            now,
             "leaf_crashed",
             leaf=leaf.incarnation,
             service=leaf.service,
@@ -75,11 +76,12 @@
             self._news.set()
 
     def record_survival(
-        self, fingerprint: str, service: str, is_canary: bool
+        self, fingerprint: str, service: str, is_canary: bool, now: float
     ) -> None:
         """Records that a leaf has answered a request."""
         if self.suspects.record_survival(fingerprint, service, is_canary):
-            telemetry.event(
+            telemetry.leaf_event(
+                now,
                 "suspect_cleared",
                 fingerprint=fingerprint,
                 service=service,
@@ -93,7 +95,8 @@
     ) -> None:
         """Merges the records of another VM, which is named for the log."""
         for fingerprint, verdict in self.suspects.merge(records, now):
-            telemetry.event(
+            telemetry.leaf_event(
+                now,
                 "crash_records_merged",
                 fingerprint=fingerprint,
                 member=source,
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -290,7 +290,7 @@
         if result.failure is None:
             self._answered.add(entry.service)
             self._fleet.view.crashes.record_survival(
-                call.fingerprint, entry.service, call.is_canary
+                call.fingerprint, entry.service, call.is_canary, now
             )
             elapsed = now - (call.sent_at or call.created_at)
             load.record_reply(
@@ -336,15 +336,15 @@
             registry = self._fleet.view.registry
             has_changed |= registry.record_leaving(entry.incarnation, now)
         if has_changed or statement.pause_s:
-            telemetry.leaf_terms(
-                {
-                    "leaf": entry.leaf_id,
-                    "service": entry.service,
-                    "limit_per_s": _for_log(terms.limit_per_s),
-                    "limit_before": _for_log(before_per_s),
-                    "pause_s": statement.pause_s,
-                    "leaving": statement.is_leaving,
-                }
+            telemetry.leaf_event(
+                now,
+                "leaf_terms",
+                leaf=entry.leaf_id,
+                service=entry.service,
+                limit_per_s=_for_log(terms.limit_per_s),
+                limit_before=_for_log(before_per_s),
+                pause_s=statement.pause_s,
+                leaving=statement.is_leaving,
             )
 
     def _record_lost_call(
@@ -369,18 +369,18 @@
                 not result.is_closed_by_server,
                 now,
             )
-        telemetry.lost_call(
-            {
-                "request": call.request_id.decode("latin-1"),
-                "fingerprint": call.fingerprint,
-                "leaf": entry.leaf_id,
-                "service": entry.service,
-                "reason": result.detail,
-                "ran_ms": round((now - call.sent_at) * 1000, 1),
-                "closed_by_leaf": result.is_closed_by_server,
-                "silent": result.is_silent,
-                "caller_left": call.is_cancelled,
-            }
+        telemetry.leaf_event(
+            now,
+            "call_lost",
+            request=call.request_id.decode("latin-1"),
+            fingerprint=call.fingerprint,
+            leaf=entry.leaf_id,
+            service=entry.service,
+            reason=result.detail,
+            ran_ms=round((now - call.sent_at) * 1000, 1),
+            closed_by_leaf=result.is_closed_by_server,
+            silent=result.is_silent,
+            caller_left=call.is_cancelled,
         )
 
 
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -286,7 +286,8 @@
         for fingerprint in fingerprints:
             del endpoint.lost_calls[fingerprint]
         telemetry.LOST_LEAVES.labels("alive").inc(len(fingerprints))
-        telemetry.event(
+        telemetry.leaf_event(
+            trio.current_time(),
             "leaf_alive",
             leaf=endpoint.entry.leaf_id,
             fingerprints=sorted(fingerprints)[:MAX_LOGGED_FINGERPRINTS],
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -110,7 +110,8 @@
 )
 REJECTED_MESSAGES = Counter(
     "sapphirecross_messages_rejected_total",
-    "Messages that are malformed or exceed a limit: request or reply.",
+    "Messages that are malformed or exceed a limit: request, reply, or"
+    " statement (a header in which a leaf asks for something).",
     ["kind"],
     registry=REGISTRY,
 )
@@ -235,25 +236,24 @@
 
 
 _REJECTION_LOG = RequestLogLimiter()
-_LOST_CALL_LOG = RequestLogLimiter()
-_TERMS_LOG = RequestLogLimiter()
+_LEAF_LOG = RequestLogLimiter()
 
 
-def leaf_terms(fields: Mapping[str, object]) -> None:
-    """Logs a change of what a leaf asks for in its answers."""
-    _TERMS_LOG.write(trio.current_time(), "leaf_terms", fields)
+def leaf_event(now: float, kind: str, **fields: object) -> None:
+    """Logs what happens to a leaf or to the requests that run there.
 
-
-def lost_call(fields: Mapping[str, object]) -> None:
-    """Logs a call whose leaf may have crashed."""
-    _LOST_CALL_LOG.write(trio.current_time(), "call_lost", fields)
+    The rate of these lines is limited: in the loss of a failure domain they
+    are as many as the leaves and their requests.
+    """
+    _LEAF_LOG.write(now, kind, fields)
 
 
 def reject_message(kind: str, error: str, peer: str) -> None:
     """Counts and logs a message of a peer that cannot be used.
 
     Args:
-        kind: "request" or "reply".
+        kind: "request", "reply", or "statement" for a header in which a leaf
+            asks for something.
         error: What is wrong with the message.
         peer: Address of the peer.
     """
