--- a/libs/core/tests/test_crashsuspects.py
+++ b/libs/core/tests/test_crashsuspects.py
@@ -161,6 +161,18 @@
     assert suspects.verdict("crashing", now) is CrashVerdict.QUARANTINED
 
 
+def test_canary_lost_with_its_failure_domain_is_not_quarantined():
+    """Guards against blaming a canary for a domain that is lost meanwhile."""
+    suspects = CrashSuspects("vm1")
+    suspects.record_crash("a", leaf(1), False, 10.0)
+    suspects.record_crash("a", leaf(2), True, 12.0)
+    for number in range(10, 20):
+        # Leaves of the same domain, where the request never ran.
+        suspects.record_crash(f"f{number}", leaf(number), False, 12.0)
+    now = 12.0 + SETTLING_S
+    assert suspects.verdict("a", now) is not CrashVerdict.QUARANTINED
+
+
 def test_clearing_is_told_to_other_vms():
     """Guards against VMs that hold back what another VM has seen answered."""
     first, second = suspects_of(2)
