--- a/libs/core/src/sapphire_core/crashsuspects.py
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -23,9 +23,10 @@
 
 from sapphire_core.rendezvous import MAX_WEIGHT, ranking, weight
 
-# A request is quarantined only if so many leaves have crashed under it.
+# Smallest number of leaves that must have crashed while they ran a request
+# before it is quarantined.
 QUARANTINE_CRASHES = 2
-# Quarantine after the last time that the request was sent.
+# A request stays quarantined for this time after it was last sent.
 QUARANTINE_S = 600.0
 # Time after the last crash for which a suspected request is remembered.
 SUSPICION_S = 60.0
--- a/libs/core/src/sapphire_core/leafterms.py
+++ b/libs/core/src/sapphire_core/leafterms.py
@@ -19,11 +19,12 @@
 # A leaf that names a lower limit, or 0, gets a request now and then, as only
 # its answers tell when the limit ends.
 MIN_LIMIT_PER_S = 0.1
-# A limit leaves room for simultaneous requests of a few VMs, each of which can
-# send one after a pause: for so many, and one more for each request a second.
+# Number of VMs that share the lowest limit. One more VM shares it for each
+# request a second. More could exceed the limit by sending at the same moment.
 MIN_SENDERS = 3
-# The other VMs try a leaf once in this time, to learn whether the limit ended,
-# and each of them by so much later than the one before it.
+# The VMs without a share send one request in this time, to learn whether the
+# limit has ended. The interval grows by the spacing from one such VM to the
+# next, so that they do not send together.
 TRIAL_INTERVAL_S = 30.0
 TRIAL_SPACING_S = 2.0
 # A leaf that asks for a longer pause is tried again after this time.
--- a/libs/core/src/sapphire_core/repeatgate.py
+++ b/libs/core/src/sapphire_core/repeatgate.py
@@ -14,7 +14,7 @@
     """What to do with a further call of a request."""
 
     ALLOWED = "allowed"
-    # Wait until `answer` or the result of the probe.
+    # Wait until a leaf has answered, or the probe has ended.
     DEFERRED = "deferred"
     DENIED = "denied"
 
@@ -40,7 +40,10 @@
         return self._has_answer or not self._is_suspicious
 
     def request_call(self, part: str) -> Repetition:
-        """Returns whether a call for a part may be made, and counts it."""
+        """Returns whether a call for a part may be made now.
+
+        An allowed call becomes the probe if the request is suspicious.
+        """
         if self.is_open:
             return Repetition.ALLOWED
         if self._has_failed:
