core: Ask what else crashed at the moment of a canary's crash

Cause: a canary's crash was put down to the request unless another suspect had run on the same leaf. That other leaves, where the request never ran, went at the same moment was not asked.

Change: times of crashes are kept apart from the suspects. A crash within 0.3 s on a leaf where the request did not run explains the canary's. Doubt is bounded now, that of company on the leaf too: the third canary that crashes quarantines, whichever VMs ran them; VMs tell each other which crashes were those of canaries.

--- a/libs/core/src/sapphire_core/crashsuspects.py
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -5,8 +5,10 @@
 tells a crashing request from a harmless one is what happens when it runs again:
 a harmless one is answered. A suspected request is therefore held back, then run
 once more at a single leaf, as a canary. A reply clears it. If the canary
-crashes its leaf too, the request is quarantined, unless that crash may be the
-work of another request that ran on the same leaf.
+crashes its leaf too, the request is quarantined, unless that crash may have
+another cause: another request that ran on the same leaf, or a loss of several
+leaves at the same moment, as of a failure domain. That doubt is limited to
+MAX_CANARY_CRASHES.
 
 Harmless requests are mostly cleared at once, by the reply to their retry.
 
@@ -26,6 +28,12 @@
 # Smallest number of leaves that must have crashed while they ran a request
 # before it is quarantined.
 QUARANTINE_CRASHES = 2
+# If so many of its canaries have crashed their leaves, a request is quarantined
+# whatever else may have caused that.
+MAX_CANARY_CRASHES = 3
+# Crashes within this time may have the same cause, such as the loss of a
+# failure domain. VMs learn of a crash from each other in a smaller part of it.
+COINCIDENCE_S = 0.3
 # A request stays quarantined for this time after it was last sent.
 QUARANTINE_S = 600.0
 # Time after the last crash for which a suspected request is remembered.
@@ -47,6 +55,8 @@
 MAX_LEAVES = 64
 MAX_SHARED_LEAVES = 8
 MAX_ENTRIES = 4_000
+# Crashed leaves of which the time of the crash is remembered.
+MAX_CRASH_TIMES = 1_000
 
 
 class CrashVerdict(enum.Enum):
@@ -84,6 +94,8 @@
         expires_in_s: Time until the record is forgotten.
         cleared: Leaves that crashed under it and are not put down to it any
             more, the last MAX_SHARED_LEAVES.
+        canaries: Those of the leaves that crashed under a canary, the last
+            MAX_CANARY_CRASHES.
     """
 
     fingerprint: str
@@ -91,6 +103,7 @@
     is_quarantined: bool
     expires_in_s: float
     cleared: tuple[CrashedLeaf, ...] = ()
+    canaries: tuple[CrashedLeaf, ...] = ()
 
 
 @dataclass(slots=True)
@@ -102,7 +115,8 @@
         canary_at: Time from which a canary may run.
         leaves: Leaves whose crashes count against it, oldest first.
         cleared: Leaves whose crashes do not count any more, oldest first.
-        canaries: Times of the crashes in `leaves` that ended a canary.
+        canaries: Those of the leaves that crashed under a canary, with the time
+            of the crash if the canary was one of this VM.
         is_quarantined: Whether the request must not run.
     """
 
@@ -110,7 +124,7 @@
     canary_at: float
     leaves: dict[CrashedLeaf, None] = field(default_factory=dict)
     cleared: dict[CrashedLeaf, None] = field(default_factory=dict)
-    canaries: dict[CrashedLeaf, float] = field(default_factory=dict)
+    canaries: dict[CrashedLeaf, float | None] = field(default_factory=dict)
     is_quarantined: bool = False
 
     def clear(self, leaves: Iterable[CrashedLeaf]) -> bool:
@@ -135,6 +149,9 @@
         self._member = member
         self._members: tuple[str, ...] = (member,)
         self._entries: dict[str, _Entry] = {}
+        # When this VM first knew of a crash, oldest first. Crashes that were
+        # cleared stay: other leaves may have been lost with them.
+        self._known_at: dict[CrashedLeaf, float] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -227,7 +244,7 @@
         entry = self._entries[fingerprint]
         # Another VM may have told of the leaf first.
         if is_canary and leaf in entry.leaves:
-            entry.canaries.setdefault(leaf, now)
+            entry.canaries[leaf] = now
         return is_new
 
     def record_survival(
@@ -276,6 +293,7 @@
                 entry.is_quarantined,
                 entry.expires - now,
                 tuple(entry.cleared)[-MAX_SHARED_LEAVES:],
+                tuple(entry.canaries)[-MAX_CANARY_CRASHES:],
             )
             for fingerprint, entry in first
         ]
@@ -307,6 +325,10 @@
         is_cleared = entry.clear(record.cleared)
         for leaf in record.cleared[: MAX_LEAVES - len(entry.cleared)]:
             entry.cleared.setdefault(leaf)
+            self._record_known(leaf, now)
+        for leaf in record.canaries:
+            if leaf in entry.leaves:
+                entry.canaries.setdefault(leaf, None)
         is_newly_quarantined = (
             record.is_quarantined and not entry.is_quarantined
         )
@@ -324,6 +346,9 @@
     ) -> bool:
         """Adds crashes to an entry; returns whether any of them is new."""
         entry = self._unexpired(fingerprint, now)
+        leaves = tuple(leaves)
+        for leaf in leaves:
+            self._record_known(leaf, now)
         new = [
             leaf
             for leaf in leaves
@@ -337,7 +362,9 @@
             self._store(fingerprint, entry, now)
         entry.leaves.update(dict.fromkeys(new))
         while len(entry.leaves) > MAX_LEAVES:
-            entry.leaves.pop(next(iter(entry.leaves)))
+            oldest = next(iter(entry.leaves))
+            del entry.leaves[oldest]
+            entry.canaries.pop(oldest, None)
         entry.expires = max(entry.expires, expires)
         delay_s = HOLD_S + self._canary_delay_s(fingerprint)
         entry.canary_at = max(entry.canary_at, now + delay_s)
@@ -356,17 +383,27 @@
     ) -> None:
         if entry.is_quarantined or len(entry.leaves) < QUARANTINE_CRASHES:
             return
-        for leaf, crashed_at in entry.canaries.items():
-            is_settled = now >= crashed_at + SETTLING_S
-            if is_settled and not self._is_explained(fingerprint, entry, leaf):
-                entry.is_quarantined = True
-                entry.expires = now + QUARANTINE_S
-                return
+        if len(entry.canaries) >= MAX_CANARY_CRASHES or any(
+            crashed_at is not None
+            and now >= crashed_at + SETTLING_S
+            and not self._is_explained(fingerprint, entry, leaf)
+            for leaf, crashed_at in entry.canaries.items()
+        ):
+            entry.is_quarantined = True
+            entry.expires = now + QUARANTINE_S
 
     def _is_explained(
         self, fingerprint: str, entry: _Entry, leaf: CrashedLeaf
     ) -> bool:
-        """Returns whether a leaf's crash may be the work of another request.
+        """Returns whether a leaf's crash may have another cause."""
+        return self._is_explained_by_company(
+            fingerprint, entry, leaf
+        ) or self._is_explained_by_coincidence(entry, leaf)
+
+    def _is_explained_by_company(
+        self, fingerprint: str, entry: _Entry, leaf: CrashedLeaf
+    ) -> bool:
+        """Returns whether a crash may be the work of another request.
 
         It may be if the other request ran there too, was not cleared, and has
         as many crashed leaves.
@@ -377,6 +414,27 @@
             if name != fingerprint
         )
 
+    def _is_explained_by_coincidence(
+        self, entry: _Entry, leaf: CrashedLeaf
+    ) -> bool:
+        """Returns whether a leaf may have been lost together with others.
+
+        It may be if a leaf crashed at the same moment on which the request did
+        not run.
+        """
+        known_at = self._known_at.get(leaf)
+        return known_at is not None and any(
+            abs(other_at - known_at) <= COINCIDENCE_S
+            and other not in entry.leaves
+            and other not in entry.cleared
+            for other, other_at in self._known_at.items()
+        )
+
+    def _record_known(self, leaf: CrashedLeaf, now: float) -> None:
+        self._known_at.setdefault(leaf, now)
+        while len(self._known_at) > MAX_CRASH_TIMES:
+            del self._known_at[next(iter(self._known_at))]
+
     def _store(self, fingerprint: str, entry: _Entry, now: float) -> None:
         if len(self._entries) >= MAX_ENTRIES:
             self._remove_expired(now)
--- a/libs/core/tests/test_crashsuspects.py
+++ b/libs/core/tests/test_crashsuspects.py
@@ -5,7 +5,9 @@
 import pytest
 from sapphire_core import crashsuspects
 from sapphire_core.crashsuspects import (
+    COINCIDENCE_S,
     HOLD_S,
+    MAX_CANARY_CRASHES,
     MAX_SHARED_LEAVES,
     QUARANTINE_S,
     SETTLING_S,
@@ -173,6 +175,58 @@
     assert suspects.verdict("a", now) is not CrashVerdict.QUARANTINED
 
 
+def test_cleared_crash_still_shows_that_a_failure_domain_was_lost():
+    """Guards against evidence that goes with the first reply to a retry."""
+    first, second = suspects_of(2)
+    first.record_crash("a", leaf(1), False, 10.0)
+    second.record_crash("b", leaf(5, "t"), False, 11.996)
+    first.record_crash("a", leaf(2), True, 12.0)
+    second.record_survival("b", "t", is_canary=False)
+    exchange([first, second], 12.02)
+    now = 12.0 + SETTLING_S
+    assert first.verdict("a", now) is not CrashVerdict.QUARANTINED
+
+
+def test_crash_long_before_does_not_explain_the_crash_of_a_canary():
+    suspects = CrashSuspects("vm1")
+    suspects.record_crash("a", leaf(1), False, 10.0)
+    suspects.record_crash("b", leaf(5), False, 12.0 - COINCIDENCE_S - 0.01)
+    suspects.record_crash("a", leaf(2), True, 12.0)
+    now = 12.0 + SETTLING_S
+    assert suspects.verdict("a", now) is CrashVerdict.QUARANTINED
+
+
+@pytest.mark.parametrize("is_company", [False, True])
+def test_doubt_ends_after_some_canaries_of_all_vms(is_company):
+    """Guards against a crash request that others keep from quarantine."""
+    vms = suspects_of(MAX_CANARY_CRASHES)
+    vms[0].record_crash("a", leaf(0), False, 10.0)
+    exchange(vms, 10.0)
+    now = 10.0
+    for number, vm in enumerate(vms, start=1):
+        assert vm.verdict("a", now) is not CrashVerdict.QUARANTINED
+        now += LATER_S
+        vm.record_crash("a", leaf(number), True, now)
+        # As many crashes, so that each may be the work of the other request.
+        for other in range(number + 1):
+            place = other if is_company else 100 * number + other
+            vm.record_crash("b", leaf(place), False, now)
+        exchange(vms, now)
+    now += SETTLING_S
+    assert {vm.verdict("a", now) for vm in vms} == {CrashVerdict.QUARANTINED}
+
+
+def test_crash_times_are_bounded(monkeypatch):
+    monkeypatch.setattr(crashsuspects, "MAX_CRASH_TIMES", 10)
+    suspects = CrashSuspects("vm1")
+    suspects.record_crash("a", leaf(1), False, 10.0)
+    suspects.record_crash("a", leaf(2), True, 12.0)
+    for number in range(50):
+        suspects.record_crash("b", leaf(100 + number), False, 20.0)
+    now = 20.0 + SETTLING_S
+    assert suspects.verdict("a", now) is CrashVerdict.QUARANTINED
+
+
 def test_clearing_is_told_to_other_vms():
     """Guards against VMs that hold back what another VM has seen answered."""
     first, second = suspects_of(2)
--- a/libs/gateway/src/sapphire_gateway/crashexchange.py
+++ b/libs/gateway/src/sapphire_gateway/crashexchange.py
@@ -51,6 +51,8 @@
     is_quarantined: bool
     expires_in_s: float
     cleared: list[LeafMessage]
+    # VMs of an earlier version leave it out.
+    canaries: list[LeafMessage] = []
 
 
 class RecordsMessage(msgspec.Struct, array_like=True):
@@ -71,6 +73,7 @@
             record.is_quarantined,
             record.expires_in_s,
             _leaf_messages(record.cleared),
+            _leaf_messages(record.canaries),
         )
         for record in records
     ]
@@ -99,6 +102,7 @@
             record.is_quarantined,
             record.expires_in_s,
             _leaves(record.cleared),
+            _leaves(record.canaries),
         )
         for record in message.records
     ]
