core: Merge a whole message on crashes before judging by it

Callers saw: harmless requests refused as quarantined.

Cause: each record of a message got its verdict at once, before the records behind it, which may name the request that explains the crash.

Change: all records are merged first. The new test fails on the code before.

--- a/libs/core/src/sapphire_core/crashsuspects.py
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -307,12 +307,13 @@
             Fingerprints of which this VM has learned something, each with its
             verdict from now on.
         """
-        changed = []
-        for record in records:
-            if record.expires_in_s > 0 and self._merge_one(record, now):
-                verdict = self.verdict(record.fingerprint, now)
-                changed.append((record.fingerprint, verdict))
-        return changed
+        changed = [
+            record.fingerprint
+            for record in records
+            if record.expires_in_s > 0 and self._merge_one(record, now)
+        ]
+        # Only now: one record may explain a crash that another one names.
+        return [(name, self.verdict(name, now)) for name in changed]
 
     def _merge_one(self, record: CrashRecord, now: float) -> bool:
         limit_s = QUARANTINE_S if record.is_quarantined else SUSPICION_S
--- a/libs/core/tests/test_crashsuspects.py
+++ b/libs/core/tests/test_crashsuspects.py
@@ -13,6 +13,7 @@
     SETTLING_S,
     SUSPICION_S,
     CrashedLeaf,
+    CrashRecord,
     CrashSuspects,
     CrashVerdict,
 )
@@ -216,6 +217,21 @@
     assert {vm.verdict("a", now) for vm in vms} == {CrashVerdict.QUARANTINED}
 
 
+def test_all_of_a_message_is_known_before_it_is_judged():
+    """Guards against a verdict without what the rest of a message says."""
+    suspects = CrashSuspects("vm1")
+    suspects.record_crash("a", leaf(1), False, 10.0)
+    suspects.record_crash("a", leaf(2), True, 12.0)
+    now = 12.0 + SETTLING_S
+    records = [
+        CrashRecord("a", (leaf(3),), False, 30.0),
+        # Ran there too, and has as many crashes.
+        CrashRecord("b", (leaf(1), leaf(2), leaf(3)), False, 30.0),
+    ]
+    verdicts = dict(suspects.merge(records, now))
+    assert verdicts["a"] is CrashVerdict.HELD
+
+
 def test_crash_times_are_bounded(monkeypatch):
     monkeypatch.setattr(crashsuspects, "MAX_CRASH_TIMES", 10)
     suspects = CrashSuspects("vm1")
