gateway: Take only the calls before the first answer for canaries

Callers saw: a harmless search refused as quarantined.

Cause: a request that began as a canary marked all of its calls so, also those that it makes once its first leaf has answered.

Change: from the first answer on, its calls are those of a request that is not suspected. The new test fails on the code before.

--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -258,7 +258,8 @@
             _ignore_result,
             now,
             spec.fingerprint,
-            spec.is_canary,
+            # Once a leaf has answered, the request is no longer suspected.
+            spec.is_canary and not self._answered,
         )
 
     def _handle_result(
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -248,6 +248,35 @@
     run_with_harness(test)
 
 
+def test_leaves_lost_after_the_answer_to_a_canary_do_not_quarantine(
+    run_with_harness,
+):
+    """Guards against calls that are still blamed after the first answer."""
+
+    async def test(harness):
+        await harness.leaf("s0", lambda r: reply(r, b"r" * 16))
+        lost = [Leaf(None), Leaf(None)]
+        for number, leaf in enumerate(lost, start=1):
+            leaf.make_reply = lambda _request, leaf=leaf: leaf.crash()
+            await harness.leaf(f"s{number}", leaf)
+        harness.configure(search_route("s0", "s1", "s2", min_share=1.0))
+        fingerprint = request_fingerprint(
+            b"GET", b"a.example", b"/a/x", b"", "127.0.0.1"
+        )
+        # Its canary starts with this service.
+        harness.view.crashes.record_crash(
+            fingerprint, CrashedLeaf("s0", "i-0@1"), False, trio.current_time()
+        )
+        await trio.sleep(MAX_HOLD_S)
+        assert (await harness.request()).status == 502
+        for number in (1, 2):
+            await harness.leaf(f"s{number}", lambda r: reply(r, b"r" * 16))
+        await trio.sleep(MAX_HOLD_S + DETECTION_S)
+        assert (await harness.request()).status == 200
+
+    run_with_harness(test)
+
+
 def test_lost_connection_to_a_live_leaf_is_no_crash(run_with_harness):
     """Lost connections to a live leaf do not quarantine a request."""
 
