gateway: Look at a canary's neighbours when its leaf is lost

Callers saw: harmless requests refused as quarantined after a failure domain was lost in which nothing ran but one canary.

Cause: only leaves that ran a request are known to have crashed.

Change: when a leaf is lost under a canary, up to three leaves of its failure domain that have no connection are probed a moment later. A leaf that can't be reached counts as lost from that time on. If the leaf went alone, its neighbours answer and the request is quarantined as before.

Evidence: two of four cases of the new test fail on the code before.

--- a/libs/core/src/sapphire_core/crashsuspects.py
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -247,6 +247,10 @@
             entry.canaries[leaf] = now
         return is_new
 
+    def record_lost_leaf(self, leaf: CrashedLeaf, now: float) -> None:
+        """Records that a leaf is gone, whether it ran a request or not."""
+        self._record_known(leaf, now)
+
     def record_survival(
         self, fingerprint: str, service: str, is_canary: bool
     ) -> bool:
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import functools
 import math
+import random
 from collections.abc import Container
 from typing import TYPE_CHECKING
 
@@ -46,6 +48,8 @@
 # Choosing the serving VMs scans all leaves, so the result is cached for this
 # long or until the fleet view changes.
 SERVING_CACHE_S = 0.2
+# Leaves that are probed when a leaf has crashed under a canary.
+MAX_NEIGHBOUR_PROBES = 3
 
 
 class Fleet:
@@ -93,6 +97,7 @@
         self.helpers: HelperPool | None = None
         pool.max_connections = self._max_connections
         pool.on_crash = self._record_crash
+        pool.on_unreachable = self._record_unreachable
 
     @property
     def is_serving(self) -> bool:
@@ -275,12 +280,40 @@
         self, entry: LeafEntry, lost_calls: list[LostCall]
     ) -> None:
         """Records a crash for each request that was running on the leaf."""
-        leaf = CrashedLeaf(entry.service, f"{entry.leaf_id}@{entry.born_ms}")
+        leaf = _crashed_leaf(entry)
         now = trio.current_time()
         for call in lost_calls:
             self.view.crashes.record_crash(
                 call.fingerprint, leaf, call.is_canary, now
             )
+        if any(call.is_canary for call in lost_calls):
+            self.pool.call_after_closing(
+                functools.partial(self._probe_neighbours, entry)
+            )
+
+    def _probe_neighbours(self, lost: LeafEntry) -> None:
+        """Finds out whether more of a lost leaf's failure domain is lost.
+
+        Connections are opened to some of its leaves that have none.
+        """
+        neighbours = [
+            leaf.entry
+            for leaf in self.view.registry.leaves
+            if leaf.entry.domain == lost.domain
+            and leaf.entry.leaf_id != lost.leaf_id
+            and leaf.leaving_since is None
+        ]
+        random.shuffle(neighbours)
+        opened_before = self.pool.opened_count
+        for entry in neighbours:
+            if self.pool.opened_count - opened_before >= MAX_NEIGHBOUR_PROBES:
+                return
+            self.pool.connect(entry)
+
+    def _record_unreachable(self, entry: LeafEntry) -> None:
+        self.view.crashes.suspects.record_lost_leaf(
+            _crashed_leaf(entry), trio.current_time()
+        )
 
     def _cold_rate(self, entry: LeafEntry) -> float:
         configuration = self.view.configuration
@@ -298,3 +331,7 @@
                 limit = service.max_connections
         connections = int(limit * CONNECTION_SHARE / self._serving_count)
         return max(MIN_CONNECTIONS_PER_VM, connections)
+
+
+def _crashed_leaf(entry: LeafEntry) -> CrashedLeaf:
+    return CrashedLeaf(entry.service, f"{entry.leaf_id}@{entry.born_ms}")
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -115,6 +115,8 @@
             Set by Fleet, from the configuration and the number of VMs.
         on_crash: Called with a leaf that has crashed and the calls that were
             running on it. Set by Fleet.
+        on_unreachable: Called with a leaf to which no connection can be opened.
+            Set by Fleet.
     """
 
     def __init__(
@@ -132,6 +134,7 @@
         self.on_crash: Callable[[LeafEntry, list[LostCall]], None] = (
             lambda _entry, _lost_calls: None
         )
+        self.on_unreachable: Callable[[LeafEntry], None] = lambda _entry: None
 
     @property
     def limited_count(self) -> int:
@@ -202,6 +205,15 @@
         if not endpoint.connections:
             self._open(endpoint, None)
 
+    def call_after_closing(self, function: Callable[[], None]) -> None:
+        """Calls a function once connections that are closing have closed."""
+
+        async def call_later() -> None:
+            await trio.sleep(CLOSING_DELAY_S)
+            function()
+
+        self._nursery.start_soon(call_later)
+
     def call(self, endpoint: LeafEndpoint, call: Call) -> None:
         """Sends a call, or queues it for the next free connection."""
         now = trio.current_time()
@@ -359,6 +371,7 @@
         is_dropped = self._endpoints.get(endpoint.entry.leaf_id) is not endpoint
         if not connection.was_established:
             endpoint.load.record_unreachable(trio.current_time())
+            self.on_unreachable(endpoint.entry)
             self._report_crash(endpoint)
         elif is_dropped:
             self._report_crash(endpoint)
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -17,6 +17,7 @@
     CANARY_JITTER_S,
     HOLD_S,
     QUARANTINE_S,
+    SETTLING_S,
     CrashedLeaf,
     CrashRecord,
     CrashVerdict,
@@ -277,6 +278,46 @@
     run_with_harness(test)
 
 
+@pytest.mark.parametrize("is_domain_lost", [True, False])
+@pytest.mark.parametrize("is_connected", [True, False])
+def test_canary_lost_with_idle_leaves_of_its_domain_is_not_quarantined(
+    run_with_harness, is_domain_lost, is_connected
+):
+    """Guards against a lost domain in which nothing else was running."""
+
+    async def test(harness):
+        fingerprint = request_fingerprint(
+            b"GET", b"a.example", b"/a/x", b"", "127.0.0.1"
+        )
+        crashes = harness.view.crashes
+        idle = [Leaf(lambda r: reply(r, b"")) for _ in range(3)]
+
+        async def end(request):
+            leaf.crash()
+            if is_domain_lost:
+                for neighbour in idle:
+                    neighbour.crash()
+
+        leaf = await harness.leaf("s", end)
+        for neighbour in idle:
+            await harness.leaf("t", neighbour)
+        harness.configure(single_leaf_route(max_attempts=1))
+        if is_connected:
+            for known in harness.view.registry.leaves:
+                harness.pool.connect(known.entry)
+        crashes.record_crash(
+            fingerprint, CrashedLeaf("s", "i-0@1"), False, trio.current_time()
+        )
+        await trio.sleep(MAX_HOLD_S)
+        assert (await harness.request()).status == 502
+        await trio.sleep(SETTLING_S + DETECTION_S)
+        verdict = crashes.verdict(fingerprint, trio.current_time())
+        is_quarantined = verdict is CrashVerdict.QUARANTINED
+        assert is_quarantined is not is_domain_lost
+
+    run_with_harness(test)
+
+
 def test_lost_connection_to_a_live_leaf_is_no_crash(run_with_harness):
     """Lost connections to a live leaf do not quarantine a request."""
 
