--- a/libs/gateway/src/sapphire_gateway/crashexchange.py
+++ b/libs/gateway/src/sapphire_gateway/crashexchange.py
@@ -15,24 +15,19 @@
 from sapphire_core.crashsuspects import CrashedLeaf, CrashRecord
 from sapphire_core.members import Member
 
-from sapphire_gateway import telemetry
+from sapphire_gateway import peercalls, telemetry
 from sapphire_gateway.crashes import CrashTracker
 from sapphire_gateway.decoding import DECODING_ERRORS
 from sapphire_gateway.fleet_view import FleetView
-from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Request, Response
-from sapphire_gateway.replyreader import SMALL_REPLY_LIMITS
 from sapphire_gateway.store import StoreUnavailableError
 
 PATH = "/crashes"
-CONTENT_TYPE = "application/msgpack"
 EXCHANGE_INTERVAL_S = 1.0
 # Crashes within this time are told in one message.
 COALESCE_S = 0.005
 # Shortest interval between two rounds of messages to all VMs.
 TELL_INTERVAL_S = 0.05
-TIMEOUT_S = 0.5
-MAX_CONCURRENT = 16
 OK = 200
 
 
@@ -124,7 +119,7 @@
             telemetry.event("question_unreadable", error=str(error))
             return Response(400, [])
         records = tracker.shared_records(trio.current_time())
-        headers = [(b"Content-Type", CONTENT_TYPE.encode())]
+        headers = [(b"Content-Type", peercalls.CONTENT_TYPE.encode())]
         return Response(OK, headers, _encode(self._view.self_name, records))
 
 
@@ -153,49 +148,27 @@
                 await self._exchange_with_one(turn)
             else:
                 await trio.sleep(COALESCE_S)
-                self._nursery.start_soon(self._tell_all)
+                self._nursery.start_soon(
+                    peercalls.tell_all,
+                    peercalls.other_vms(self._view),
+                    self._exchange,
+                )
                 await trio.sleep(TELL_INTERVAL_S)
 
     async def _exchange_with_one(self, turn: int) -> None:
         now = trio.current_time()
-        peers = self._peers()
+        peers = peercalls.other_vms(self._view)
         if peers and (
             not self._has_asked or self._view.crashes.shared_records(now)
         ):
             await self._exchange(peers[turn % len(peers)])
 
-    async def _tell_all(self) -> None:
-        limiter = trio.CapacityLimiter(MAX_CONCURRENT)
-
-        async def tell(peer: Member) -> None:
-            async with limiter:
-                await self._exchange(peer)
-
-        async with trio.open_nursery() as nursery:
-            for peer in self._peers():
-                nursery.start_soon(tell, peer)
-
-    def _peers(self) -> list[Member]:
-        """Returns the other VMs, also those that are being stopped."""
-        return [
-            member
-            for member in self._view.members.all(trio.current_time())
-            if member.peer_address and member.name != self._view.self_name
-        ]
-
     async def _exchange(self, peer: Member) -> None:
         tracker = self._view.crashes
         records = tracker.shared_records(trio.current_time())
-        client = HttpClient(peer.peer_address, SMALL_REPLY_LIMITS)
-        client.start(self._nursery)
+        content = _encode(self._view.self_name, records)
         try:
-            reply = await client.request(
-                "POST",
-                PATH,
-                TIMEOUT_S,
-                _encode(self._view.self_name, records),
-                CONTENT_TYPE,
-            )
+            reply = await peercalls.post(peer, PATH, content, self._nursery)
             if reply.status != OK:
                 telemetry.CRASH_EXCHANGES.labels("rejected").inc()
                 return
@@ -207,7 +180,5 @@
             telemetry.CRASH_EXCHANGES.labels("unreadable").inc()
             telemetry.event("question_unreadable", error=str(error))
             return
-        finally:
-            client.reconnect("one exchange per connection")
         telemetry.CRASH_EXCHANGES.labels("ok").inc()
         self._has_asked = True
