gateway: Tell other VMs that a leaf's limit has ended

Cause: only an answer without the header tells the end. A VM without a share of so low a limit sends the leaf a request each 30 s.

Change: a VM that notices the end tells all others at once. An end older than the limit's last naming to the VM that is told changes nothing.

--- a/libs/core/src/sapphire_core/leafterms.py
+++ b/libs/core/src/sapphire_core/leafterms.py
@@ -92,6 +92,8 @@
     # Requests that may be sent at once, as of _refilled_at.
     _allowance: float = field(default=0.0, repr=False)
     _refilled_at: float = field(default=0.0, repr=False)
+    # Time of the last answer that named a limit.
+    _named_at: float = field(default=-math.inf, repr=False)
 
     @property
     def has_limit(self) -> bool:
@@ -108,10 +110,27 @@
             # Nothing may be sent at once: requests are still under way.
             self._allowance = 0.0
             self._refilled_at = now
+        if math.isfinite(limit_per_s):
+            self._named_at = now
         has_changed = limit_per_s != self.limit_per_s
         self.limit_per_s = limit_per_s
         return has_changed
 
+    def record_limit_end(self, answered_at: float) -> bool:
+        """Records that the leaf has named no limit to another VM.
+
+        Args:
+            answered_at: Time of the answer to that VM.
+
+        Returns:
+            Whether the limit has ended: it has not if the leaf has named it to
+            this VM since.
+        """
+        if not self.has_limit or answered_at <= self._named_at:
+            return False
+        self.limit_per_s = math.inf
+        return True
+
     def record_pause(self, pause_s: float, now: float) -> None:
         """Records that the leaf has turned a request away for a time."""
         until = now + min(pause_s, MAX_PAUSE_S)
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -14,7 +14,12 @@
 from sapphire_core.retrybudget import RetryBudgetPolicy
 from sapphire_core.routing import ClientLimits
 
-from sapphire_gateway import crashexchange, revisionexchange, telemetry
+from sapphire_gateway import (
+    crashexchange,
+    limitends,
+    revisionexchange,
+    telemetry,
+)
 from sapphire_gateway.callers import Caller, CallerServer
 from sapphire_gateway.crashexchange import CrashExchange, CrashServer
 from sapphire_gateway.delegated_calls import HelperPool, HelperServer
@@ -23,6 +28,7 @@
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.gateway import Gateway
 from sapphire_gateway.headernames import HeaderNames
+from sapphire_gateway.limitends import LimitEndServer, LimitEndTeller
 from sapphire_gateway.messages import Request, Response
 from sapphire_gateway.pool import LeafPool
 from sapphire_gateway.revisionexchange import RevisionExchange, RevisionServer
@@ -90,20 +96,24 @@
         helper: HelperServer,
         revisions: RevisionServer,
         crashes: CrashServer,
+        limit_ends: LimitEndServer,
     ) -> None:
         self._feed = feed
         self._helper = helper
         self._revisions = revisions
         self._crashes = crashes
+        self._limit_ends = limit_ends
 
     async def handle(self, request: Request) -> Response:
         """Answers a request.
 
-        POST requests tell of crashes or ask for calls to leaves, all others ask
-        for the revision or for changes.
+        POST requests tell of crashes or of limits, or ask for calls to leaves;
+        all others ask for the revision or for changes.
         """
         if request.target == crashexchange.PATH.encode():
             return self._crashes.handle(request)
+        if request.target == limitends.PATH.encode():
+            return self._limit_ends.handle(request)
         if request.method == b"POST":
             return await self._helper.handle(request)
         if request.target.startswith(revisionexchange.PATH.encode()):
@@ -240,6 +250,7 @@
             HelperServer(fleet),
             RevisionServer(self._view.freshness),
             CrashServer(self._view),
+            LimitEndServer(pool),
         )
         fleet.helpers = HelperPool(fleet, nursery)
         await self._listen(nursery, self._settings.peer_address, peers.handle)
@@ -247,6 +258,9 @@
         exchange = RevisionExchange(fleet, self_member, nursery)
         nursery.start_soon(exchange.run)
         nursery.start_soon(CrashExchange(self._view, nursery).run)
+        limit_ends = LimitEndTeller(self._view, nursery)
+        fleet.on_limit_end = limit_ends.record
+        nursery.start_soon(limit_ends.run)
         telemetry.DATA_AGE.set_function(
             lambda: self._view.freshness.age_s(trio.current_time())
         )
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -5,7 +5,7 @@
 import functools
 import math
 import random
-from collections.abc import Container
+from collections.abc import Callable, Container
 from typing import TYPE_CHECKING
 
 import trio
@@ -68,6 +68,8 @@
         header_names: Names of the HTTP headers.
         domain: Failure domain of this VM.
         budget: Limit of extra calls.
+        on_limit_end: Called with a leaf that names no limit any more. Set by
+            GatewayDaemon.
         helpers: VMs that can make calls for this VM. Set by GatewayDaemon after
             the fleet was created, as HelperPool needs the fleet; None before.
     """
@@ -94,6 +96,7 @@
         self._serving_peak = RecentPeak()
         self._serving: list[Member] = []
         self._serving_expires_at = -math.inf
+        self.on_limit_end: Callable[[LeafEntry], None] = lambda _entry: None
         self.helpers: HelperPool | None = None
         pool.max_connections = self._max_connections
         pool.on_crash = self._record_crash
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -326,6 +326,8 @@
         has_changed = statement.limit_per_s is not None and terms.record_limit(
             statement.limit_per_s, now
         )
+        if has_changed and not terms.has_limit:
+            self._fleet.on_limit_end(entry)
         if statement.pause_s:
             terms.record_pause(statement.pause_s, now)
             self._fleet.pool.reject_queued(
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -173,6 +173,21 @@
         self._endpoints[entry.leaf_id] = endpoint
         return endpoint
 
+    def record_limit_end(
+        self, incarnation: tuple[str, int, str], answered_at: float
+    ) -> bool:
+        """Records that a leaf has named no limit to another VM.
+
+        Args:
+            incarnation: The leaf.
+            answered_at: Time of its answer to that VM.
+
+        Returns:
+            Whether a limit has ended by that.
+        """
+        terms = self._terms.get(incarnation)
+        return terms is not None and terms.record_limit_end(answered_at)
+
     def drop(self, leaf_id: str, reason: str) -> None:
         """Removes the endpoint of a leaf that no longer exists at its address.
 
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -151,6 +151,13 @@
     ["result"],
     registry=REGISTRY,
 )
+LIMIT_ENDS_TOLD = Counter(
+    "sapphirecross_limit_ends_told_total",
+    "Messages to other VMs that leaves no longer name a limit, by result: ok,"
+    " rejected or failed.",
+    ["result"],
+    registry=REGISTRY,
+)
 REVISION = Gauge(
     "sapphirecross_revision",
     "Revision of the platform's store up to which changes were applied.",
