--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -194,6 +194,36 @@
     assert decode.decode_write("members/vm1", value) == MemberUpdate(member)
 
 
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"address": "10.0.0.9"},
+        {"address": "vm:80"},
+        {"address": "10.0.0.9:99999"},
+        {"address": ""},
+        {"peer_address": "x"},
+        {"peer_address": "10.0.0.9:x"},
+        {"peer_address": "10.0.0.9:0"},
+        {"cores": 0},
+        {"cores": -1e308},
+        {"cores": 1e308},
+    ],
+)
+def test_unusable_member_entry(wrong):
+    """Guards against processes that end when they connect to a VM."""
+    usual = {
+        "address": "10.0.0.1:80",
+        "failure_domain": "z1",
+        "leaving": False,
+        "peer_address": "10.0.0.1:81",
+        "cores": 1.0,
+    }
+    value = json.dumps({**usual, **wrong}).encode()
+    update = decode.decode_write("members/vm2", value)
+    assert isinstance(update, UnreadableValue)
+    assert update.reason
+
+
 def test_valid_values_yield_updates():
     assert isinstance(decode_leaf(), LeafUpdate)
     assert isinstance(decode_config(), ConfigurationUpdate)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -34,6 +34,17 @@
     return json.dumps({**usual, **fields}).encode()
 
 
+def member_value(**fields: object):
+    """Returns the bytes of a VM's entry with some fields changed."""
+    usual = {
+        "address": "127.0.0.1:9",
+        "failure_domain": "za",
+        "leaving": False,
+        "peer_address": "127.0.0.1:9",
+    }
+    return json.dumps({**usual, **fields}).encode()
+
+
 NESTED_FIELD = b'{"Other": ' + NESTED + b"}"
 ODD_ENTRIES = {
     "nested": ("servers/i-odd", NESTED),
@@ -49,6 +60,11 @@
         leaf_value(WarmupLeftMs=0).replace(b"0,", b"1e400,"),
     ),
     "port": ("servers/i-odd", leaf_value(Address="127.0.0.1:99999")),
+    "member's peer port": ("members/odd", member_value(peer_address="x:y")),
+    "member's peer address": ("members/odd", member_value(peer_address="x")),
+    "member's address": ("members/odd", member_value(address="x")),
+    "member's cores": ("members/odd", member_value(cores=1e308)),
+    "member's negative cores": ("members/odd", member_value(cores=-1e308)),
     "no text": ("servers/i-odd", b"\xff\xfe\x00"),
 }
 
