adapter: Leave the last configuration in force for numbers out of range

Callers saw: a request on a route whose target is 0 (ZeroDivisionError), or whose share of shards is no share (the connection closes without an answer), raises an error in the VM, which ends with it.

Change: numbers of a configuration have bounds; one that is out of them makes it unreadable, which is logged, and the last one stays in force. A target of 0 means none, as if it were missing. 22 of 23 new cases fail on the code before.

--- a/tests/adapter/test_decode.py
+++ b/tests/adapter/test_decode.py
@@ -194,6 +194,59 @@
     assert decode.decode_write("members/vm1", value) == MemberUpdate(member)
 
 
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"TimeoutMs": -1},
+        {"TimeoutMs": 0, "TargetLatencyMs": 0},
+        {"TimeoutMs": 1e308},
+        {"TargetLatencyMs": -1e308},
+        {"TargetLatencyMs": 1e308},
+        {"MaxAttempts": 10**30},
+        {"Priority": -(10**30)},
+        {"Gather": ["s"], "MinShardShare": -1e308},
+        {"Gather": ["s"], "MinShardShare": 1.01},
+        {"Gather": ["s"], "TopK": -1},
+        {"Gather": ["s"], "TopK": 10**30},
+    ],
+)
+def test_unusable_route_leaves_the_last_configuration_in_force(wrong):
+    """Guards against requests that raise errors for numbers of their route."""
+    update = decode_config(Routes=[{**ROUTE, **wrong}])
+    assert isinstance(update, UnreadableValue)
+    assert update.reason
+
+
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {"Version": -1},
+        {"Version": 10**30},
+        {"Limits": {"MaxHeaderBytes": -1}},
+        {"Limits": {"MaxBodyBytes": 10**30}},
+        {"Limits": {"HeaderTimeoutMs": -1}},
+        {"Limits": {"IdleTimeoutMs": 1e308}},
+        {"Services": [{"Name": "s", "MaxConnections": -1}]},
+        {"Services": [{"Name": "s", "MaxConnections": 10**30}]},
+        {"Services": [{"Name": "s", "WarmupPerS": -1}]},
+        {"Services": [{"Name": "s", "WarmupPerS": 1e308}]},
+    ],
+)
+def test_unusable_configuration_leaves_the_last_one_in_force(wrong):
+    update = decode_config(**wrong)
+    assert isinstance(update, UnreadableValue)
+    assert update.reason
+
+
+@pytest.mark.parametrize("target", [None, 0])
+def test_route_without_a_target_has_that_of_its_timeout(target):
+    """Guards against a division by the target."""
+    update = decode_config(
+        Routes=[{**ROUTE, "TimeoutMs": 250, "TargetLatencyMs": target}]
+    )
+    assert update.configuration.routes[0].target_s == 0.25
+
+
 @pytest.mark.parametrize(
     "wrong",
     [
