gateway: Let an unexpected error end one task, not the process

Callers saw: all requests of a VM cut when one of them, one answer of a leaf, one message of another VM or one change of the store raises an error that no code expects.

Cause: all tasks run in one nursery without an owner.

Change: each task has an owner that logs the error with its traceback, counts it, and ends the task or starts it again after a second. A request that fails so is answered 502, which promises nothing. A change of the store that can't be applied doesn't stop those behind it.

So that no error is hidden: a test in which a task fails does not pass (conftest.py), and the soak reads the logs for it.

--- a/conftest.py
+++ b/conftest.py
@@ -1,6 +1,7 @@
 """Handles the tests listed in KNOWN-RED.txt and signals that end a run.
 
-The listed tests are deselected and their names printed.
+The listed tests are deselected and their names printed. A test in which a task
+fails with an unexpected error does not pass, even if the task starts again.
 """
 
 from __future__ import annotations
@@ -9,6 +10,9 @@
 import signal
 import threading
 
+import pytest
+from sapphire_gateway import telemetry
+
 KNOWN_RED_FILE = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 _TEST_PREFIX = "test: "
 
@@ -25,6 +29,24 @@
     ]
 
 
+@pytest.fixture(autouse=True)
+def no_task_fails(request):
+    """Fails a test in which a task has failed, unless it plants errors."""
+    before = _task_failures()
+    yield
+    if request.node.get_closest_marker("plants_errors") is None:
+        assert _task_failures() == before
+
+
+def _task_failures() -> dict[str, float]:
+    return {
+        sample.labels["task"]: sample.value
+        for metric in telemetry.TASK_FAILURES.collect()
+        for sample in metric.samples
+        if sample.name.endswith("_total")
+    }
+
+
 def pytest_configure():
     """Lets a run that is ended by a signal clean up, as after Ctrl-C.
 
--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -14,7 +14,7 @@
 import trio
 from sapphire_core.routing import ClientLimits
 
-from sapphire_gateway import telemetry
+from sapphire_gateway import supervision, telemetry
 from sapphire_gateway.messages import (
     RECEIVE_BYTES,
     MessageError,
@@ -184,7 +184,7 @@
             if request is None:
                 return
             self._is_answering = True
-            answer = await self._handler(request, self._caller)
+            answer = await self._answer(request)
             if self._caller.is_disconnected:
                 return
             close_after = not request.keeps_alive or self._is_shutting_down()
@@ -199,6 +199,14 @@
                 await self._linger(LINGER_S)
                 return
 
+    async def _answer(self, request: Request) -> Response:
+        try:
+            return await self._handler(request, self._caller)
+        except Exception as error:
+            supervision.record_failure("request", error)
+            # It says nothing of whether a leaf has run the request.
+            return Response(502, [], b"internal error")
+
     async def _next_request(self) -> Request | None:
         """Returns the next request, or None if the connection is to close.
 
@@ -366,6 +374,6 @@
         )
         self._connections.add(connection)
         try:
-            await connection.run()
+            await supervision.run_once("caller connection", connection.run)
         finally:
             self._connections.discard(connection)
--- a/libs/gateway/src/sapphire_gateway/crashexchange.py
+++ b/libs/gateway/src/sapphire_gateway/crashexchange.py
@@ -15,7 +15,7 @@
 from sapphire_core.crashsuspects import CrashedLeaf, CrashRecord
 from sapphire_core.members import Member
 
-from sapphire_gateway import peercalls, telemetry
+from sapphire_gateway import peercalls, supervision, telemetry
 from sapphire_gateway.crashes import CrashTracker
 from sapphire_gateway.decoding import DECODING_ERRORS
 from sapphire_gateway.fleet_view import FleetView
@@ -149,6 +149,8 @@
             else:
                 await trio.sleep(COALESCE_S)
                 self._nursery.start_soon(
+                    supervision.run_once,
+                    "telling crashes",
                     peercalls.tell_all,
                     peercalls.other_vms(self._view),
                     self._exchange,
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -18,6 +18,7 @@
     crashexchange,
     limitends,
     revisionexchange,
+    supervision,
     telemetry,
 )
 from sapphire_gateway.callers import Caller, CallerServer
@@ -255,17 +256,26 @@
         fleet.helpers = HelperPool(fleet, nursery)
         await self._listen(nursery, self._settings.peer_address, peers.handle)
         nursery.start_soon(sync.run)
+
+        def start_task(task: str, run: Callable[[], Awaitable[None]]) -> None:
+            nursery.start_soon(supervision.run_always, task, run)
+
         exchange = RevisionExchange(fleet, self_member, nursery)
-        nursery.start_soon(exchange.run)
-        nursery.start_soon(CrashExchange(self._view, nursery).run)
+        start_task("exchange of revisions", exchange.run)
+        start_task(
+            "exchange of crashes", CrashExchange(self._view, nursery).run
+        )
         limit_ends = LimitEndTeller(self._view, nursery)
         fleet.on_limit_end = limit_ends.record
-        nursery.start_soon(limit_ends.run)
+        start_task("ends of limits", limit_ends.run)
         telemetry.DATA_AGE.set_function(
             lambda: self._view.freshness.age_s(trio.current_time())
         )
-        nursery.start_soon(pool.run_sweeps)
-        nursery.start_soon(self._run_periodic_tasks, sync, pool)
+        start_task("sweeps", pool.run_sweeps)
+        start_task(
+            "periodic tasks",
+            functools.partial(self._run_periodic_tasks, sync, pool),
+        )
         telemetry.event("serving", address=self._settings.callers_address)
         async for signal_number in signals:
             if signal_number == signal.SIGTERM:
--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -25,7 +25,7 @@
 from sapphire_core.fanout import Failure
 from sapphire_core.members import Member
 
-from sapphire_gateway import telemetry
+from sapphire_gateway import supervision, telemetry
 from sapphire_gateway.calls import CallResult
 from sapphire_gateway.decoding import DECODING_ERRORS
 from sapphire_gateway.fleet import Fleet
@@ -430,7 +430,10 @@
     def start(self, delegation: Delegation) -> None:
         """Starts a delegation in the background."""
         self._nursery.start_soon(
-            delegation.run, self._client(delegation.helper)
+            supervision.run_once,
+            "delegation",
+            delegation.run,
+            self._client(delegation.helper),
         )
 
     def exclude(self, helper: Member, detail: str) -> None:
--- a/libs/gateway/src/sapphire_gateway/httpclient.py
+++ b/libs/gateway/src/sapphire_gateway/httpclient.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from sapphire_gateway import supervision
 from sapphire_gateway.calls import Call, CallResult
 from sapphire_gateway.connection import Connection
 from sapphire_gateway.messages import Reply
@@ -96,7 +97,9 @@
         connection.start(call)
         if not connection.was_established:
             assert self._nursery is not None
-            self._nursery.start_soon(connection.run)
+            self._nursery.start_soon(
+                supervision.run_once, "connection", connection.run
+            )
         try:
             with trio.move_on_after(timeout_s):
                 await ended.wait()
--- a/libs/gateway/src/sapphire_gateway/limitends.py
+++ b/libs/gateway/src/sapphire_gateway/limitends.py
@@ -12,7 +12,7 @@
 from sapphire_core.leafset import LeafEntry
 from sapphire_core.members import Member
 
-from sapphire_gateway import peercalls, telemetry
+from sapphire_gateway import peercalls, supervision, telemetry
 from sapphire_gateway.decoding import DECODING_ERRORS
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.messages import Request, Response
@@ -101,6 +101,8 @@
             await trio.sleep(COALESCE_S)
             content = self._take()
             self._nursery.start_soon(
+                supervision.run_once,
+                "telling ends of limits",
                 peercalls.tell_all,
                 peercalls.other_vms(self._view),
                 lambda peer, content=content: self._tell(peer, content),
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -12,7 +12,7 @@
 from sapphire_core.leafset import LeafEntry
 from sapphire_core.leafterms import LeafTerms
 
-from sapphire_gateway import telemetry
+from sapphire_gateway import supervision, telemetry
 from sapphire_gateway.calls import Call, CallResult, classify_reply
 from sapphire_gateway.connection import Connection
 from sapphire_gateway.headernames import HeaderNames
@@ -227,7 +227,9 @@
             await trio.sleep(CLOSING_DELAY_S)
             function()
 
-        self._nursery.start_soon(call_later)
+        self._nursery.start_soon(
+            supervision.run_once, "probe of neighbours", call_later
+        )
 
     def call(self, endpoint: LeafEndpoint, call: Call) -> None:
         """Sends a call, or queues it for the next free connection."""
@@ -348,7 +350,9 @@
         if call is not None:
             self._busy.add(connection)
             connection.start(call)
-        self._nursery.start_soon(connection.run)
+        self._nursery.start_soon(
+            supervision.run_once, "leaf connection", connection.run
+        )
 
     def _on_free(self, endpoint: LeafEndpoint, connection: Connection) -> None:
         self._busy.discard(connection)
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -15,7 +15,7 @@
 from sapphire_core.freshness import MAX_WATCH_S
 from sapphire_core.members import Member
 
-from sapphire_gateway import telemetry
+from sapphire_gateway import supervision, telemetry
 from sapphire_gateway.feed import LONG_POLL_S, Mirror
 from sapphire_gateway.feedselector import (
     Feed,
@@ -119,9 +119,12 @@
         """Runs until cancelled."""
         self._freshness.record_disruption(trio.current_time())
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._read_changes)
-            nursery.start_soon(self.own_entry.run)
-            nursery.start_soon(self._check_progress)
+            for task, run in (
+                ("reading changes", self._read_changes),
+                ("own entry", self.own_entry.run),
+                ("check of the progress", self._check_progress),
+            ):
+                nursery.start_soon(supervision.run_always, task, run)
 
     def resync(self, reason: str) -> None:
         """Reconnects to the store and restarts the pending read."""
@@ -294,7 +297,11 @@
         now = trio.current_time()
         for change in batch.changes:
             self._view.revision = change.revision
-            apply_update(change.update, self._view, now)
+            try:
+                apply_update(change.update, self._view, now)
+            except Exception as error:
+                # The changes behind it, and later ones, must still be applied.
+                supervision.record_failure("change of the store", error)
         self._view.revision = batch.revision
 
     async def _check_progress(self) -> None:
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -158,6 +158,12 @@
     ["result"],
     registry=REGISTRY,
 )
+TASK_FAILURES = Counter(
+    "sapphirecross_task_failures_total",
+    "Unexpected errors, by the task that failed; each is a defect.",
+    ["task"],
+    registry=REGISTRY,
+)
 REVISION = Gauge(
     "sapphirecross_revision",
     "Revision of the platform's store up to which changes were applied.",
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -123,8 +123,7 @@
         if self.is_running:
             return
         settings = str(self.folder / f"{self.name}.toml")
-        log = self.folder / f"{self.name}.log"
-        with log.open("ab") as file:
+        with self._log.open("ab") as file:
             self.process = subprocess.Popen(
                 # The command "front" runs a gateway.
                 [sys.executable, "platform/run.py", "front"],
@@ -135,6 +134,15 @@
             )
         self.record_disturbance()
 
+    def log_lines(self, message_type: str) -> list[str]:
+        """Returns the lines of a type in the logs of all starts."""
+        text = self._log.read_text(errors="replace")
+        return [line for line in text.splitlines() if message_type in line]
+
+    @property
+    def _log(self) -> pathlib.Path:
+        return self.folder / f"{self.name}.log"
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process if it runs.
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -56,6 +56,8 @@
 # Port of the first leaf of the first service.
 FIRST_LEAF_PORT = 9100
 PORTS_PER_SERVICE = 20
+# Characters of the log line of an unexpected error that are shown.
+MAX_FAILURE_LINE = 600
 # Distance of the port of a leaf's proxy from that of the leaf.
 PROXY_PORT_OFFSET = 1000
 
@@ -133,6 +135,7 @@
         )
         await trio.sleep(FAULT_FREE_S)
         result.violations = find_violations(environment.observations)
+        result.violations += _task_failures(environment)
         result.requests = len(environment.observations.attempts)
         result.served = sum(
             a.reply is not None and a.reply.status == 200
@@ -142,6 +145,15 @@
     return result
 
 
+def _task_failures(environment: Environment) -> list[str]:
+    """Returns a description of each unexpected error in the gateways' logs."""
+    return [
+        f"{gateway.name}: {line[:MAX_FAILURE_LINE]}"
+        for gateway in environment.gateways
+        for line in gateway.log_lines("gateway:task_failed")
+    ]
+
+
 async def _watch_scheduling_delays(
     environment: Environment, result: Result
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -305,3 +305,13 @@
     assert any(
         "got no answer" in line for line in find_violations(observations)
     )
+
+
+def test_unexpected_errors_are_found_in_the_logs_of_gateways(tmp_path):
+    """Guards against errors that only the log tells of."""
+    gateway = Gateway("za0", "127.0.0.1", "za", tmp_path)
+    (tmp_path / "za0.log").write_text(
+        '{"message_type":"gateway:start"}\n'
+        '{"task":"request","message_type":"gateway:task_failed"}\n'
+    )
+    assert len(gateway.log_lines("gateway:task_failed")) == 1
