gateway: Take no number with more digits than a real one

Callers saw: a VM ends by itself. One request whose remaining time has 400 or 5,000 digits ends the VM that reads it (OverflowError, ValueError), and so do a leaf's answer that names such a load or idle timeout, and a VM that asks for the changes after such a revision.

Cause: four places read numbers with int() and checks of their own; only the exchange of revisions limited the digits.

--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -10,6 +10,7 @@
 
 from sapphire_core.fanout import Failure
 
+from sapphire_gateway.decoding import parse_count
 from sapphire_gateway.headernames import HeaderNames
 from sapphire_gateway.messages import Reply
 
@@ -141,11 +142,11 @@
     value = reply.get(header_names.load.lower())
     if value is None:
         return None
-    numbers = value.split(b",")
-    try:
-        return LoadReport(int(numbers[0]), int(numbers[1]))
-    except (ValueError, IndexError):
-        return None
+    numbers = [parse_count(number) for number in value.split(b",")[:2]]
+    match numbers:
+        case [int(running), int(queued)]:
+            return LoadReport(running, queued)
+    return None
 
 
 @dataclass(frozen=True, slots=True)
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -12,6 +12,7 @@
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallResult
+from sapphire_gateway.decoding import parse_count
 from sapphire_gateway.messages import (
     RECEIVE_BYTES,
     MessageError,
@@ -308,6 +309,7 @@
         return None
     for field in value.split(b","):
         name, _, number = field.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.strip().isdigit():
-            return max(0.0, int(number) - 0.5)
+        timeout_s = parse_count(number)
+        if name.lower() == b"timeout" and timeout_s is not None:
+            return max(0.0, timeout_s - 0.5)
     return None
--- a/libs/gateway/src/sapphire_gateway/feed.py
+++ b/libs/gateway/src/sapphire_gateway/feed.py
@@ -17,7 +17,7 @@
 import msgspec
 import trio
 
-from sapphire_gateway.decoding import DECODING_ERRORS
+from sapphire_gateway.decoding import DECODING_ERRORS, parse_count
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Request, Response
 from sapphire_gateway.store import (
@@ -200,9 +200,9 @@
         url = urllib.parse.urlsplit(request.target.decode("latin-1"))
         query = urllib.parse.parse_qs(url.query)
         after_text = query.get("after", [""])[0]
-        if url.path != PATH or not (after_text == "" or after_text.isdigit()):
+        after = parse_count(after_text)
+        if url.path != PATH or (after is None and after_text):
             return Response(404, [])
-        after = int(after_text) if after_text else None
         if after is not None:
             self._learn_revision(after)
         left_s = MAX_DATA_AGE_S - self._age_s()
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -15,6 +15,7 @@
 from sapphire_gateway import telemetry
 from sapphire_gateway.callers import HEAD, Caller
 from sapphire_gateway.crashes import request_fingerprint
+from sapphire_gateway.decoding import parse_count
 from sapphire_gateway.execution import RequestExecution
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.headernames import HOP_BY_HOP_HEADERS
@@ -252,8 +253,9 @@
         stated_ms = header(
             request.headers, self._header_names.deadline_ms.lower()
         )
-        if stated_ms is not None and stated_ms.strip().isdigit():
-            timeout_s = min(timeout_s, int(stated_ms) / 1000)
+        timeout_ms = None if stated_ms is None else parse_count(stated_ms)
+        if timeout_ms is not None:
+            timeout_s = min(timeout_s, timeout_ms / 1000)
         give_up_at = (
             started_at + timeout_s - delivery_delay_s - GIVE_UP_MARGIN_S
         )
--- a/libs/gateway/src/sapphire_gateway/revisionexchange.py
+++ b/libs/gateway/src/sapphire_gateway/revisionexchange.py
@@ -16,6 +16,7 @@
 from sapphire_core.members import Member, select_revision_peers
 
 from sapphire_gateway import telemetry
+from sapphire_gateway.decoding import parse_count
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Request, Response
@@ -27,7 +28,6 @@
 EXCHANGE_INTERVAL_S = 1.0
 TIMEOUT_S = 0.5
 OK = 200
-MAX_DIGITS = 18
 
 
 class RevisionServer:
@@ -40,7 +40,7 @@
         """Learns the revision of the VM that asks, and answers with its own."""
         url = urllib.parse.urlsplit(request.target.decode("latin-1"))
         query = urllib.parse.parse_qs(url.query)
-        known = _parse_revision(query.get("known", [""])[0])
+        known = parse_count(query.get("known", [""])[0])
         if known is None:
             return Response(400, [])
         self._freshness.learn_revision(known, trio.current_time())
@@ -89,7 +89,7 @@
         except StoreUnavailableError:
             telemetry.REVISION_EXCHANGES.labels("failed").inc()
             return
-        revision = _parse_revision(reply.body.decode("latin-1"))
+        revision = parse_count(reply.body)
         if reply.status != OK or revision is None:
             telemetry.REVISION_EXCHANGES.labels("rejected").inc()
             return
@@ -100,8 +100,3 @@
         used = {peer.peer_address for peer in peers}
         for address in self._clients.keys() - used:
             self._clients.pop(address).reconnect("no longer a peer")
-
-
-def _parse_revision(text: str) -> int | None:
-    is_number = text.isascii() and text.isdigit()
-    return int(text) if is_number and len(text) <= MAX_DIGITS else None
