core: Name a time above 0 to the caller of a held request

Callers saw: Retry-After: 0.000, where the hold ended between the verdict and the refusal or less than half a millisecond later. Failed once in test_request_that_crashes_leaves_is_refused[0.05], six workers at a time.

Change: 10 ms at least. The new test fails on the code before.

--- a/libs/core/src/sapphire_core/crashsuspects.py
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -51,6 +51,8 @@
 # Time after the crash of a canary in which other VMs tell what else ran on the
 # leaf, and replies to retries clear what is harmless.
 SETTLING_S = 0.25
+# Shortest time after which a caller is told to send a held request again.
+MIN_RETRY_S = 0.01
 # Leaves that are remembered for each request, and told to other VMs.
 MAX_LEAVES = 64
 MAX_SHARED_LEAVES = 8
@@ -189,7 +191,7 @@
         if entry.is_quarantined:
             entry.expires = now + QUARANTINE_S
             return QUARANTINE_S
-        return max(0.0, entry.canary_at - now)
+        return max(MIN_RETRY_S, entry.canary_at - now)
 
     def begin_canary(self, fingerprint: str, ends_at: float) -> None:
         """Holds the request back for others while a canary runs.
--- a/libs/core/tests/test_crashsuspects.py
+++ b/libs/core/tests/test_crashsuspects.py
@@ -9,6 +9,7 @@
     HOLD_S,
     MAX_CANARY_CRASHES,
     MAX_SHARED_LEAVES,
+    MIN_RETRY_S,
     QUARANTINE_S,
     SETTLING_S,
     SUSPICION_S,
@@ -283,6 +284,16 @@
     assert first.verdict("a", later) is CrashVerdict.CLEAR
 
 
+def test_refusal_names_a_time_however_short_it_is():
+    """Guards against a caller that is told to come back after 0 s."""
+    suspects = CrashSuspects("vm1")
+    suspects.record_crash("a", leaf(1), False, 10.0)
+    canary_at = 10.0 + suspects.record_refusal("a", 10.0)
+    # The hold may end between the verdict and the refusal.
+    for now in (canary_at - 0.0001, canary_at + 0.0001):
+        assert suspects.record_refusal("a", now) >= MIN_RETRY_S
+
+
 def test_suspicion_without_further_crashes_ends():
     suspects = CrashSuspects("vm1")
     suspects.record_crash("a", leaf(1), False, 10.0)
