gateway: Tell other VMs of a quarantine as soon as it is due

Callers saw: one more leaf that ends. A quarantine is due 0.25 s after the crash of a canary, when the time to settle is over; other VMs heard of it with the next exchange, up to 1 s later and with one VM a second, while the hold of the next canary may end after 0.4 s.

Change: a VM whose canary crashed tells all others once the time to settle is over.

--- a/libs/gateway/src/sapphire_gateway/crashes.py
+++ b/libs/gateway/src/sapphire_gateway/crashes.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from collections.abc import Iterable
 
 import trio
 from sapphire_core.crashsuspects import (
+    SETTLING_S,
     CrashedLeaf,
     CrashRecord,
     CrashSuspects,
@@ -49,6 +51,8 @@
         self.suspects = CrashSuspects(self_name)
         self._is_unpublished = False
         self._news = trio.Event()
+        # Time at which the verdict on the last canary that crashed is due.
+        self._settles_at = math.inf
 
     def verdict(self, fingerprint: str, now: float) -> CrashVerdict:
         """Returns whether and how a request may run."""
@@ -71,6 +75,8 @@
             verdict=verdict.value,
         )
         telemetry.CRASH_SUSPECTS.labels(verdict.value).inc()
+        if is_canary:
+            self._settles_at = now + SETTLING_S
         if is_new:
             self._is_unpublished = True
             self._news.set()
@@ -126,6 +132,13 @@
         )
 
     async def wait_for_news(self) -> None:
-        """Waits until this VM has something to tell since the last call."""
-        await self._news.wait()
-        self._news = trio.Event()
+        """Waits until this VM has something to tell since the last call.
+
+        That is also the case once a canary may have led to a quarantine, of
+        which other VMs must know before they run one.
+        """
+        with trio.move_on_at(self._settles_at) as settling:
+            await self._news.wait()
+            self._news = trio.Event()
+        if settling.cancelled_caught:
+            self._settles_at = math.inf
