--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -268,9 +268,6 @@
         limit_ends = LimitEndTeller(self._view, nursery)
         fleet.on_limit_end = limit_ends.record
         start_task("ends of limits", limit_ends.run)
-        telemetry.DATA_AGE.set_function(
-            lambda: self._view.freshness.age_s(trio.current_time())
-        )
         start_task("sweeps", pool.run_sweeps)
         start_task(
             "periodic tasks",
@@ -357,6 +354,8 @@
             previous = now
             self._publish_suspects(sync, trio.current_time())
             self._fleet.remove_expired_leaves(trio.current_time())
+            age_s = self._view.freshness.age_s(trio.current_time())
+            telemetry.DATA_AGE.set(age_s)
             telemetry.CONNECTIONS.set(pool.opened_count)
             telemetry.LIMITED_LEAVES.set(pool.limited_count)
             telemetry.PAUSED_LEAVES.set(pool.paused_count(trio.current_time()))
