--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -94,6 +94,11 @@
         self._delegated = DelegatedParts(job, fleet, self)
         self._wake = trio.Event()
 
+    @property
+    def passed_over(self) -> list[str]:
+        """Ids of leaves that were not chosen for what they have asked for."""
+        return sorted(self._leaf_caller.passed_over)
+
     def cancel(self) -> None:
         """Ends the request without an answer: the caller has disconnected."""
         self._is_cancelled = True
@@ -165,6 +170,7 @@
             < self._job.policy.answer_at
             <= trio.current_time(),
             was_ended=self._must_end,
+            passed_over=self.passed_over,
         )
         if verdict is Verdict.GIVE_UP:
             # No leaf should start a request that has already failed, or whose
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -166,6 +166,7 @@
             "leaves have asked for a pause or a limit",
             retry_after_s,
             route,
+            passed_over=execution.passed_over,
         )
 
     def answer_sent(self, request: Request, now: float) -> None:
@@ -351,6 +352,7 @@
         route: Route | None = None,
         load_forecast: Forecast | None = None,
         fingerprint: str | None = None,
+        passed_over: list[str] | None = None,
     ) -> Response:
         request_id = header(
             request.headers, self._header_names.request_id.lower()
@@ -368,6 +370,7 @@
                 "status": status,
                 "reason": reason,
                 "fingerprint": fingerprint,
+                "passed_over": passed_over or [],
                 "retry_after_s": retry_after_s,
                 "needed_ms": load_forecast
                 and round(load_forecast.needed_s * 1000, 1),
@@ -409,6 +412,7 @@
                 "retries": outcome.retries,
                 "helped": outcome.delegated_count,
                 "failures": outcome.failures,
+                "passed_over": outcome.passed_over,
                 "elapsed_ms": round(elapsed_s * 1000, 1),
                 "answer_in_ms": round(
                     (job.policy.answer_at - request.received_at) * 1000, 1
--- a/libs/gateway/src/sapphire_gateway/job.py
+++ b/libs/gateway/src/sapphire_gateway/job.py
@@ -62,6 +62,8 @@
             answer_at of the policy, and the answer waited until then for the
             missing ones.
         was_ended: Whether it was ended because the VM is being stopped.
+        passed_over: Ids of the first leaves that were not chosen for what they
+            have asked for.
     """
 
     verdict: Verdict
@@ -74,3 +76,4 @@
     delegated_count: int
     waited_for_missing_parts: bool
     was_ended: bool
+    passed_over: list[str]
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -28,6 +28,8 @@
 # All reply times are dropped above this number of routes: routes of earlier
 # configurations are not removed one by one.
 MAX_ROUTES = 4096
+# Leaves in the log line of a request that were passed over.
+MAX_LOGGED_LEAVES = 6
 
 
 @dataclass(slots=True)
@@ -127,7 +129,12 @@
 
 
 class LeafCaller:
-    """Sends the calls of one request and evaluates their results."""
+    """Sends the calls of one request and evaluates their results.
+
+    Attributes:
+        passed_over: Ids of the first leaves that were not chosen for what they
+            have asked for (a limit or a pause), for the log.
+    """
 
     def __init__(
         self,
@@ -150,6 +157,7 @@
         self._reply_times = reply_times
         # Services of which a leaf has answered.
         self._answered: set[str] = set()
+        self.passed_over: set[str] = set()
         self._blames_silence = not is_helper
 
     def record_answer(self) -> None:
@@ -181,6 +189,8 @@
                 endpoints.append(endpoint)
             else:
                 telemetry.PASSED_OVER.inc()
+                if len(self.passed_over) < MAX_LOGGED_LEAVES:
+                    self.passed_over.add(leaf.entry.leaf_id)
         if not leaves:
             return None
         leaf_candidates = [
--- a/libs/gateway/tests/test_leaf_terms.py
+++ b/libs/gateway/tests/test_leaf_terms.py
@@ -12,6 +12,7 @@
 from gateway_harness import Leaf, reply, search_route, single_leaf_route
 from sapphire_core.leafset import LAST_RESORT_S
 from sapphire_core.routing import Kind
+from sapphire_gateway import telemetry
 
 A = b"a" * 16
 B = b"b" * 16
@@ -271,3 +272,35 @@
         assert len(paused.requests) == 1
 
     run_with_harness(test)
+
+
+def test_log_line_of_a_request_names_the_leaf_that_was_passed_over(
+    run_with_harness, monkeypatch
+):
+    """Guards against refusals of which no log tells the cause."""
+    lines = []
+
+    def write(kind, **fields: object):
+        lines.append((kind, fields))
+
+    monkeypatch.setattr(telemetry, "event", write)
+
+    async def test(harness):
+        paused = await harness.leaf("s", lambda r: rejection(r, "5"))
+        leaf_id = _entry(harness).leaf_id
+        harness.configure(single_leaf_route())
+        await _fetch(harness, 2)
+        await harness.leaf("s", lambda r: reply(r, A))
+        assert await _fetch(harness) == [200]
+        assert len(paused.requests) == 1
+        passed_over = [
+            (kind, fields["passed_over"])
+            for kind, fields in lines
+            if kind in {"request", "request_refused"}
+        ]
+        assert passed_over[1:] == [
+            ("request_refused", [leaf_id]),
+            ("request", [leaf_id]),
+        ]
+
+    run_with_harness(test)
