--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -23,12 +23,13 @@
 )
 from sapphire_gateway.callers import Caller, CallerServer
 from sapphire_gateway.crashexchange import CrashExchange, CrashServer
-from sapphire_gateway.delegated_calls import HelperPool, HelperServer
+from sapphire_gateway.delegated_calls import HelperServer
 from sapphire_gateway.feed import FeedClient, FeedServer
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.gateway import Gateway
 from sapphire_gateway.headernames import HeaderNames
+from sapphire_gateway.helperpool import HelperPool
 from sapphire_gateway.limitends import LimitEndServer, LimitEndTeller
 from sapphire_gateway.messages import Request, Response
 from sapphire_gateway.pool import LeafPool
--- a/libs/gateway/src/sapphire_gateway/delegated_parts.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_parts.py
@@ -4,9 +4,10 @@
 VM in another failure domain that calls the leaves of several parts there, so
 that fewer requests cross the domains than one for each part. This module is
 used by the VM that received the search, the coordinator; delegated_calls has
-the helper's side and the exchange of messages, in which a Delegation sends one
-DelegationRequest and then fetches the parts that were still running. A leaf's
-reply to a part consists of records, which are merged for the answer.
+the helper's side, and helperpool the exchange of messages, in which a
+Delegation sends one DelegationRequest and then fetches the parts that were
+still running. A leaf's reply to a part consists of records, which are merged
+for the answer.
 """
 
 from __future__ import annotations
@@ -19,16 +20,15 @@
 from sapphire_core.leafset import LeafEntry
 
 from sapphire_gateway.calls import CallResult
-from sapphire_gateway.delegated_calls import (
-    FIRST_RESPONSE_MARGIN_S,
-    HEDGE_DEFERRAL_S,
+from sapphire_gateway.delegation_messages import (
     MS_PER_S,
+    OK,
     CompletedPart,
-    Delegation,
     DelegationRequest,
     HelperResponse,
 )
 from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.helperpool import Delegation
 from sapphire_gateway.httpclient import NoUsableReplyError
 from sapphire_gateway.job import Job
 from sapphire_gateway.messages import Reply
@@ -36,7 +36,11 @@
 # A helper responds several times while parts are running. Its last response is
 # due this long before the answer to the caller.
 FINAL_RESPONSE_MARGIN_S = 0.003
-OK = 200
+# The helper's first response is due this long before the coordinator hedges.
+FIRST_RESPONSE_MARGIN_S = 0.002
+# The coordinator delays hedges of delegated parts by this time while it waits
+# for the helper's first response.
+HEDGE_DEFERRAL_S = 0.004
 
 
 class PartSink(Protocol):
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -35,7 +35,7 @@
 )
 
 if TYPE_CHECKING:
-    from sapphire_gateway.delegated_calls import HelperPool
+    from sapphire_gateway.helperpool import HelperPool
 
 # Maximum number of connections to a leaf from all VMs together if its service
 # isn't configured.
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -10,7 +10,6 @@
     reply,
     request_bytes,
     search_route,
-    serve_peer,
     single_leaf_route,
 )
 from sapphire_core.crashsuspects import (
@@ -23,10 +22,10 @@
     CrashVerdict,
 )
 from sapphire_core.members import Member
-from sapphire_gateway import delegated_calls
+from sapphire_gateway import delegation_messages
 from sapphire_gateway.crashes import CrashTracker, request_fingerprint
-from sapphire_gateway.crashexchange import CrashExchange, CrashServer
-from sapphire_gateway.delegated_calls import DelegationRequest, HelperServer
+from sapphire_gateway.delegated_calls import HelperServer
+from sapphire_gateway.delegation_messages import DelegationRequest
 from sapphire_gateway.fleet_view import FleetView, MemberUpdate, apply_update
 from sapphire_gateway.messages import Request
 
@@ -416,78 +415,6 @@
     await trio.sleep_forever()
 
 
-def _add_member(view, name, address):
-    member = Member(name, "127.0.0.1:1", "z1", peer_address=address)
-    apply_update(MemberUpdate(member), view, trio.current_time())
-
-
-async def _exchanging_views(harness, count):
-    """Returns the views of VMs that exchange what they know of crashes."""
-    views = [FleetView(f"vm{n}") for n in range(count)]
-    addresses = []
-    for view in views:
-        server = CrashServer(view)
-
-        async def handle(request, caller, server=server):
-            return server.handle(request)
-
-        addresses.append(await serve_peer(harness.nursery, handle))
-    for view in views:
-        for number, address in enumerate(addresses):
-            _add_member(view, f"vm{number}", address)
-        exchange = CrashExchange(view, harness.nursery)
-        harness.nursery.start_soon(exchange.run)
-    return views
-
-
-def test_crash_is_told_to_other_vms_without_the_store(run_with_harness):
-    """Guards against counts that only the store carries, a second late."""
-
-    async def test(harness):
-        views = await _exchanging_views(harness, 4)
-        now = trio.current_time()
-        views[0].crashes.record_crash("a", CrashedLeaf("s", "1"), False, now)
-        await trio.sleep(DETECTION_S)
-        now = trio.current_time()
-        assert {view.crashes.verdict("a", now) for view in views} == {
-            CrashVerdict.HELD
-        }
-        # A VM that starts later, and knows one that saw nothing itself.
-        late = FleetView("vm9")
-        known = {m.name: m for m in views[0].members.all(now)}
-        _add_member(late, "vm3", known["vm3"].peer_address)
-        exchange = CrashExchange(late, harness.nursery)
-        harness.nursery.start_soon(exchange.run)
-        await trio.sleep(1.2)
-        now = trio.current_time()
-        assert late.crashes.verdict("a", now) is not CrashVerdict.CLEAR
-
-    run_with_harness(test)
-
-
-def test_quarantine_is_told_as_soon_as_it_is_due(run_with_harness):
-    """Guards against a canary of another VM that does not know of it yet."""
-
-    async def test(harness):
-        views = await _exchanging_views(harness, 4)
-        tracker = views[0].crashes
-        now = trio.current_time()
-        tracker.record_crash("a", CrashedLeaf("s", "1"), False, now)
-        tracker.record_crash("a", CrashedLeaf("s", "2"), True, now)
-        await trio.sleep(SETTLING_S + DETECTION_S)
-        now = trio.current_time()
-        assert {view.crashes.verdict("a", now) for view in views} == {
-            CrashVerdict.QUARANTINED
-        }
-
-    run_with_harness(test)
-
-
-def test_unreadable_crash_records_are_rejected():
-    request = Request(b"POST", b"/crashes", [], b"\xc1", True)
-    assert CrashServer(FleetView("vm1")).handle(request).status == 400
-
-
 def test_helper_declines_a_suspected_request(run_with_harness):
     """Guards against calls of a suspected request for another VM."""
 
@@ -506,14 +433,14 @@
         response = await HelperServer(harness.fleet).handle(
             Request(
                 b"POST",
-                delegated_calls.CALLS_PATH.encode(),
+                delegation_messages.CALLS_PATH.encode(),
                 [],
                 msgspec.msgpack.encode(request),
                 True,
             )
         )
         decoded = msgspec.msgpack.decode(
-            response.body, type=delegated_calls.HelperResponse
+            response.body, type=delegation_messages.HelperResponse
         )
         assert decoded.is_suspected
         assert [part.was_sent for part in decoded.failed] == [False]
--- a/libs/gateway/tests/test_delegated_calls.py
+++ b/libs/gateway/tests/test_delegated_calls.py
@@ -8,14 +8,10 @@
 from sapphire_core.members import Member
 from sapphire_core.retrybudget import RetryBudgetPolicy
 from sapphire_gateway.callers import CallerServer
-from sapphire_gateway.delegated_calls import (
-    MAX_DATA_AGE_S,
-    RESPONSE_GRACE_S,
-    HelperPool,
-    HelperServer,
-)
+from sapphire_gateway.delegated_calls import MAX_DATA_AGE_S, HelperServer
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.fleet_view import FleetView
+from sapphire_gateway.helperpool import RESPONSE_GRACE_S, HelperPool
 from sapphire_gateway.pool import LeafPool
 
 REMOTE_DOMAIN = "z2"
