--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,8 @@
 fuzz: setup
 	FUZZ_EXAMPLES=$(or $(FUZZ_EXAMPLES),20000) $(BIN)/python -m pytest -n 4 \
 	    tests/adapter/test_fuzz_values.py \
-	    libs/gateway/tests/test_fuzz_messages.py libs/wire/tests/test_fuzz_frames.py
+	    libs/gateway/tests/test_fuzz_messages.py \
+	    libs/gateway/tests/test_fuzz_leaf_terms.py libs/wire/tests/test_fuzz_frames.py
 
 demo: setup
 	@$(BIN)/python -m sapphire_bench.demo --fault=$(or $(FAULT),none)
