--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -74,19 +74,27 @@
 )
 def test_gateways_survive_and_follow_after_an_odd_entry(tmp_path, key, value):
     """Guards against processes that end, or stop following the store."""
-    trio.run(_check_gateways, tmp_path, key, value)
+    trio.run(_check_gateways, tmp_path, {key: value})
 
 
-async def _check_gateways(folder: pathlib.Path, key, value):
+def test_gateways_survive_and_follow_after_many_odd_entries(tmp_path):
+    """Guards against processes that are busy with entries of no use."""
+    odd = {f"servers/odd-{n}": NESTED[:100] for n in range(10_000)}
+    trio.run(_check_gateways, tmp_path, odd)
+
+
+async def _check_gateways(folder: pathlib.Path, odd_entries):
     async with running_environment(1, folder, 2) as (environment, nursery):
         await wait_until_ready(environment, nursery)
-        environment.store.write_bytes(key, value)
+        for key, value in odd_entries.items():
+            environment.store.write_bytes(key, value)
         await trio.sleep(READING_S)
         environment.operator.change_configuration()
         await trio.sleep(READING_S)
         version = environment.operator.version
         for gateway in environment.gateways:
             assert gateway.is_running, gateway.name
+            assert gateway.log_lines("gateway:task_failed") == []
             client = HttpClient(f"{gateway.host}:9464")
             client.start(nursery)
             metrics = await client.request("GET", "/metrics", 2.0)
