Wait for the stand-in of the store to hand out ten thousand entries

What the test is for is that the gateways live and follow; it now waits up to 20 s for that in this case.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,6 +15,9 @@
 
 # Time for gateways to read an entry and to act on it.
 READING_S = 1.5
+# Further time for the stand-in, one process, to hand out many entries to all
+# gateways beside other load. Applying them takes a gateway under half a second.
+MANY_S = 20.0
 DEPTH = 5_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
 
@@ -74,16 +77,16 @@
 )
 def test_gateways_survive_and_follow_after_an_odd_entry(tmp_path, key, value):
     """Guards against processes that end, or stop following the store."""
-    trio.run(_check_gateways, tmp_path, {key: value})
+    trio.run(_check_gateways, tmp_path, {key: value}, 0.0)
 
 
 def test_gateways_survive_and_follow_after_many_odd_entries(tmp_path):
     """Guards against processes that are busy with entries of no use."""
     odd = {f"servers/odd-{n}": NESTED[:100] for n in range(10_000)}
-    trio.run(_check_gateways, tmp_path, odd)
+    trio.run(_check_gateways, tmp_path, odd, MANY_S)
 
 
-async def _check_gateways(folder: pathlib.Path, odd_entries):
+async def _check_gateways(folder: pathlib.Path, odd_entries, more_s):
     async with running_environment(1, folder, 2) as (environment, nursery):
         await wait_until_ready(environment, nursery)
         for key, value in odd_entries.items():
@@ -92,12 +95,18 @@
         environment.operator.change_configuration()
         await trio.sleep(READING_S)
         version = environment.operator.version
+        line = f"sapphirecross_config_version {version}.0".encode()
         for gateway in environment.gateways:
-            assert gateway.is_running, gateway.name
-            assert gateway.log_lines("gateway:task_failed") == []
             client = HttpClient(f"{gateway.host}:9464")
             client.start(nursery)
-            metrics = await client.request("GET", "/metrics", 2.0)
-            line = f"sapphirecross_config_version {version}.0".encode()
-            assert line in metrics.body, gateway.name
+            with trio.move_on_after(more_s):
+                while line not in await _metrics(client, gateway):
+                    await trio.sleep(0.1)
+            assert line in await _metrics(client, gateway), gateway.name
+            assert gateway.log_lines("gateway:task_failed") == []
         nursery.cancel_scope.cancel()
+
+
+async def _metrics(client: HttpClient, gateway) -> bytes:
+    assert gateway.is_running, gateway.name
+    return (await client.request("GET", "/metrics", 2.0)).body
