gateway: Tell crashes to VMs that may run requests, and only what is new

Each crash, and each suspicion that ended, was told to all 195 VMs with the whole set of up to 50 records, which each answered with its own set; besides, each VM exchanged whole sets with one other a second as long as anything was suspected.

Ruled out: searches, feeds and revisions.

Change: news go to the serving VMs and those that are being stopped, and have only what the VM has seen itself; a suspicion that is cleared before it is told is not told. Each VM asks a serving one for what it lacks, naming what it has by digests: each second if it serves, mostly in its own domain, each two seconds if it is spare, and at once when it begins to serve. A VM's entry in the store has 8 records at most, written once a second at most, since each VM reads each other's entry.

--- a/libs/core/src/sapphire_core/crashsuspects.py
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 import enum
+import hashlib
 import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -53,6 +54,9 @@
 SETTLING_S = 0.25
 # Shortest time after which a caller is told to send a held request again.
 MIN_RETRY_S = 0.01
+DIGEST_BYTES = 8
+# Times until a record is forgotten that differ by less may have equal digests.
+DIGEST_EXPIRY_STEP_S = 300.0
 # Leaves that are remembered for each request, and told to other VMs.
 MAX_LEAVES = 64
 MAX_SHARED_LEAVES = 8
@@ -91,11 +95,11 @@
 
     Attributes:
         fingerprint: Equal for equal requests of one caller.
-        leaves: Leaves that crashed under it, the last MAX_SHARED_LEAVES.
+        leaves: Leaves that crashed under it, MAX_SHARED_LEAVES at most.
         is_quarantined: Whether it must not run.
         expires_in_s: Time until the record is forgotten.
         cleared: Leaves that crashed under it and are not put down to it any
-            more, the last MAX_SHARED_LEAVES.
+            more, MAX_SHARED_LEAVES at most.
         canaries: Those of the leaves that crashed under a canary, the last
             MAX_CANARY_CRASHES.
     """
@@ -107,6 +111,24 @@
     cleared: tuple[CrashedLeaf, ...] = ()
     canaries: tuple[CrashedLeaf, ...] = ()
 
+    @property
+    def digest(self) -> bytes:
+        """Hash that is equal if two VMs know the same of the request.
+
+        The time until it is forgotten enters roughly, as it differs by the
+        time that messages take.
+        """
+        content = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        expiry = int(self.expires_in_s // DIGEST_EXPIRY_STEP_S)
+        content.update(
+            f"{self.fingerprint}|{self.is_quarantined}|{expiry}".encode()
+        )
+        for leaves in (self.leaves, self.cleared, self.canaries):
+            content.update(b"|")
+            for leaf in sorted(leaves):
+                content.update(f"{leaf.service}/{leaf.incarnation},".encode())
+        return content.digest()
+
 
 @dataclass(slots=True)
 class _CanaryCrash:
@@ -151,6 +173,33 @@
             self.cleared[leaf] = None
         return bool(known) and not self.leaves
 
+    def record(self, fingerprint: str, now: float) -> CrashRecord:
+        """Returns what to tell other VMs.
+
+        If there are more leaves than MAX_SHARED_LEAVES, the choice does not
+        depend on their order, so that all VMs end up with the same ones.
+        """
+        canaries = tuple(self.canaries)[-MAX_CANARY_CRASHES:]
+        others = sorted(self.leaves.keys() - set(canaries))
+        return CrashRecord(
+            fingerprint,
+            (*canaries, *others)[:MAX_SHARED_LEAVES],
+            self.is_quarantined,
+            self.expires - now,
+            tuple(sorted(self.cleared)[:MAX_SHARED_LEAVES]),
+            canaries,
+        )
+
+
+def _rank(entry: _Entry) -> tuple[bool, bool, bool, float]:
+    """Sorts entries by how much other VMs need them."""
+    return (
+        not entry.is_quarantined,
+        not entry.leaves,
+        not entry.canaries,
+        -entry.expires,
+    )
+
 
 class CrashSuspects:
     """The suspected requests, by fingerprint."""
@@ -290,32 +339,29 @@
     def records(self, limit: int, now: float) -> list[CrashRecord]:
         """Returns what to tell other VMs, quarantined requests first.
 
-        After them come the suspected requests, then those that were cleared.
-        If there are more than the limit, those that expire last are returned.
+        After them come the suspected requests, first those with a canary that
+        crashed, then those that were cleared. If there are more than the limit,
+        those that expire last are returned.
         """
         self._remove_expired(now)
         for fingerprint, entry in self._entries.items():
             self._quarantine_if_due(fingerprint, entry, now)
         first = heapq.nsmallest(
-            limit,
-            self._entries.items(),
-            key=lambda item: (
-                not item[1].is_quarantined,
-                not item[1].leaves,
-                -item[1].expires,
-            ),
+            limit, self._entries.items(), key=lambda item: _rank(item[1])
         )
-        return [
-            CrashRecord(
-                fingerprint,
-                tuple(entry.leaves)[-MAX_SHARED_LEAVES:],
-                entry.is_quarantined,
-                entry.expires - now,
-                tuple(entry.cleared)[-MAX_SHARED_LEAVES:],
-                tuple(entry.canaries)[-MAX_CANARY_CRASHES:],
-            )
-            for fingerprint, entry in first
-        ]
+        return [entry.record(fingerprint, now) for fingerprint, entry in first]
+
+    def records_of(
+        self, fingerprints: Iterable[str], now: float
+    ) -> list[CrashRecord]:
+        """Returns the records of certain requests, if they are known."""
+        found = []
+        for fingerprint in fingerprints:
+            entry = self._unexpired(fingerprint, now)
+            if entry is not None:
+                self._quarantine_if_due(fingerprint, entry, now)
+                found.append(entry.record(fingerprint, now))
+        return found
 
     def merge(
         self, records: Iterable[CrashRecord], now: float
--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -32,6 +32,8 @@
 # The strong VMs serve alone only if they have at least this fraction of all
 # processor time; with less they could be overloaded.
 MIN_STRONG_CORES_SHARE = 0.1
+# Of so many comparisons of crash records, one is with a VM of another domain.
+REMOTE_EXCHANGE_TURNS = 3
 # Number of VMs in its own failure domain with which a VM compares revisions.
 LOCAL_REVISION_PEERS = 2
 # Smallest number of VMs advertised to a caller, so that one remains if another
@@ -270,6 +272,37 @@
     return [others[name] for name in chosen]
 
 
+def select_exchange_partner(
+    vm: Member, serving: list[Member], turn: int
+) -> Member | None:
+    """Returns the serving member with which a VM compares crash records.
+
+    These are in turn all others of the VM's own failure domain. A serving VM
+    also asks those of other domains, so that the domains learn from each other,
+    but only each REMOTE_EXCHANGE_TURNS, as bytes between domains are dearer.
+
+    Args:
+        vm: The VM, serving or spare.
+        serving: Members that serve callers.
+        turn: Number of earlier comparisons.
+
+    Returns:
+        A member, or None if no other one serves.
+    """
+    others = sorted(
+        (m for m in serving if m.peer_address and m.name != vm.name),
+        key=lambda m: m.name,
+    )
+    local = [m for m in others if m.domain == vm.domain]
+    remote = [m for m in others if m.domain != vm.domain]
+    remote_turns, rest = divmod(turn, REMOTE_EXCHANGE_TURNS)
+    is_serving = any(m.name == vm.name for m in serving)
+    if remote and (not local or (is_serving and rest == 0)):
+        return remote[remote_turns % len(remote)]
+    local_turns = turn - remote_turns if is_serving else turn
+    return local[local_turns % len(local)] if local else None
+
+
 def select_for_caller(
     caller_domain: str, serving: list[Member]
 ) -> list[Member]:
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import trio
+from prometheus_client import Counter
 from sapphire_core.fanout import Failure
 
 from sapphire_gateway import telemetry
@@ -47,8 +48,20 @@
         on_free: Callable[[Connection], None],
         on_closed: Callable[[Connection], None],
         reply_limits: ReplyLimits = SMALL_REPLY_LIMITS,
+        traffic: Counter | None = None,
     ) -> None:
+        """Creates a connection that is not open yet.
+
+        Args:
+            address: Host and port of the server.
+            classify_reply: Returns the result of a call with a reply.
+            on_free: Called when the connection is ready for the next call.
+            on_closed: Called when it has ended.
+            reply_limits: Limits of each reply.
+            traffic: Counts the bytes sent and received, if given.
+        """
         host, _, port = address.rpartition(":")
+        self._traffic = traffic
         self._address = (host, int(port))
         self._classify_reply = classify_reply
         self._on_free = on_free
@@ -186,6 +199,8 @@
         else:
             self._reader.restart(call.is_to_head)
         self._has_received = False
+        if self._traffic is not None:
+            self._traffic.inc(len(call.payload))
         try:
             sent = self._socket.send(call.payload)
         except BlockingIOError:
@@ -242,6 +257,8 @@
 
     def _handle_data(self, data: bytes) -> None:
         self._has_received = True
+        if self._traffic is not None:
+            self._traffic.inc(len(data))
         if self._reader is None or self._call is None:
             self.close("bytes without a request")
             return
--- a/libs/gateway/src/sapphire_gateway/crashes.py
+++ b/libs/gateway/src/sapphire_gateway/crashes.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import math
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import trio
 from sapphire_core.crashsuspects import (
@@ -17,8 +17,14 @@
 
 from sapphire_gateway import telemetry
 
-# Records in a member's entry and in a message to another VM.
+# Records in a message to another VM.
 MAX_SHARED_RECORDS = 50
+# Records in a member's entry: each VM reads each other's entry as a whole.
+MAX_PUBLISHED_RECORDS = 8
+# Shortest interval between two writes of the entry because of new crashes.
+PUBLISH_INTERVAL_S = 1.0
+# Requests that other VMs know to be suspected; those told first are forgotten.
+MAX_TOLD = 4_000
 
 
 def request_fingerprint(
@@ -50,9 +56,17 @@
     def __init__(self, self_name: str) -> None:
         self.suspects = CrashSuspects(self_name)
         self._is_unpublished = False
+        self._published_at = -math.inf
         self._news = trio.Event()
-        # Time at which the verdict on the last canary that crashed is due.
+        # Requests of which this VM has learned something by itself since it
+        # last told others.
+        self._own_news: dict[str, None] = {}
+        # Suspected requests that other VMs know of.
+        self._told: dict[str, None] = {}
+        # Time at which the verdict on the last canary that crashed is due, and
+        # the requests of such canaries.
         self._settles_at = math.inf
+        self._settling: dict[str, None] = {}
 
     def verdict(self, fingerprint: str, now: float) -> CrashVerdict:
         """Returns whether and how a request may run."""
@@ -77,9 +91,10 @@
         telemetry.CRASH_SUSPECTS.labels(verdict.value).inc()
         if is_canary:
             self._settles_at = now + SETTLING_S
+            self._settling[fingerprint] = None
         if is_new:
             self._is_unpublished = True
-            self._news.set()
+            self._add_own_news(fingerprint)
 
     def record_survival(
         self, fingerprint: str, service: str, is_canary: bool, now: float
@@ -94,13 +109,14 @@
                 canary=is_canary,
             )
             # Other VMs hold the request back until they know.
-            self._news.set()
+            self._add_own_news(fingerprint)
 
     def merge(
         self, records: Iterable[CrashRecord], source: str, now: float
     ) -> None:
         """Merges the records of another VM, which is named for the log."""
         for fingerprint, verdict in self.suspects.merge(records, now):
+            self._record_told(fingerprint)
             telemetry.leaf_event(
                 now,
                 "crash_records_merged",
@@ -116,20 +132,49 @@
         telemetry.CRASH_RECORDS_LEFT_OUT.inc(left_out)
         return tuple(records)
 
+    def records_unlike(
+        self, digests: Container[bytes], now: float
+    ) -> tuple[CrashRecord, ...]:
+        """Returns the shared records without those that a VM knows already.
+
+        Args:
+            digests: Digests of the records that the other VM has.
+            now: Current time in seconds.
+        """
+        return tuple(
+            record
+            for record in self.shared_records(now)
+            if record.digest not in digests
+        )
+
+    def take_own_news(self, now: float) -> tuple[CrashRecord, ...]:
+        """Returns what this VM has seen since the last call.
+
+        A request that was suspected and cleared since then is left out.
+        """
+        own_news, self._own_news = self._own_news, {}
+        records = []
+        for record in self.suspects.records_of(own_news, now):
+            is_suspected = bool(record.leaves) or record.is_quarantined
+            if is_suspected or record.fingerprint in self._told:
+                self._record_told(record.fingerprint)
+                records.append(record)
+        return tuple(records)
+
     def take_unpublished(self, now: float) -> tuple[CrashRecord, ...] | None:
         """Returns the records for the store if this VM saw a new crash.
 
-        Returns None otherwise: what other VMs have told is no reason for
+        Returns None otherwise, or if the last call was less than
+        PUBLISH_INTERVAL_S ago. What other VMs have told is no reason for
         another call to the store.
         """
-        if not self._is_unpublished:
+        is_due = now - self._published_at >= PUBLISH_INTERVAL_S
+        if not self._is_unpublished or not is_due:
             return None
         self._is_unpublished = False
-        return tuple(
-            record
-            for record in self.shared_records(now)
-            if record.leaves or record.is_quarantined
-        )
+        self._published_at = now
+        records = self.suspects.records(MAX_PUBLISHED_RECORDS, now)
+        return tuple(r for r in records if r.leaves or r.is_quarantined)
 
     async def wait_for_news(self) -> None:
         """Waits until this VM has something to tell since the last call.
@@ -142,3 +187,14 @@
             self._news = trio.Event()
         if settling.cancelled_caught:
             self._settles_at = math.inf
+            self._own_news.update(self._settling)
+            self._settling.clear()
+
+    def _add_own_news(self, fingerprint: str) -> None:
+        self._own_news[fingerprint] = None
+        self._news.set()
+
+    def _record_told(self, fingerprint: str) -> None:
+        self._told[fingerprint] = None
+        while len(self._told) > MAX_TOLD:
+            del self._told[next(iter(self._told))]
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -112,7 +112,7 @@
         POST requests tell of crashes or of limits, or ask for calls to leaves;
         all others ask for the revision or for changes.
         """
-        if request.target == crashexchange.PATH.encode():
+        if request.target.startswith(crashexchange.NEWS_PATH.encode()):
             return self._crashes.handle(request)
         if request.target == limitends.PATH.encode():
             return self._limit_ends.handle(request)
@@ -239,7 +239,14 @@
             lambda self_member, avoided: fleet.change_source(
                 self_member, avoided, trio.current_time()
             ),
-            lambda address: FeedClient(address, nursery, self._store.decode),
+            lambda source: FeedClient(
+                source.peer_address,
+                nursery,
+                self._store.decode,
+                telemetry.domain_traffic(
+                    "feed", source.domain != self._settings.domain
+                ),
+            ),
         )
         peers = PeerServer(
             FeedServer(
@@ -263,10 +270,10 @@
 
         exchange = RevisionExchange(fleet, self_member, nursery)
         start_task("exchange of revisions", exchange.run)
-        start_task(
-            "exchange of crashes", CrashExchange(self._view, nursery).run
-        )
-        limit_ends = LimitEndTeller(self._view, nursery)
+        crashes = CrashExchange(fleet, self_member, nursery)
+        fleet.on_serving = crashes.ask_soon
+        start_task("exchange of crashes", crashes.run)
+        limit_ends = LimitEndTeller(fleet, nursery)
         fleet.on_limit_end = limit_ends.record
         start_task("ends of limits", limit_ends.run)
         start_task("sweeps", pool.run_sweeps)
--- a/libs/gateway/src/sapphire_gateway/feed.py
+++ b/libs/gateway/src/sapphire_gateway/feed.py
@@ -16,6 +16,7 @@
 
 import msgspec
 import trio
+from prometheus_client import Counter
 
 from sapphire_gateway.decoding import DECODING_ERRORS, parse_count
 from sapphire_gateway.httpclient import HttpClient
@@ -242,9 +243,21 @@
     """Long-polls another VM for changes."""
 
     def __init__(
-        self, address: str, nursery: trio.Nursery, decode: Decode
+        self,
+        address: str,
+        nursery: trio.Nursery,
+        decode: Decode,
+        traffic: Counter | None = None,
     ) -> None:
-        self._http = HttpClient(address)
+        """Creates a client without connections.
+
+        Args:
+            address: Address of the other VM.
+            nursery: Runs the connections.
+            decode: Decodes a key's value.
+            traffic: Counts the bytes sent and received, if given.
+        """
+        self._http = HttpClient(address, traffic=traffic)
         self._http.start(nursery)
         self._decode = decode
 
--- a/libs/gateway/src/sapphire_gateway/feedselector.py
+++ b/libs/gateway/src/sapphire_gateway/feedselector.py
@@ -43,13 +43,13 @@
     """The current feed, if any, and the feeds to avoid."""
 
     def __init__(
-        self, select: SelectChangeSource, connect: Callable[[str], Feed]
+        self, select: SelectChangeSource, connect: Callable[[Member], Feed]
     ) -> None:
         """Creates a selector without a feed.
 
         Args:
             select: Chooses the VM to read changes from.
-            connect: Returns a client of the feed at an address.
+            connect: Returns a client of a VM's feed.
         """
         self._select = select
         self._connect = connect
@@ -75,7 +75,7 @@
         if not _is_same(self._source, chosen):
             self._close()
             if chosen is not None:
-                self._feed = self._connect(chosen.peer_address)
+                self._feed = self._connect(chosen)
                 telemetry.event("feed", member=chosen.name)
         self._source = chosen
         return self._feed
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -70,6 +70,8 @@
         budget: Limit of extra calls.
         on_limit_end: Called with a leaf that names no limit any more. Set by
             GatewayDaemon.
+        on_serving: Called when this VM begins to serve callers. Set by
+            GatewayDaemon.
         helpers: VMs that can make calls for this VM. Set by GatewayDaemon after
             the fleet was created, as HelperPool needs the fleet; None before.
     """
@@ -97,8 +99,12 @@
         self._serving: list[Member] = []
         self._serving_expires_at = -math.inf
         self.on_limit_end: Callable[[LeafEntry], None] = lambda _entry: None
+        self.on_serving: Callable[[], None] = lambda: None
         self.helpers: HelperPool | None = None
         pool.max_connections = self._max_connections
+        pool.traffic = lambda entry: telemetry.domain_traffic(
+            "leaf calls", entry.domain != domain
+        )
         pool.on_crash = self._record_crash
         pool.on_unreachable = self._record_unreachable
 
@@ -119,9 +125,12 @@
         self._cold_limiter.set_members(members.names(now))
         self.view.crashes.suspects.set_members(members.names(now))
         serving = self.serving_members(now)
+        was_serving = self._is_serving
         self._is_serving = any(
             member.name == self.view.self_name for member in serving
         )
+        if self._is_serving and not was_serving:
+            self.on_serving()
         self._serving_count = max(
             1, self._serving_peak.update(len(serving), now)
         )
--- a/libs/gateway/src/sapphire_gateway/helperpool.py
+++ b/libs/gateway/src/sapphire_gateway/helperpool.py
@@ -92,7 +92,12 @@
     def _client(self, helper: Member) -> HttpClient:
         client = self._clients.get(helper.peer_address)
         if client is None:
-            client = HttpClient(helper.peer_address, SMALL_REPLY_LIMITS)
+            traffic = telemetry.domain_traffic(
+                "delegation", helper.domain != self._fleet.domain
+            )
+            client = HttpClient(
+                helper.peer_address, SMALL_REPLY_LIMITS, traffic
+            )
             client.start(self._nursery)
             self._clients[helper.peer_address] = client
         return client
--- a/libs/gateway/src/sapphire_gateway/httpclient.py
+++ b/libs/gateway/src/sapphire_gateway/httpclient.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import trio
+from prometheus_client import Counter
 
 from sapphire_gateway import supervision
 from sapphire_gateway.calls import Call, CallResult
@@ -32,15 +33,20 @@
     """Sends requests to one server, each on an idle or new connection."""
 
     def __init__(
-        self, address: str, reply_limits: ReplyLimits = LARGE_REPLY_LIMITS
+        self,
+        address: str,
+        reply_limits: ReplyLimits = LARGE_REPLY_LIMITS,
+        traffic: Counter | None = None,
     ) -> None:
         """Creates a client without connections.
 
         Args:
             address: Host and port of the server.
             reply_limits: Limits of each reply.
+            traffic: Counts the bytes sent and received, if given.
         """
         self._address = address
+        self._traffic = traffic
         self._reply_limits = reply_limits
         self._nursery: trio.Nursery | None = None
         self._connections: list[Connection] = []
@@ -127,6 +133,7 @@
             _ignore,
             _ignore,
             self._reply_limits,
+            self._traffic,
         )
         self._connections.append(connection)
         return connection
--- a/libs/gateway/src/sapphire_gateway/limitends.py
+++ b/libs/gateway/src/sapphire_gateway/limitends.py
@@ -1,4 +1,4 @@
-"""Tells the VMs of a fleet that a leaf no longer names a limit.
+"""Tells the VMs that call leaves that one no longer names a limit.
 
 A VM without a share of the limit sends the leaf a request each half minute only
 and would notice its end that late. Another VM has a share, and notices it
@@ -14,7 +14,7 @@
 
 from sapphire_gateway import peercalls, supervision, telemetry
 from sapphire_gateway.decoding import DECODING_ERRORS
-from sapphire_gateway.fleet_view import FleetView
+from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.messages import Request, Response
 from sapphire_gateway.pool import LeafPool
 from sapphire_gateway.store import StoreUnavailableError
@@ -73,16 +73,16 @@
 
 
 class LimitEndTeller:
-    """Tells the other VMs of the ends of limits that this VM notices."""
+    """Tells other VMs of the ends of limits that this VM notices."""
 
-    def __init__(self, view: FleetView, nursery: trio.Nursery) -> None:
+    def __init__(self, fleet: Fleet, nursery: trio.Nursery) -> None:
         """Creates a teller that does not run yet.
 
         Args:
-            view: Has the members.
+            fleet: Has the members.
             nursery: Runs the connections.
         """
-        self._view = view
+        self._fleet = fleet
         self._nursery = nursery
         # Time of the first answer without a limit, by incarnation.
         self._ends: dict[tuple[str, int, str], float] = {}
@@ -104,7 +104,7 @@
                 supervision.run_once,
                 "telling ends of limits",
                 peercalls.tell_all,
-                peercalls.other_vms(self._view),
+                peercalls.calling_vms(self._fleet),
                 lambda peer, content=content: self._tell(peer, content),
             )
 
@@ -118,7 +118,9 @@
 
     async def _tell(self, peer: Member, content: bytes) -> None:
         try:
-            reply = await peercalls.post(peer, PATH, content, self._nursery)
+            reply = await peercalls.post(
+                self._fleet, peer, PATH, content, self._nursery
+            )
         except StoreUnavailableError:
             telemetry.LIMIT_ENDS_TOLD.labels("failed").inc()
             return
--- a/libs/gateway/src/sapphire_gateway/peercalls.py
+++ b/libs/gateway/src/sapphire_gateway/peercalls.py
@@ -7,7 +7,8 @@
 import trio
 from sapphire_core.members import Member
 
-from sapphire_gateway.fleet_view import FleetView
+from sapphire_gateway import telemetry
+from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Reply
 from sapphire_gateway.replyreader import SMALL_REPLY_LIMITS
@@ -17,21 +18,30 @@
 MAX_CONCURRENT = 16
 
 
-def other_vms(view: FleetView) -> list[Member]:
-    """Returns the VMs that can be told, also those that are being stopped."""
+def calling_vms(fleet: Fleet) -> list[Member]:
+    """Returns the other VMs that may send requests to leaves.
+
+    These are the serving ones and those that are being stopped: callers send
+    requests to them, and other VMs delegate calls to them.
+    """
+    now = trio.current_time()
+    serving = {member.name for member in fleet.serving_members(now)}
     return [
         member
-        for member in view.members.all(trio.current_time())
-        if member.peer_address and member.name != view.self_name
+        for member in fleet.view.members.all(now)
+        if (member.leaving or member.name in serving)
+        and member.peer_address
+        and member.name != fleet.view.self_name
     ]
 
 
 async def post(
-    peer: Member, path: str, content: bytes, nursery: trio.Nursery
+    fleet: Fleet, peer: Member, path: str, content: bytes, nursery: trio.Nursery
 ) -> Reply:
     """Sends a message to a VM and returns its reply.
 
     Args:
+        fleet: Knows the failure domain of this VM.
         peer: The VM.
         path: Path that says what the message is.
         content: The message.
@@ -40,7 +50,8 @@
     Raises:
         StoreUnavailableError: There was no reply within TIMEOUT_S.
     """
-    client = HttpClient(peer.peer_address, SMALL_REPLY_LIMITS)
+    traffic = telemetry.domain_traffic(path, peer.domain != fleet.domain)
+    client = HttpClient(peer.peer_address, SMALL_REPLY_LIMITS, traffic)
     client.start(nursery)
     try:
         return await client.request(
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 import trio
+from prometheus_client import Counter
 from sapphire_core.choice import LeafLoad
 from sapphire_core.fanout import Failure
 from sapphire_core.leafset import LeafEntry
@@ -113,6 +114,8 @@
     Attributes:
         max_connections: Returns the maximum number of connections to a leaf.
             Set by Fleet, from the configuration and the number of VMs.
+        traffic: Returns the counter of the bytes exchanged with a leaf. Set by
+            Fleet.
         on_crash: Called with a leaf that has crashed and the calls that were
             running on it. Set by Fleet.
         on_unreachable: Called with a leaf to which no connection can be opened.
@@ -131,6 +134,7 @@
         self.max_connections: Callable[[LeafEntry], int] = lambda _: (
             INITIAL_MAX_CONNECTIONS
         )
+        self.traffic: Callable[[LeafEntry], Counter | None] = lambda _: None
         self.on_crash: Callable[[LeafEntry, list[LostCall]], None] = (
             lambda _entry, _lost_calls: None
         )
@@ -343,7 +347,11 @@
             self._on_closed(endpoint, connection)
 
         connection = Connection(
-            endpoint.entry.address, classify, on_free, on_closed
+            endpoint.entry.address,
+            classify,
+            on_free,
+            on_closed,
+            traffic=self.traffic(endpoint.entry),
         )
         endpoint.connections.append(connection)
         self._opened_count += 1
--- a/libs/gateway/src/sapphire_gateway/revisionexchange.py
+++ b/libs/gateway/src/sapphire_gateway/revisionexchange.py
@@ -80,7 +80,10 @@
         freshness = self._fleet.view.freshness
         client = self._clients.get(peer.peer_address)
         if client is None:
-            client = HttpClient(peer.peer_address, SMALL_REPLY_LIMITS)
+            traffic = telemetry.domain_traffic(
+                PATH, peer.domain != self._fleet.domain
+            )
+            client = HttpClient(peer.peer_address, SMALL_REPLY_LIMITS, traffic)
             client.start(self._nursery)
             self._clients[peer.peer_address] = client
         target = f"{PATH}?known={freshness.revision or 0}"
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -71,7 +71,7 @@
         own_entry: Member,
         on_change: Callable[[], None],
         select_change_source: SelectChangeSource,
-        connect_feed: Callable[[str], Feed],
+        connect_feed: Callable[[Member], Feed],
     ) -> None:
         """Prepares the loops; `run` starts them.
 
@@ -82,7 +82,7 @@
             on_change: Called after a batch was applied to the view as a whole.
                 There is no call after the members are read to choose a feed.
             select_change_source: Chooses the VM to read changes from.
-            connect_feed: Returns a client of the feed at an address.
+            connect_feed: Returns a client of a VM's feed.
         """
         self._store = store
         self._view = view
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -91,6 +91,14 @@
     " the pause they asked for.",
     registry=REGISTRY,
 )
+DOMAIN_TRAFFIC = Counter(
+    "sapphirecross_domain_traffic_bytes_total",
+    "Bytes that this VM exchanged with other failure domains as a client, both"
+    " ways, by purpose. Connections to the store count whatever its domain."
+    " Without TCP and IP headers.",
+    ["purpose"],
+    registry=REGISTRY,
+)
 FAILED_CALLS = Counter(
     "sapphirecross_leaf_calls_failed_total",
     "Calls to leaves without a good reply, by kind of failure.",
@@ -288,6 +296,16 @@
     eliot.log_message(message_type=f"gateway:{kind}", **fields)
 
 
+def domain_traffic(purpose: str, is_remote: bool) -> Counter | None:
+    """Returns the counter of a connection's bytes; None if it has none.
+
+    Args:
+        purpose: What the connection is for.
+        is_remote: Whether it leads to another failure domain.
+    """
+    return DOMAIN_TRAFFIC.labels(purpose) if is_remote else None
+
+
 def count_request(route: str, priority: int | None, result: str) -> None:
     """Counts a request by its route, priority and result."""
     request_class = "none" if priority is None else f"priority-{priority}"
--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -243,8 +243,8 @@
             left = [f for f in feeds if f.name not in avoided]
             return left[0] if left else None
 
-        def connect(address):
-            return FakeFeed(address, feed_store or store)
+        def connect(member):
+            return FakeFeed(member.peer_address, feed_store or store)
 
         sync = Sync(
             store, view, OWN_ENTRY, lambda: on_change(view), choose, connect
@@ -335,7 +335,7 @@
         Member(name, f"{name}:80", "z1"),
         lambda: None,
         choose,
-        lambda address: DirectFeed(feeds[address], store.decode),
+        lambda member: DirectFeed(feeds[member.peer_address], store.decode),
     )
     sync.view = view
     return sync
--- a/libs/gateway/tests/test_limitends.py
+++ b/libs/gateway/tests/test_limitends.py
@@ -52,7 +52,7 @@
         member = Member("vm2", "127.0.0.1:1", "z1", peer_address=address)
         now = trio.current_time()
         apply_update(MemberUpdate(member), harness.view, now)
-        teller = LimitEndTeller(harness.view, harness.nursery)
+        teller = LimitEndTeller(harness.fleet, harness.nursery)
         harness.fleet.on_limit_end = teller.record
         harness.nursery.start_soon(teller.run)
         assert (await harness.request()).status == 200
@@ -124,7 +124,7 @@
     async def test(harness):
         await harness.leaf("s", lambda r: reply(r, b"a"))
         (known,) = harness.view.registry.leaves
-        teller = LimitEndTeller(harness.view, harness.nursery)
+        teller = LimitEndTeller(harness.fleet, harness.nursery)
         for number in range(MAX_ENDS + 5):
             teller.record(dataclasses.replace(known.entry, born_ms=number))
         assert len(msgspec.msgpack.decode(teller._take())) == MAX_ENDS
