gateway: Let the serving VMs alone call cold leaves and run canaries

Cause: the rate of a cold leaf, and the order in which VMs run a suspected request again, were divided between all members. With 195 VMs, of which 15 serve, most of the three VMs that may call a cold leaf are spare and get no requests, so that its rate is lost while it is cold; and the canaries of most serving VMs have the longest delay, so that they run at the same moment.

Found by reading the code for what grows with the fleet.

Change: both are divided between the serving members. A VM that does not serve calls no cold leaf.

--- a/libs/core/src/sapphire_core/coldshare.py
+++ b/libs/core/src/sapphire_core/coldshare.py
@@ -25,8 +25,12 @@
         self._next_send_at: dict[str, float] = {}
 
     def set_members(self, members: Iterable[str]) -> None:
-        """Sets the names of all VMs that may send."""
-        self._members = tuple(sorted({*members, self._member}))
+        """Sets the names of the VMs that may send; this VM if there are none.
+
+        They should be those that get requests: a share of the rate that a
+        spare VM has is lost.
+        """
+        self._members = tuple(sorted(members)) or (self._member,)
 
     def may_send(self, leaf_id: str, rate: float, now: float) -> bool:
         """Returns whether a request to the cold leaf is within its rate.
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -117,18 +117,17 @@
         """Recomputes this VM's shares after the fleet view has changed.
 
         Also determines whether this VM serves callers, and updates the metrics.
-        The rates of cold leaves are divided between all members, the budget of
-        extra calls only between the serving ones.
+        The rates of cold leaves and the budget of extra calls are divided
+        between the serving members, which also run canaries one after the
+        other: spare ones get no requests.
         """
         self._serving_expires_at = -math.inf
-        members = self.view.members
-        self._cold_limiter.set_members(members.names(now))
-        self.view.crashes.suspects.set_members(members.names(now))
         serving = self.serving_members(now)
+        serving_names = [member.name for member in serving]
+        self._cold_limiter.set_members(serving_names)
+        self.view.crashes.suspects.set_members(serving_names)
         was_serving = self._is_serving
-        self._is_serving = any(
-            member.name == self.view.self_name for member in serving
-        )
+        self._is_serving = self.view.self_name in serving_names
         if self._is_serving and not was_serving:
             self.on_serving()
         self._serving_count = max(
@@ -137,7 +136,7 @@
         budget_share = 1.0 / self._serving_count if self._is_serving else 0.0
         self.budget.set_share(budget_share)
         telemetry.LEAVES.set(len(self.view.registry))
-        telemetry.MEMBERS.set(len(members.names(now)))
+        telemetry.MEMBERS.set(len(self.view.members.names(now)))
 
     def remove_expired_leaves(self, now: float) -> None:
         """Removes the unusable leaves without an entry.
