--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -49,8 +49,12 @@
 from sapphire_gateway.records import greatest
 
 # A VM whose copy of the store was last known to be current longer ago rejects
-# delegated calls, since it might call leaves that have left.
+# delegated calls, since it might call leaves that have left. It accepts them if
+# the copy of the coordinator, which would call the leaves itself, is as old: an
+# outage of the store makes all copies old together.
 MAX_DATA_AGE_S = 2.5
+# Renewals confirm the copies of two VMs at different times.
+DATA_AGE_TOLERANCE_S = 1.5
 
 _REQUEST_DECODERS: dict[
     bytes, msgspec.msgpack.Decoder[DelegationRequest | RemainderRequest]
@@ -187,7 +191,9 @@
     async def _handle_calls(self, request: DelegationRequest) -> Response:
         now = trio.current_time()
         self._freshness.learn_revision(request.revision, now)
-        if self._freshness.age_s(now) > MAX_DATA_AGE_S:
+        coordinator_age_s = request.data_age_ms / MS_PER_S
+        limit_s = max(MAX_DATA_AGE_S, coordinator_age_s + DATA_AGE_TOLERANCE_S)
+        if self._freshness.age_s(now) > limit_s:
             return Response(503, [])
         if self._is_suspected(request, now):
             return _encoded(_declined(request))
--- a/libs/gateway/src/sapphire_gateway/delegated_parts.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_parts.py
@@ -162,6 +162,7 @@
             final_response_ms=max(0.0, final_response_at - now) * MS_PER_S,
             top=job.route.gather.top,
             revision=self._fleet.view.freshness.revision or 0,
+            data_age_ms=self._fleet.view.freshness.age_s(now) * MS_PER_S,
         )
 
     def _handle_response(
--- a/libs/gateway/src/sapphire_gateway/delegation_messages.py
+++ b/libs/gateway/src/sapphire_gateway/delegation_messages.py
@@ -32,6 +32,7 @@
             merged ones.
         revision: Revision of the coordinator's copy of the store; 0 if it has
             none.
+        data_age_ms: Time since that copy was known to be current.
     """
 
     route: str
@@ -46,6 +47,8 @@
     final_response_ms: float
     top: int
     revision: int = 0
+    # VMs of an earlier version leave it out.
+    data_age_ms: float = 0.0
 
 
 class RemainderRequest(msgspec.Struct, array_like=True):
--- a/libs/gateway/tests/test_delegated_calls.py
+++ b/libs/gateway/tests/test_delegated_calls.py
@@ -43,8 +43,11 @@
         self.is_silent = False
         self.leaves = {}
 
-    async def start(self, target_s=1.2, helper_data_age_s=0.1):
+    async def start(self, target_s=1.2, helper_data_age_s=0.1, own_age_s=0.1):
         """Starts the leaves and the helper, and configures the route."""
+        self.harness.view.freshness.record_current(
+            HELPER_REVISION, trio.current_time() - own_age_s
+        )
         self.helper_view.freshness.record_current(
             HELPER_REVISION, trio.current_time() - helper_data_age_s
         )
@@ -142,6 +145,21 @@
     run_with_harness(test)
 
 
+def test_helper_accepts_calls_while_all_copies_are_old(run_with_harness):
+    """Guards against direct calls of all parts in an outage of the store."""
+
+    async def test(harness):
+        delegation = DelegationHarness(harness)
+        age_s = MAX_DATA_AGE_S + 1
+        await delegation.start(helper_data_age_s=age_s + 1, own_age_s=age_s)
+        check_complete(await harness.request())
+        check_complete(await harness.request(request_id="r2"))
+        assert delegation.request_count == 2
+        assert delegation.leaf_request_counts() == [2, 2, 2, 2]
+
+    run_with_harness(test)
+
+
 def test_slow_part_is_fetched_by_a_second_request(run_with_harness):
     """A part that completes after the helper's first response is not lost."""
 
