gateway: Let a few serving VMs watch the store, the others read feeds

Change: up to eight serving VMs watch, equally many in each failure domain and at least one; the other serving ones read from their feeds as spare VMs do. A VM that reads a feed renews its lease each 1.8 s in place of 1.2 s: its renewals do not confirm its copy. Fleets of up to four domains with two serving VMs each work as before.

--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -34,6 +34,9 @@
 MIN_STRONG_CORES_SHARE = 0.1
 # Of so many comparisons of crash records, one is with a VM of another domain.
 REMOTE_EXCHANGE_TURNS = 3
+# Number of serving VMs that watch the store; the failure domains have equally
+# many, and at least one each.
+MAX_WATCHERS = 8
 # Number of VMs in its own failure domain with which a VM compares revisions.
 LOCAL_REVISION_PEERS = 2
 # Smallest number of VMs advertised to a caller, so that one remains if another
@@ -214,17 +217,34 @@
     return strong if is_enough and len(strong) >= MIN_ADVERTISED else members
 
 
+def select_watchers(serving: list[Member]) -> list[Member]:
+    """Returns the serving members that read changes from the store.
+
+    Each change costs a call of each of them, so that they are few, whatever the
+    size of the fleet. The others read from their feeds.
+
+    Args:
+        serving: Members that serve callers, the preferred ones of each failure
+            domain first.
+    """
+    by_domain: dict[str, list[Member]] = {}
+    for member in serving:
+        by_domain.setdefault(member.domain, []).append(member)
+    quota = max(1, MAX_WATCHERS // max(1, len(by_domain)))
+    return [m for members in by_domain.values() for m in members[:quota]]
+
+
 def select_change_source(
-    vm: Member, serving: list[Member], avoided: Container[str]
+    vm: Member, watchers: list[Member], avoided: Container[str]
 ) -> Member | None:
     """Returns the member from which a VM should read changes to the store.
 
-    The store is the fleet's key-value store. Only VMs that serve callers read
-    its changes directly, unless no serving member is usable.
+    The store is the fleet's key-value store. Only the watchers read its changes
+    directly, unless none of them is usable.
 
     Args:
         vm: The VM.
-        serving: Members that serve callers; they read the store themselves.
+        watchers: Members that read the store themselves.
         avoided: Names of members that are not chosen, because they did not
             answer a request for changes.
 
@@ -232,11 +252,11 @@
         A member, in the same failure domain if possible; VMs are spread about
         evenly over the members. None if the VM should ask the store.
     """
-    if any(member.name == vm.name for member in serving):
+    if any(member.name == vm.name for member in watchers):
         return None
     usable = {
         member.name: member
-        for member in serving
+        for member in watchers
         if member.peer_address and member.name not in avoided
     }
     local = [name for name, m in usable.items() if m.domain == vm.domain]
@@ -252,7 +272,7 @@
 
     Args:
         vm: The VM.
-        serving: Members that serve callers; they read the store themselves.
+        serving: Members that serve callers.
 
     Returns:
         Up to LOCAL_REVISION_PEERS members of the VM's own failure domain and
--- a/libs/core/tests/test_members.py
+++ b/libs/core/tests/test_members.py
@@ -5,15 +5,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from sapphire_core.members import (
+    MAX_WATCHERS,
     MISSING_GRACE_S,
     PEAK_WINDOW_S,
     Member,
     Members,
     RecentPeak,
     select_change_source,
+    select_exchange_partner,
     select_for_caller,
     select_revision_peers,
     select_serving,
+    select_watchers,
 )
 
 A1 = Member("a1", "10.0.0.1:80", "a")
@@ -264,3 +267,69 @@
 def test_spare_vm_compares_no_revisions():
     """It hears the revision from its feed."""
     assert select_revision_peers(C1, _peers("a", 3)) == []
+
+
+def serving_fleet(domains, per_domain):
+    """Returns serving members, equally many in each failure domain."""
+    return [
+        Member(f"{d}{n}", f"10.0.0.{n}:80", d, peer_address=f"10.0.0.{n}:81")
+        for d in domains
+        for n in range(per_domain)
+    ]
+
+
+@given(st.integers(1, 6), st.integers(1, 5))
+def test_crash_records_reach_every_serving_vm(domain_count, per_domain):
+    """Guards against VMs whose records no other VM ever asks for."""
+    serving = serving_fleet("abcdef"[:domain_count], per_domain)
+    turns = 3 * len(serving) + 3
+    asked = {
+        vm.name: {
+            partner.name
+            for turn in range(turns)
+            if (partner := select_exchange_partner(vm, serving, turn))
+        }
+        for vm in serving
+    }
+    for vm in serving:
+        assert asked[vm.name] == {m.name for m in serving} - {vm.name}
+
+
+def test_crash_records_are_mostly_compared_within_the_domain():
+    """Guards against bytes between domains that nothing asks for."""
+    serving = serving_fleet("abc", 3)
+    chosen = [
+        select_exchange_partner(serving[0], serving, t) for t in range(30)
+    ]
+    assert sum(partner.domain != "a" for partner in chosen) == 10
+    spare = Member("a9", "10.0.0.9:80", "a", peer_address="10.0.0.9:81")
+    chosen = [select_exchange_partner(spare, serving, t) for t in range(9)]
+    assert {partner.name for partner in chosen} == {"a0", "a1", "a2"}
+    elsewhere = Member("z9", "10.0.0.8:80", "z", peer_address="10.0.0.8:81")
+    chosen = [select_exchange_partner(elsewhere, serving, t) for t in range(99)]
+    assert {partner.name for partner in chosen} == {m.name for m in serving}
+
+
+def test_last_serving_vm_has_no_partner():
+    (alone,) = serving_fleet("a", 1)
+    assert select_exchange_partner(alone, [alone], 0) is None
+
+
+@given(st.integers(1, 9), st.integers(1, 30))
+def test_watchers_are_few_and_in_each_domain(domain_count, per_domain):
+    """Guards against calls to the store that grow with the serving VMs."""
+    serving = serving_fleet("abcdefghi"[:domain_count], per_domain)
+    watchers = select_watchers(serving)
+    assert {m.domain for m in watchers} == {m.domain for m in serving}
+    assert len(watchers) <= max(MAX_WATCHERS, domain_count)
+    assert set(watchers) <= set(serving)
+
+
+def test_serving_vm_that_is_no_watcher_reads_from_one_of_its_domain():
+    """Guards against each serving VM calling the store for each change."""
+    serving = serving_fleet("abcde", 3)
+    watchers = select_watchers(serving)
+    sources = [select_change_source(m, watchers, ()) for m in serving]
+    assert sources.count(None) == len(watchers) == 5
+    for member, source in zip(serving, sources, strict=True):
+        assert source is None or source.domain == member.domain
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -19,6 +19,7 @@
     select_change_source,
     select_for_caller,
     select_serving,
+    select_watchers,
 )
 from sapphire_core.retrybudget import RetryBudget, RetryBudgetPolicy
 
@@ -187,9 +188,8 @@
         live = self.view.members.live(now)
         if all(member.name != own_entry.name for member in live):
             live.append(own_entry)
-        return select_change_source(
-            own_entry, self._serving_among(live), avoided
-        )
+        watchers = select_watchers(self._serving_among(live))
+        return select_change_source(own_entry, watchers, avoided)
 
     def members_for_caller(
         self, caller_domain: str, now: float
--- a/libs/gateway/src/sapphire_gateway/ownentry.py
+++ b/libs/gateway/src/sapphire_gateway/ownentry.py
@@ -23,6 +23,10 @@
 # A renewal costs a tenth of any other call to the store, so renewals can be
 # frequent.
 RENEW_INTERVAL_S = 1.2
+# The same for a VM that reads from a feed: its renewals do not confirm its copy
+# of the store. A renewal that fails can be repeated twice before the lease
+# ends, also if it failed by its time-out.
+FEED_RENEW_INTERVAL_S = 1.8
 # Interval between renewals while the store does not respond.
 RETRY_INTERVAL_S = 0.7
 
@@ -97,7 +101,9 @@
         """Keeps the entry written and its lease renewed, until cancelled."""
         while True:
             self._renew_now = trio.Event()
-            pause = RENEW_INTERVAL_S
+            pause = FEED_RENEW_INTERVAL_S
+            if self._contact.is_watching_store:
+                pause = RENEW_INTERVAL_S
             try:
                 await self._renew()
                 self._contact.record_response()
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -1,9 +1,10 @@
 """Keeps the fleet view up to date, and this VM's entry in the store.
 
-Each VM of the fleet writes an entry (a Member) about itself to the store. VMs
-that serve callers read changes from the store. The others read them from the
-feed of a serving VM, which relays the changes, so that the number of watches
-does not grow with the size of the fleet. The number of lease renewals does.
+Each VM of the fleet writes an entry (a Member) about itself to the store. Some
+of the VMs that serve callers, the watchers, read changes from the store. The
+others read them from the feed of a watcher, which relays the changes, so that
+the number of watches does not grow with the size of the fleet. The number of
+lease renewals does.
 """
 
 from __future__ import annotations
