gateway: Hedge after the time of most parts since the request's arrival

The delay was the 95th percentile of reply times counted from the sending of each call, but applied from the arrival of the request: the last calls of a search over 87 parts had hardly left.

--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -73,6 +73,7 @@
         self._job = job
         self._fleet = fleet
         self._leaf_caller = LeafCaller(fleet, _call_spec(job), reply_times)
+        self._hedge_delay = reply_times.hedge_delay
         self._fanout = FanOut(job.parts, job.policy)
         self._attempts = {part: _Attempts() for part in job.parts}
         self._gate = RepeatGate(job.is_canary)
@@ -288,7 +289,9 @@
             telemetry.CALLS_BY_PURPOSE[purpose].inc()
         self._attempts[part].leaf_ids.add(entry.leaf_id)
         self._fanout.record_sent(part)
-        on_end = functools.partial(self._handle_result, part, entry)
+        on_end = functools.partial(
+            self._handle_result, part, entry, purpose == "first"
+        )
         self._calls.append(self._leaf_caller.send(choice, on_end, now))
 
     def _choose(self, part: str, now: float) -> LeafChoice | None:
@@ -298,9 +301,14 @@
         )
 
     def _handle_result(
-        self, part: str, entry: LeafEntry, result: CallResult
+        self, part: str, entry: LeafEntry, is_first: bool, result: CallResult
     ) -> None:
         if result.failure is None and result.reply is not None:
+            if is_first:
+                # Also of a part that a hedge has completed: else only the
+                # quick first calls would count.
+                elapsed_s = trio.current_time() - self._job.received_at
+                self._hedge_delay.record_completion(elapsed_s)
             self.handle_reply(part, result.reply)
         else:
             self.handle_failure(part, entry.leaf_id, result)
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -39,10 +39,6 @@
     CrashVerdict.HELD: "may crash leaves",
     CrashVerdict.QUARANTINED: "crashes leaves",
 }
-# Hedges are sent when the time since the request's arrival exceeds the 95th
-# percentile of reply times, within these shares of the route's target latency.
-MIN_HEDGE_DELAY_SHARE = 0.15
-MAX_HEDGE_DELAY_SHARE = 0.5
 # A request is ended this long before the last time at which its answer would
 # still reach the caller by the deadline.
 GIVE_UP_MARGIN_S = 0.01
@@ -240,6 +236,7 @@
             route,
             parts,
             policy,
+            request.received_at,
             is_canary,
         )
 
@@ -260,11 +257,7 @@
         give_up_at = (
             started_at + timeout_s - delivery_delay_s - GIVE_UP_MARGIN_S
         )
-        reply_times = self._reply_times_of(route)
-        hedge_s = min(
-            max(reply_times.p95_s, MIN_HEDGE_DELAY_SHARE * route.target_s),
-            MAX_HEDGE_DELAY_SHARE * route.target_s,
-        )
+        hedge_s = self._reply_times_of(route).hedge_delay.delay_s
         return FanOutPolicy(
             min_parts,
             max(1, route.max_attempts),
--- a/libs/gateway/src/sapphire_gateway/job.py
+++ b/libs/gateway/src/sapphire_gateway/job.py
@@ -26,6 +26,7 @@
         is_canary: Whether the request is suspected of crashing leaves, so that
             it is first sent to a single leaf.
         policy: Deadlines and rules for retries, hedges and the answer.
+        received_at: Time at which the request was read.
     """
 
     request_id: bytes
@@ -36,6 +37,7 @@
     route: Route
     parts: tuple[str, ...]
     policy: FanOutPolicy
+    received_at: float
     is_canary: bool = False
 
     @property
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -10,6 +10,7 @@
 import trio
 from sapphire_core.choice import CallProfile, Candidate, Estimate, choose_leaf
 from sapphire_core.fanout import Failure
+from sapphire_core.hedging import HedgeDelay
 from sapphire_core.latency import RunningQuantile
 from sapphire_core.leafset import LeafEntry
 
@@ -38,6 +39,7 @@
 
     median: RunningQuantile
     p95: RunningQuantile
+    hedge_delay: HedgeDelay
 
     @classmethod
     def for_target(cls, target_s: float) -> ReplyTimes:
@@ -46,6 +48,7 @@
         return cls(
             RunningQuantile(0.5, target_ms * 0.2),
             RunningQuantile(0.95, target_ms * 0.4),
+            HedgeDelay(target_s),
         )
 
     def add(self, elapsed_s: float) -> None:
