gateway: Open no connection beside others after a leaf has reset one

Spare VMs, to which a few requests are sent directly, kept a connection open to each leaf that they had called, 180 VMs for a cap of 120; serving VMs then tried again with each change of the fleet's view.

Change: a VM that serves no callers closes a connection after its reply. After a reset of a new connection no further one is opened beside those that the leaf keeps, nor in advance, for 0.5 s, doubled up to 8 s. A leaf that resets one connection and keeps another does not count as unreachable.

--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -73,8 +73,11 @@
         self._unsent = b""
         self._is_connected = False
         self._is_closed = False
+        self._is_closed_by_server = False
+        self._has_replied = False
         self._has_received = False
         self._server_idle_timeout_s: float | None = None
+        self.connected_at = 0.0
         self.idle_since = 0.0
         self.connect_time_s = 0.0
 
@@ -93,6 +96,16 @@
         """Whether the connection was ever established."""
         return self._is_connected
 
+    @property
+    def is_closed_by_server(self) -> bool:
+        """Whether the server has ended the connection, or it failed."""
+        return self._is_closed_by_server
+
+    @property
+    def has_replied(self) -> bool:
+        """Whether a whole reply was ever received."""
+        return self._has_replied
+
     @property
     def call(self) -> Call | None:
         """The call in progress, if any."""
@@ -141,6 +154,7 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self._is_closed_by_server = is_closed_by_server
         if self._socket is not None:
             with contextlib.suppress(OSError):
                 trio.lowlevel.notify_closing(self._socket)
@@ -183,7 +197,7 @@
             self.close(f"connecting failed: {errno.errorcode.get(code, code)}")
             return False
         self._is_connected = True
-        self.idle_since = trio.current_time()
+        self.connected_at = self.idle_since = trio.current_time()
         self.connect_time_s = self.idle_since - started
         if self._call is not None:
             self._send(self._call)
@@ -283,6 +297,7 @@
     def _finish_call(self, reply: Reply, ends_connection: bool) -> None:
         call, self._call = self._call, None
         assert call is not None
+        self._has_replied = True
         result = self._classify_reply(reply, call)
         must_close = (
             ends_connection or bool(self._unsent) or not reply.keeps_alive
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -129,8 +129,11 @@
         self.view.crashes.suspects.set_members(serving_names)
         was_serving = self._is_serving
         self._is_serving = self.view.self_name in serving_names
+        self.pool.keeps_idle = self._is_serving
         if self._is_serving and not was_serving:
             self.on_serving()
+        elif was_serving and not self._is_serving:
+            self.pool.close_idle("the VM serves no callers any more")
         self._serving_count = max(
             1, self._serving_peak.update(len(serving), now)
         )
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -318,7 +318,9 @@
             load.waiting.pop(call.number, None)
             return
         load.record_failure(call.number, now)
-        if result.is_silent:
+        # A leaf that has reset one connection and keeps others is reachable.
+        is_reset = result.is_closed_by_server and endpoint.is_connected
+        if result.is_silent and not is_reset:
             load.record_unreachable(now)
         if result.reply is not None and result.failure is Failure.NOT_RUN:
             self._fleet.handle_rejection(entry, result.reply)
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -34,6 +34,13 @@
 MAX_TERMS = 20_000
 # A call without a reply is ended this long after its expiry.
 EXPIRY_GRACE_S = 0.1
+# After a leaf has closed a new connection without a reply, for example because
+# it accepts no more, no other is opened beside those that it keeps for the
+# initial back-off, which doubles up to the maximum.
+INITIAL_REFUSAL_BACKOFF_S = 0.5
+MAX_REFUSAL_BACKOFF_S = 8.0
+# A connection that is closed later may have been idle for too long.
+MAX_REFUSAL_AGE_S = 0.25
 # Assumed time to connect to a leaf before the first measurement.
 INITIAL_CONNECT_S = 0.005
 # Maximum number of connections to a leaf until Fleet sets max_connections.
@@ -73,6 +80,8 @@
         lost_calls: By fingerprint, the last call that was lost, until it is
             known whether the leaf crashed. Added by LeafCaller.
         average_connect_s: Moving average of the time to connect, in seconds.
+        refused_until: Time before which no connection is opened beside others.
+        refusal_backoff_s: Present back-off after a refused connection.
     """
 
     entry: LeafEntry
@@ -83,6 +92,16 @@
     queue: collections.deque[Call] = field(default_factory=collections.deque)
     lost_calls: dict[str, LostCall] = field(default_factory=dict)
     average_connect_s: float = INITIAL_CONNECT_S
+    refused_until: float = 0.0
+    refusal_backoff_s: float = 0.0
+
+    def record_refusal(self, now: float) -> None:
+        """Records that the leaf has closed a connection without a reply."""
+        self.refusal_backoff_s = min(
+            MAX_REFUSAL_BACKOFF_S,
+            max(INITIAL_REFUSAL_BACKOFF_S, 2 * self.refusal_backoff_s),
+        )
+        self.refused_until = now + self.refusal_backoff_s
 
     def take_free(self, call: Call, now: float) -> Connection | None:
         """Takes the most recently used free connection, or returns None."""
@@ -100,6 +119,14 @@
             connection.close("idle for too long")
         return None
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether any connection is established."""
+        return any(
+            connection.was_established and not connection.is_closed
+            for connection in self.connections
+        )
+
     @property
     def expected_connect_s(self) -> float:
         """Expected time until a call can be sent, apart from queueing."""
@@ -112,6 +139,9 @@
     The connections run in the nursery of the daemon.
 
     Attributes:
+        keeps_idle: Whether connections stay open after a reply. Set by Fleet:
+            the many VMs that serve no callers would else use up the connections
+            that a leaf accepts.
         max_connections: Returns the maximum number of connections to a leaf.
             Set by Fleet, from the configuration and the number of VMs.
         traffic: Returns the counter of the bytes exchanged with a leaf. Set by
@@ -131,6 +161,7 @@
         self._terms: dict[tuple[str, int, str], LeafTerms] = {}
         self._busy: set[Connection] = set()
         self._opened_count = 0
+        self.keeps_idle = True
         self.max_connections: Callable[[LeafEntry], int] = lambda _: (
             INITIAL_MAX_CONNECTIONS
         )
@@ -219,9 +250,15 @@
             )
 
     def connect(self, entry: LeafEntry) -> None:
-        """Opens a connection to a leaf in advance, unless there is one."""
+        """Opens a connection to a leaf in advance, unless there is one.
+
+        Nor is it opened soon after the leaf has refused one.
+        """
         endpoint = self.get_or_create(entry)
-        if not endpoint.connections:
+        if (
+            not endpoint.connections
+            and trio.current_time() >= endpoint.refused_until
+        ):
             self._open(endpoint, None)
 
     def call_after_closing(self, function: Callable[[], None]) -> None:
@@ -243,7 +280,10 @@
         if connection is not None:
             self._busy.add(connection)
             connection.start(call)
-        elif len(endpoint.connections) < self.max_connections(endpoint.entry):
+        elif not endpoint.connections or (
+            len(endpoint.connections) < self.max_connections(endpoint.entry)
+            and now >= endpoint.refused_until
+        ):
             self._open(endpoint, call)
         else:
             endpoint.queue.append(call)
@@ -291,7 +331,7 @@
         opened. If that succeeds, the next check finds the leaf alive; if it
         fails, _on_closed reports a crash.
         """
-        if not any(c.was_established for c in endpoint.connections):
+        if not endpoint.is_connected:
             self._probe_if_lost(endpoint)
             return
         alive = [
@@ -362,6 +402,14 @@
             supervision.run_once, "leaf connection", connection.run
         )
 
+    def _record_if_refused(
+        self, endpoint: LeafEndpoint, connection: Connection
+    ) -> None:
+        now = trio.current_time()
+        if now - connection.connected_at <= MAX_REFUSAL_AGE_S:
+            endpoint.record_refusal(now)
+            telemetry.REFUSED_CONNECTIONS.inc()
+
     def _on_free(self, endpoint: LeafEndpoint, connection: Connection) -> None:
         self._busy.discard(connection)
         silent = [
@@ -386,6 +434,9 @@
             # The endpoint was dropped while a call was running.
             connection.close("the leaf is gone")
             return
+        if not self.keeps_idle and connection.has_replied:
+            connection.close("the VM serves no callers")
+            return
         endpoint.free_connections.append(connection)
 
     def _on_closed(
@@ -396,6 +447,10 @@
         if connection in endpoint.free_connections:
             endpoint.free_connections.remove(connection)
         is_dropped = self._endpoints.get(endpoint.entry.leaf_id) is not endpoint
+        if connection.has_replied:
+            endpoint.refusal_backoff_s = 0.0
+        elif connection.is_closed_by_server:
+            self._record_if_refused(endpoint, connection)
         if not connection.was_established:
             endpoint.load.record_unreachable(trio.current_time())
             self.on_unreachable(endpoint.entry)
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -128,6 +128,11 @@
     "Connections opened to leaves since the start.",
     registry=REGISTRY,
 )
+REFUSED_CONNECTIONS = Counter(
+    "sapphirecross_leaf_connections_refused_total",
+    "New connections that a leaf closed without a reply.",
+    registry=REGISTRY,
+)
 CONFIG_VERSION = Gauge(
     "sapphirecross_config_version",
     "Configuration version in force.",
