--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -2,10 +2,10 @@
 
 The VM that received a search (the coordinator) delegates parts to a VM of
 another failure domain (the helper), which calls the leaves there. The helper
-responds when all replies have arrived, or shortly before the coordinator would
-hedge; the coordinator then requests the remaining parts as they complete. The
-helper calls one leaf for each part. Hedges, retries and the retry budget stay
-with the coordinator.
+responds when all replies have arrived, or when most such calls would have been
+answered; the coordinator then hedges the remaining parts, and requests them as
+they complete. The helper calls one leaf for each part. Hedges, retries and the
+retry budget stay with the coordinator.
 
 The body of a leaf's reply consists of records of fixed size, which are compared
 as byte strings. The helper merges the records of the parts that completed by
@@ -21,6 +21,7 @@
 import trio
 from sapphire_core.crashsuspects import CrashVerdict
 from sapphire_core.fanout import Failure
+from sapphire_core.hedging import HedgeDelay
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import CallResult
@@ -67,8 +68,15 @@
 class _DelegatedCalls:
     """The calls that a helper makes for one delegation request."""
 
-    def __init__(self, request: DelegationRequest, fleet: Fleet) -> None:
+    def __init__(
+        self,
+        request: DelegationRequest,
+        fleet: Fleet,
+        hedge_delay: HedgeDelay,
+    ) -> None:
         self._top = request.top
+        self._hedge_delay = hedge_delay
+        self._began_at = trio.current_time()
         self._signature_header = fleet.header_names.signature.lower()
         self._running: dict[str, str] = {}
         self._done: list[tuple[str, Reply]] = []
@@ -141,6 +149,8 @@
     def _handle_result(self, part: str, result: CallResult) -> None:
         leaf_id = self._running.pop(part)
         if result.failure is None and result.reply is not None:
+            elapsed_s = trio.current_time() - self._began_at
+            self._hedge_delay.record_completion(elapsed_s)
             self._done.append((part, result.reply))
         else:
             failure = result.failure or Failure.LOST
@@ -198,7 +208,12 @@
         if self._is_suspected(request, now):
             return _encoded(_declined(request))
         self._discard_expired(now)
-        calls = _DelegatedCalls(request, self._fleet)
+        target_s = request.target_ms / MS_PER_S
+        reply_times = self._reply_times_by_route.get_or_create(
+            (request.route,), target_s
+        )
+        hedge_delay = reply_times.hedge_delay
+        calls = _DelegatedCalls(request, self._fleet, hedge_delay)
         spec = CallSpec(
             request_head=request.request_head,
             body=request.body,
@@ -206,16 +221,14 @@
             fingerprint=request.fingerprint,
             is_to_head=False,
             is_repeatable=True,
-            target_s=request.target_ms / MS_PER_S,
+            target_s=target_s,
             ends_at=calls.ends_at,
             call_timeout_s=request.call_timeout_ms / MS_PER_S,
         )
-        reply_times = self._reply_times_by_route.get_or_create(
-            (request.route,), spec.target_s
-        )
         caller = LeafCaller(self._fleet, spec, reply_times, is_helper=True)
         calls.start(request.parts, caller)
-        await calls.wait(request.first_response_ms / MS_PER_S)
+        first_response_s = request.first_response_ms / MS_PER_S
+        await calls.wait(min(first_response_s, hedge_delay.delay_s))
         continuation_id = next(self._continuation_ids)
         response = calls.take(continuation_id, is_merged=True)
         response.revision = self._freshness.revision or 0
--- a/libs/gateway/src/sapphire_gateway/delegated_parts.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_parts.py
@@ -36,11 +36,12 @@
 # A helper responds several times while parts are running. Its last response is
 # due this long before the answer to the caller.
 FINAL_RESPONSE_MARGIN_S = 0.003
-# The helper's first response is due this long before the coordinator hedges.
-FIRST_RESPONSE_MARGIN_S = 0.002
-# The coordinator delays hedges of delegated parts by this time while it waits
-# for the helper's first response.
-HEDGE_DEFERRAL_S = 0.004
+# A helper chooses the time of its first response, since it knows how long its
+# calls take. The coordinator hedges delegated parts without it after this share
+# of the target latency, and at the time of other hedges at the earliest.
+MAX_HEDGE_DEFERRAL_SHARE = 0.5
+# The helper's first response is due this long before that.
+FIRST_RESPONSE_MARGIN_S = 0.004
 
 
 class PartSink(Protocol):
@@ -65,6 +66,9 @@
     def handle_reply(self, part: str, reply: Reply) -> None:
         """Handles a leaf's successful reply."""
 
+    def handle_first_response(self) -> None:
+        """Handles the end of the time in which parts are not hedged."""
+
     def handle_failure(
         self, part: str, callee: str, result: CallResult
     ) -> None:
@@ -91,7 +95,10 @@
         # Parts that are not hedged before the helper's first response or
         # _deferred_until, whichever is first.
         self._deferred_parts: set[str] = set()
-        self._deferred_until = job.policy.hedge_at + HEDGE_DEFERRAL_S
+        self._deferred_until = max(
+            job.policy.hedge_at,
+            job.received_at + MAX_HEDGE_DEFERRAL_SHARE * job.route.target_s,
+        )
         self.delegated_count = 0
 
     def delegate(
@@ -130,8 +137,7 @@
     def is_hedge_deferred(self, part: str, now: float) -> bool:
         """Returns whether a part is not to be hedged yet.
 
-        Its helper's first response may still arrive, up to HEDGE_DEFERRAL_S
-        after the time of other hedges.
+        Its helper's first response may still arrive.
         """
         return now < self._deferred_until and part in self._deferred_parts
 
@@ -147,7 +153,7 @@
         job = self._job
         # Only searches are delegated; their routes have settings for merging.
         assert job.route.gather is not None
-        first_response_at = job.policy.hedge_at - FIRST_RESPONSE_MARGIN_S
+        first_response_at = self._deferred_until - FIRST_RESPONSE_MARGIN_S
         final_response_at = job.policy.answer_at - FINAL_RESPONSE_MARGIN_S
         return DelegationRequest(
             route=job.route.name,
@@ -208,6 +214,7 @@
             if is_last_response:
                 result = CallResult(None, Failure.LOST, "no reply in time")
                 self._sink.handle_failure(running.part, running.leaf_id, result)
+        self._sink.handle_first_response()
 
     def _deliver(self, response: HelperResponse) -> None:
         for index, completed in enumerate(response.done):
--- a/libs/gateway/src/sapphire_gateway/delegation_messages.py
+++ b/libs/gateway/src/sapphire_gateway/delegation_messages.py
@@ -26,7 +26,7 @@
         parts: Services to call, one leaf of each.
         target_ms: Latency target of the whole request.
         call_timeout_ms: Time limit of the calls to leaves.
-        first_response_ms: Time until the helper's first response.
+        first_response_ms: Time until the helper's first response at the latest.
         final_response_ms: Time until the helper's last response.
         top: Number of greatest records to return, of each part or of all
             merged ones.
--- a/libs/gateway/tests/test_delegated_calls.py
+++ b/libs/gateway/tests/test_delegated_calls.py
@@ -9,6 +9,7 @@
 from sapphire_core.retrybudget import RetryBudgetPolicy
 from sapphire_gateway.callers import CallerServer
 from sapphire_gateway.delegated_calls import MAX_DATA_AGE_S, HelperServer
+from sapphire_gateway.delegated_parts import MAX_HEDGE_DEFERRAL_SHARE
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.helperpool import RESPONSE_GRACE_S, HelperPool
@@ -33,6 +34,16 @@
     )
 
 
+def delayed(shard, delay_s):
+    """Returns a function that makes a leaf's reply after a delay."""
+
+    async def make_reply(request):
+        await trio.sleep(delay_s)
+        return shard_reply(shard)(request)
+
+    return make_reply
+
+
 class DelegationHarness:
     """A gateway in one domain and a helper in the domain of the leaves."""
 
@@ -192,6 +203,55 @@
     run_with_harness(test)
 
 
+def test_delegated_parts_that_take_their_usual_time_are_not_hedged(
+    run_with_harness,
+):
+    """Guards against hedges at the time at which direct calls are hedged.
+
+    The load: a search over many shards, most of them in other domains. Their
+    replies come later than those of leaves in the VM's own domain.
+    """
+
+    async def test(harness):
+        delegation = DelegationHarness(harness)
+        await delegation.start()
+        others = [
+            await harness.leaf(shard, shard_reply(shard), domain="z3")
+            for shard in SHARDS
+        ]
+        (route,) = harness.view.configuration.routes
+        hedge_delay = harness.gateway._reply_times_of(route).hedge_delay
+        for _ in range(100):
+            hedge_delay.record_completion(0.01)
+        for shard, leaf in delegation.leaves.items():
+            leaf.make_reply = delayed(shard, 2 * hedge_delay.delay_s)
+        check_complete(await harness.request())
+        assert [len(leaf.requests) for leaf in others] == [0, 0, 0, 0]
+
+    run_with_harness(test)
+
+
+def test_paused_part_is_hedged_when_the_helper_says_that_it_runs(
+    run_with_harness,
+):
+    """Guards against a hedge that waits although the helper knows better."""
+
+    async def test(harness):
+        delegation = DelegationHarness(harness)
+        await delegation.start()
+        other = await harness.leaf("u", shard_reply("u"), domain="z3")
+        for number in range(20):
+            check_complete(await harness.request(request_id=f"a{number}"))
+        delegation.leaves["u"].make_reply = lambda request: None
+        count = len(other.requests)
+        began = trio.current_time()
+        check_complete(await harness.request())
+        assert len(other.requests) == count + 1
+        assert trio.current_time() - began < MAX_HEDGE_DEFERRAL_SHARE * 1.2
+
+    run_with_harness(test)
+
+
 def test_failure_at_the_helper_is_retried_by_the_coordinator(run_with_harness):
     """Retries of delegated parts use the coordinator's retry budget."""
 
