--- a/libs/core/src/sapphire_core/margin.py
+++ b/libs/core/src/sapphire_core/margin.py
@@ -19,6 +19,12 @@
 REQUEST_TRIPS = 1
 CONNECT_TRIPS = 2
 ADDRESS_LOOKUP_TRIPS = 4
+# Time until a process handles what has arrived: it answers a look-up, accepts a
+# connection or reads a request. Each step is part of the caller's waiting time.
+HANDLING_S = 0.001
+REQUEST_STEPS = 1
+CONNECT_STEPS = 1
+ADDRESS_LOOKUP_STEPS = 1
 # Upper bound of a send delay sample. Longer delays have other causes than the
 # normal work of this VM.
 MAX_SEND_DELAY_S = 0.02
@@ -70,9 +76,11 @@
                 in which case a round trip to connect came before it.
         """
         trips = REQUEST_TRIPS + ADDRESS_LOOKUP_TRIPS
+        steps = REQUEST_STEPS + ADDRESS_LOOKUP_STEPS
         if is_first:
             trips += CONNECT_TRIPS
-        return self._one_way_s * trips
+            steps += CONNECT_STEPS
+        return self._one_way_s * trips + HANDLING_S * steps
 
     def delivery_delay_s(self) -> float:
         """Returns the time from the planned answer to its arrival."""
