--- a/libs/gateway/src/sapphire_gateway/delegated_parts.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_parts.py
@@ -40,8 +40,9 @@
 # calls take. The coordinator hedges delegated parts without it after this share
 # of the target latency, and at the time of other hedges at the earliest.
 MAX_HEDGE_DEFERRAL_SHARE = 0.5
-# The helper's first response is due this long before that.
-FIRST_RESPONSE_MARGIN_S = 0.004
+# The helper's first response is due this long before that: it takes two trips
+# between domains, and the handling of many parts at both ends.
+FIRST_RESPONSE_MARGIN_S = 0.008
 
 
 class PartSink(Protocol):
