--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -352,6 +352,21 @@
                 nursery.start_soon(crash_leaf, environment, leaf)
 
 
+async def _cut_failure_domain(environment: Environment) -> None:
+    """Holds back all that passes between gateways and a domain's leaves."""
+    domain = environment.random_gateway().failure_domain
+    proxies = [
+        environment.leaf_proxies[leaf.address]
+        for leaf in environment.leaves
+        if leaf.domain == domain
+    ]
+    for proxy in proxies:
+        proxy.set_mode(Mode.STALL)
+    await trio.sleep(environment.random_duration_s())
+    for proxy in proxies:
+        proxy.set_mode(Mode.FORWARD)
+
+
 async def _repeat_crash_fetch(environment: Environment) -> None:
     await _repeat_crash_request(environment, FETCH, environment.gateways)
 
@@ -519,3 +534,6 @@
     "configuration": _change_configuration,
     "evacuation": _evacuate_failure_domain,
 }
+# Faults that are injected only if they are named: one more among the others
+# would change what each seed means.
+NAMED_FAULTS = {**FAULTS, "failure_domain_cut": _cut_failure_domain}
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -18,7 +18,7 @@
 from sapphire_gateway.store import StoreUnavailableError
 
 from soak.callers import SimulatedCaller
-from soak.faults import FAULTS, Environment, crash_leaf
+from soak.faults import FAULTS, NAMED_FAULTS, Environment, crash_leaf
 from soak.guarantees import UNDISTURBED_S, Observations, find_violations
 from soak.leaves import Leaf, Ledger
 from soak.operator import SHARDS, UNSHARDED_SERVICE, Operator
@@ -99,7 +99,7 @@
         fault_phase_s: Time during which faults are started, in seconds. The
             last faults may end later, and FAULT_FREE_S follows.
         folder: Folder for settings and logs.
-        fault_names: Faults to choose from, in FAULTS.
+        fault_names: Faults to choose from, in NAMED_FAULTS.
         unsharded_leaves: Number of leaves of UNSHARDED_SERVICE.
     """
     result = Result(seed)
@@ -125,7 +125,8 @@
             ) < fault_phase_s:
                 fault_name = environment.rng.choice(fault_names)
                 result.faults.append(f"{elapsed_s:.1f} {fault_name}")
-                fault_nursery.start_soon(FAULTS[fault_name], environment)
+                fault = NAMED_FAULTS[fault_name]
+                fault_nursery.start_soon(fault, environment)
                 await trio.sleep(
                     environment.rng.uniform(*FAULT_INTERVAL_RANGE_S)
                 )
@@ -311,7 +312,7 @@
         fault_phase_s: Time during which faults are started, in seconds.
         output_folder: Folder in which a folder `seed-<seed>` with settings and
             logs is created; without it they are removed after the run.
-        fault_names: Faults to choose from, in FAULTS.
+        fault_names: Faults to choose from, in NAMED_FAULTS.
         unsharded_leaves: Number of leaves of UNSHARDED_SERVICE.
     """
     arguments = (tuple(fault_names), unsharded_leaves)
