--- a/libs/core/src/sapphire_core/crashsuspects.py
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -55,7 +55,7 @@
 # Shortest time after which a caller is told to send a held request again.
 MIN_RETRY_S = 0.01
 DIGEST_BYTES = 8
-# Times until a record is forgotten that differ by less may have equal digests.
+# Resolution at which the remaining lifetime of a record enters its digest.
 DIGEST_EXPIRY_STEP_S = 300.0
 # Leaves that are remembered for each request, and told to other VMs.
 MAX_LEAVES = 64
--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -32,7 +32,7 @@
 # The strong VMs serve alone only if they have at least this fraction of all
 # processor time; with less they could be overloaded.
 MIN_STRONG_CORES_SHARE = 0.1
-# Of so many comparisons of crash records, one is with a VM of another domain.
+# One in this many comparisons of crash records is with a VM of another domain.
 REMOTE_EXCHANGE_TURNS = 3
 # Number of serving VMs that watch the store; the failure domains have equally
 # many, and at least one each.
--- a/libs/gateway/src/sapphire_gateway/delegated_parts.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_parts.py
@@ -67,8 +67,8 @@
     def handle_reply(self, part: str, reply: Reply) -> None:
         """Handles a leaf's successful reply."""
 
-    def handle_first_response(self) -> None:
-        """Handles the end of the time in which parts are not hedged."""
+    def handle_helper_response(self) -> None:
+        """Handles a helper's response, after which its parts may be hedged."""
 
     def handle_failure(
         self, part: str, callee: str, result: CallResult
@@ -215,7 +215,7 @@
             if is_last_response:
                 result = CallResult(None, Failure.LOST, "no reply in time")
                 self._sink.handle_failure(running.part, running.leaf_id, result)
-        self._sink.handle_first_response()
+        self._sink.handle_helper_response()
 
     def _deliver(self, response: HelperResponse) -> None:
         for index, completed in enumerate(response.done):
--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -329,7 +329,7 @@
         """Records the leaf that a helper has called for a part."""
         self._attempts[part].leaf_ids.add(leaf_id)
 
-    def handle_first_response(self) -> None:
+    def handle_helper_response(self) -> None:
         """Handles a helper's response, after which its parts may be hedged."""
         if not self._is_finished:
             self._wake_if_needed(trio.current_time())
--- a/libs/gateway/src/sapphire_gateway/ownentry.py
+++ b/libs/gateway/src/sapphire_gateway/ownentry.py
@@ -24,8 +24,8 @@
 # frequent.
 RENEW_INTERVAL_S = 1.2
 # The same for a VM that reads from a feed: its renewals do not confirm its copy
-# of the store. A renewal that fails can be repeated twice before the lease
-# ends, also if it failed by its time-out.
+# of the store. A renewal that fails by its time-out can be repeated once
+# before the lease ends.
 FEED_RENEW_INTERVAL_S = 1.8
 # Interval between renewals while the store does not respond.
 RETRY_INTERVAL_S = 0.7
