--- a/review/lab/lab.py
+++ b/review/lab/lab.py
@@ -356,7 +356,9 @@
         self.born = int(time.time() * 1000)
         self._sequence = 0
         self.running = 0
-        self.extra_headers: dict[str, str] = {}
+        # Share of the requests that fail after they have run, and how.
+        self.failing_share = 0.0
+        self.failing_status = 500
 
     async def start(self) -> None:
         """Listens, then registers."""
@@ -379,6 +381,30 @@
         }
         self._lab.store.write_json(f"servers/{self.leaf_id}", entry)
 
+    async def drain(self, drain_s: float, more_s: float) -> float:
+        """Reports `draining`, serves on, and exits in the background.
+
+        Args:
+            drain_s: DrainMs.
+            more_s: It exits so long after that.
+
+        Returns:
+            The time of the store's acknowledgement.
+        """
+        self.state = "draining"
+        self.register()
+        acknowledged_at = self._lab.now()
+        self._lab.note("draining", leaf=self.leaf_id)
+
+        async def leave() -> None:
+            await asyncio.sleep(drain_s + more_s)
+            self._lab.note("exit", leaf=self.leaf_id, running=self.running)
+            self.server.stop()
+            self._lab.store.write(f"servers/{self.leaf_id}", None)
+
+        self._lab.spawn(leave())
+        return acknowledged_at
+
     async def _answer(self, message: Message) -> Answer | None:
         headers = message.headers
         if headers.get("target-instance", self.leaf_id) != self.leaf_id:
@@ -390,7 +416,9 @@
             return 503, {"Not-Executed": "1", "Request-Id": request_id}, b""
         now = self._lab.now()
         self._lab.runs.append(Run(now, request_id, self.service, self.leaf_id))
-        self._lab.note("run", request=request_id, service=self.service)
+        self._lab.note(
+            "run", request=request_id, service=self.service, leaf=self.leaf_id
+        )
         self.running += 1
         try:
             await asyncio.sleep(self.work_s)
@@ -401,8 +429,10 @@
             "Request-Id": request_id,
             "Response-Stamp": stamp,
             "Server-Load": f"{self.running},0,{self.slots}",
-            **self.extra_headers,
         }
+        if random.random() < self.failing_share:
+            # It has run, so that the answer does not bear Not-Executed.
+            return self.failing_status, answer, b"failed"
         return 200, answer, f"{self.service} {request_id}".encode()
 
 
@@ -715,6 +745,7 @@
         version: int,
         routes: list[dict[str, Any]],
         services: list[dict[str, Any]],
+        max_body: int = 262144,
     ) -> float:
         """Writes a configuration; returns the time of its acknowledgement."""
         value = {
@@ -723,7 +754,7 @@
             "Services": services,
             "Limits": {
                 "MaxHeaderBytes": 16384,
-                "MaxBodyBytes": 262144,
+                "MaxBodyBytes": max_body,
                 "HeaderTimeoutMs": 10000,
                 "IdleTimeoutMs": 60000,
             },
