--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""The store loses its answers for a moment in which a route is moved."""
+"""Leaves send bytes without end in place of some answers."""
 
 from __future__ import annotations
 
@@ -6,90 +6,99 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lab"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from lab import CONFIG_APPLY_S, CONTACT_S, CannotRunError, Client, Lab, main
+from lab import CONTACT_S, CannotRunError, Client, Gateway, Lab, main
 
-ZONES = ["north-a", "north-b", "north-c"]
+ZONES = ["north-a", "north-b"]
+SHARDS = [f"shard-{n:02}" for n in range(30)]
+ROUTES = [
+    {
+        "Name": "search",
+        "Prefix": "/search/",
+        "Gather": SHARDS,
+        "TopK": 20,
+        "MinShardShare": 0.75,
+        "Kind": "idempotent",
+        "TimeoutMs": 2500,
+        "TargetLatencyMs": 500,
+        "MaxAttempts": 2,
+        "Priority": 1,
+    }
+]
 SERVICES = [
-    {"Name": "old", "MaxConnections": 48, "HealthPath": "/health"},
-    {"Name": "new", "MaxConnections": 48, "HealthPath": "/health"},
+    {"Name": s, "MaxConnections": 26, "HealthPath": "/health"} for s in SHARDS
 ]
-# Seconds without a disruption before the answers are lost.
-CALM_S = 28.0
-# For so long, at most this share of the store's answers is lost.
-LOST_S = 4.5
-LOST_SHARE = 0.35
-# The route is moved so long after the start of that time.
-MOVE_AFTER_S = 4.0
-WATCHED_S = 22.0
-
-
-def _routes(service: str) -> list[dict[str, object]]:
-    return [
-        {
-            "Name": "fetch",
-            "Prefix": "/fetch/",
-            "Service": service,
-            "Kind": "idempotent",
-            "TimeoutMs": 4000,
-            "TargetLatencyMs": 250,
-            "MaxAttempts": 2,
-            "Priority": 2,
-        }
-    ]
+# MemoryMb of the settings, taken as MiB.
+MEMORY_MB = 300 * 1.048576
+SEARCHES_PER_S = 24
+ENDLESS_SHARE = 0.04
+LEAF_SHARE = 0.5
+TROUBLE_S = 5.0
+TROUBLES = 3
 
 
 async def play(lab: Lab, has_trouble: bool) -> bool:
-    """Returns whether the moved route was in force in time everywhere."""
-    for service in ("old", "new"):
+    """Returns whether the processes kept within their memory."""
+    for shard in SHARDS:
         for zone in ZONES:
-            await lab.add_leaf(service, zone, 0.02)
-    lab.configure(101, _routes("old"), SERVICES)
+            leaf = await lab.add_leaf(shard, zone, 0.01, 4)
+            leaf.records = 25
+    lab.configure(101, ROUTES, SERVICES)
     await lab.start(ZONES)
     await lab.wait_ready()
     client = Client(lab, lab.new_host())
-    stop = asyncio.Event()
+    ends = {gateway.name: 0 for gateway in lab.gateways}
+    peaks = {gateway.name: 0.0 for gateway in lab.gateways}
+
+    async def watch(gateway: Gateway) -> None:
+        while True:
+            await asyncio.sleep(0.02)
+            used = gateway.memory_mb
+            peaks[gateway.name] = max(peaks[gateway.name], used)
+            if used > MEMORY_MB:
+                lab.note("over", gateway=gateway.name, memory_mb=round(used))
+                gateway.process.kill()
+                ends[gateway.name] += 1
+                await gateway.process.wait()
+                await asyncio.sleep(0.3)
+                await gateway.start()
 
-    async def load() -> None:
-        while not stop.is_set():
+    async def load(until: float) -> None:
+        while lab.now() < until:
             for gateway in lab.gateways:
-                lab.spawn(client.send(gateway, f"/fetch/{len(lab.sent)}"))
-            await asyncio.sleep(0.2)
+                path = f"/search/{len(lab.sent)}"
+                lab.spawn(client.send(gateway, path, deadline_ms=2500))
+                await asyncio.sleep(1 / SEARCHES_PER_S)
 
-    await asyncio.sleep(CALM_S)
-    # A change that all machines learn of.
-    lab.configure(104, _routes("old"), SERVICES)
-    await asyncio.sleep(2.0)
-    lab.spawn(load())
-    await asyncio.sleep(2.0)
-    if has_trouble:
-        lab.store.lose_answers(LOST_S, LOST_SHARE)
-        lab.note("store", for_s=LOST_S, lost_share=LOST_SHARE)
-    await asyncio.sleep(MOVE_AFTER_S)
-    acknowledged_at = lab.configure(109, _routes("new"), SERVICES)
-    stable_at = acknowledged_at + LOST_S - MOVE_AFTER_S + CONTACT_S
-    due_at = max(acknowledged_at + CONFIG_APPLY_S, stable_at)
-    await asyncio.sleep(WATCHED_S)
-    stop.set()
-    await asyncio.sleep(1.0)
-    services = {run.request_id: run.service for run in lab.runs}
-    late = [s for s in lab.sent if s.at > due_at and s.status == 200]
-    if not late:
-        raise CannotRunError("no request was served after the change")
-    stale = [s for s in late if services.get(s.request_id) == "old"]
+    for gateway in lab.gateways:
+        lab.spawn(watch(gateway))
+    await asyncio.sleep(CONTACT_S)
+    length = TROUBLES * 2 * TROUBLE_S + 6
+    lab.spawn(load(lab.now() + length))
+    await asyncio.sleep(5.0)
+    for _ in range(TROUBLES):
+        for number, leaf in enumerate(lab.leaves):
+            if has_trouble and number % 4 < 4 * LEAF_SHARE:
+                leaf.endless_share = ENDLESS_SHARE
+        lab.note("endless", share=ENDLESS_SHARE, of_leaves=LEAF_SHARE)
+        await asyncio.sleep(TROUBLE_S)
+        for leaf in lab.leaves:
+            leaf.endless_share = 0.0
+        lab.note("endless", share=0)
+        await asyncio.sleep(TROUBLE_S)
+    if sum(s.status == 200 for s in lab.sent) < 100:
+        raise CannotRunError("too few requests were answered")
+    slow = sorted(s.ended - s.at for s in lab.sent)
     lab.note(
         "result",
-        store_answers_in_window=lab.store.answered_in_window,
-        store_answers_lost=lab.store.lost_in_window,
-        acknowledged_at=round(acknowledged_at, 3),
-        due_at=round(due_at, 3),
-        served_after=len(late),
-        by_the_old_service=len(stale),
-        last_at=round(max((s.at for s in stale), default=0.0), 3),
-        machines=sorted({s.gateway for s in stale}),
+        ends=ends,
+        peak_mb={n: round(v) for n, v in peaks.items()},
+        sent=len(lab.sent),
+        p50=slow[len(slow) // 2],
+        p99=slow[int(len(slow) * 0.99)],
     )
-    return not stale
+    return min(ends.values()) < 3
 
 
 if __name__ == "__main__":
--- a/review/lab/lab.py
+++ b/review/lab.py
@@ -26,7 +26,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 CONTACT_S = 4.0
 CONFIG_APPLY_S = 3.0
 HISTORY = 5000
@@ -42,6 +42,11 @@
 
 
 Answer = tuple[int, dict[str, str], bytes]
+# Status of an answer that is followed by bytes without end.
+ENDLESS = -1
+# A chunked body of which each chunk holds two bytes.
+ENDLESS_BLOCK = b"2\r\nab\r\n" * 4000
+ENDLESS_BYTES_PER_S = 4_000_000
 
 
 async def read_message(
@@ -118,6 +123,9 @@
                     is_silent = True
                     continue
                 status, headers, body = answer
+                if status == ENDLESS:
+                    await send_endless(writer)
+                    break
                 writer.write(encode(f"HTTP/1.1 {status} X", headers, body))
                 await writer.drain()
         except (ConnectionError, OSError):
@@ -127,6 +135,16 @@
             writer.transport.abort()
 
 
+async def send_endless(writer: asyncio.StreamWriter) -> None:
+    """Sends bytes that are no answer until the caller closes."""
+    writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    pause = len(ENDLESS_BLOCK) / ENDLESS_BYTES_PER_S
+    while not writer.transport.is_closing():
+        writer.write(ENDLESS_BLOCK)
+        await writer.drain()
+        await asyncio.sleep(pause)
+
+
 def free_port(host: str) -> int:
     """Returns a port that is free on a loopback address."""
     with socket.socket() as sock:
@@ -359,6 +377,9 @@
         # Share of the requests that fail after they have run, and how.
         self.failing_share = 0.0
         self.failing_status = 500
+        # Share of the answers in whose place come bytes without end.
+        self.endless_share = 0.0
+        self.records = 0
 
     async def start(self) -> None:
         """Listens, then registers."""
@@ -430,10 +451,15 @@
             "Response-Stamp": stamp,
             "Server-Load": f"{self.running},0,{self.slots}",
         }
+        if random.random() < self.endless_share:
+            return ENDLESS, {}, b""
         if random.random() < self.failing_share:
             # It has run, so that the answer does not bear Not-Executed.
             return self.failing_status, answer, b"failed"
-        return 200, answer, f"{self.service} {request_id}".encode()
+        body = f"{self.service} {request_id}".encode()
+        if self.records:
+            body = random.randbytes(16 * self.records)
+        return 200, answer, body
 
 
 @dataclass
@@ -494,7 +520,7 @@
             path=path,
             sent_at=round(sent.at, 3),
             status=sent.status,
-            body=sent.body[:60].decode("latin-1"),
+            answer_bytes=len(sent.body),
         )
         return sent
 
@@ -666,6 +692,17 @@
             self._lab.note("signal", gateway=self.name, signal=number.name)
             self.process.send_signal(number)
 
+    @property
+    def memory_mb(self) -> float:
+        """Resident memory of the process."""
+        if self.process is None or not self.is_running:
+            return 0.0
+        try:
+            text = pathlib.Path(f"/proc/{self.process.pid}/statm").read_text()
+        except OSError:
+            return 0.0
+        return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
     async def is_ready(self) -> bool:
         """Asks as the platform does."""
         host, _, port = self.address("ready").rpartition(":")
