--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A leaf fails part of its requests after it has run them, with status 503."""
+"""A version raises the limit of a body; clients keep their connections."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from lab import CONTACT_S, CannotRunError, Client, Lab, main
+from lab import CONFIG_APPLY_S, CONTACT_S, CannotRunError, Client, Lab, main
 
 ZONES = ["north-a", "north-b", "north-c"]
 SERVICES = [{"Name": "desk", "MaxConnections": 48, "HealthPath": "/health"}]
@@ -24,50 +24,54 @@
         "Priority": 2,
     }
 ]
-LEAVES = 8
-# One leaf of eight fails this share of its requests for this time.
-FAILING_SHARE = 0.4
-FAILING_S = 5.0
-PROMISES = (408, 421, 429, 503)
+OLD_LIMIT = 262_144
+NEW_LIMIT = 524_288
+SMALL = 1_000
+LARGE = 300_000
 
 
 async def play(lab: Lab, has_trouble: bool) -> bool:
-    """Returns whether no request that has run was said not to have run."""
-    for number in range(LEAVES):
-        await lab.add_leaf("desk", ZONES[number % len(ZONES)], 0.03)
-    lab.configure(101, ROUTES, SERVICES)
+    """Returns whether bodies within the limit in force were accepted."""
+    for zone in ZONES:
+        await lab.add_leaf("desk", zone, 0.02)
+    # Without the disruption, the greater limit is in force from the start.
+    first_limit = OLD_LIMIT if has_trouble else NEW_LIMIT
+    lab.configure(101, ROUTES, SERVICES, first_limit)
     await lab.start(ZONES)
     await lab.wait_ready()
     client = Client(lab, lab.new_host())
 
-    async def load(until: float) -> None:
-        while lab.now() < until:
+    async def send(size: int) -> list[int]:
+        sent = []
+        for _ in range(4):
             for gateway in lab.gateways:
-                path = f"/submit/{len(lab.sent)}"
-                lab.spawn(client.send(gateway, path, "POST", body=b"proposal"))
-            await asyncio.sleep(0.04)
+                body = b"x" * size
+                sent.append(
+                    client.send(gateway, "/submit/1", "POST", 4000, body)
+                )
+                await asyncio.sleep(0.01)
+        return [s.status for s in await asyncio.gather(*sent)]
 
     await asyncio.sleep(CONTACT_S)
-    lab.spawn(load(lab.now() + FAILING_S + 2.0))
-    await asyncio.sleep(1.0)
-    # The leaf that has run most so far.
-    names = [run.leaf for run in lab.runs]
-    leaf = max(lab.leaves, key=lambda leaf: names.count(leaf.leaf_id))
+    before = await send(SMALL)
     if has_trouble:
-        leaf.failing_status = 503
-        leaf.failing_share = FAILING_SHARE
-        lab.note("failing", leaf=leaf.leaf_id, share=FAILING_SHARE)
-    await asyncio.sleep(FAILING_S)
-    leaf.failing_share = 0.0
-    await asyncio.sleep(3.0)
-    ran = {run.request_id for run in lab.runs}
-    if sum(s.status == 200 for s in lab.sent) < 100:
-        raise CannotRunError("too few requests were answered")
-    untrue = [
-        s for s in lab.sent if s.status in PROMISES and s.request_id in ran
-    ]
-    lab.note("result", sent=len(lab.sent), run_and_refused=len(untrue))
-    return not untrue
+        lab.configure(104, ROUTES, SERVICES, NEW_LIMIT)
+    await asyncio.sleep(CONFIG_APPLY_S + CONTACT_S)
+    kept = await send(LARGE)
+    fresh = await send(LARGE)
+    if set(before) != {200}:
+        raise CannotRunError(f"before the change: {before}")
+    refused = kept.count(413) + fresh.count(413)
+    asked = len(before) + len(kept) + len(fresh)
+    lab.note(
+        "result",
+        before=before,
+        first_round=kept,
+        second_round=fresh,
+        refused=refused,
+        allowed=5 + asked / 500,
+    )
+    return refused <= 5 + asked / 500
 
 
 if __name__ == "__main__":
