--- a/review/lab.py
+++ b/review/lab.py
@@ -30,6 +30,7 @@
 CONTACT_S = 4.0
 CONFIG_APPLY_S = 3.0
 HISTORY = 5000
+SEGMENT_BYTES = 1460
 
 
 @dataclass
@@ -95,9 +96,13 @@
 
     async def start(self) -> None:
         """Listens."""
-        self._server = await asyncio.start_server(
-            self._serve, self.host, self.port
-        )
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Segments as on an Ethernet link; those of the loopback interface are
+        # so large that a socket takes megabytes at once.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        sock.bind((self.host, self.port))
+        self._server = await asyncio.start_server(self._serve, sock=sock)
 
     def stop(self) -> None:
         """Stops listening and resets all connections, as a crash does."""
