--- a/review/lab.py
+++ b/review/lab.py
@@ -844,6 +844,10 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        this = asyncio.current_task()
+        assert this is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         with tempfile.TemporaryDirectory() as folder:
             lab = Lab(pathlib.Path(folder), record)
             try:
@@ -851,7 +855,12 @@
                     held = await play(lab, has_trouble)
                 lab.note("verdict", held=held)
                 return 0 if held else 1
-            except (CannotRunError, TimeoutError, OSError) as error:
+            except (
+                CannotRunError,
+                TimeoutError,
+                OSError,
+                asyncio.CancelledError,
+            ) as error:
                 lab.note("cannot_run", error=repr(error))
                 print(f"could not run: {error!r}", file=sys.stderr)
                 return 2
