Limit the memory of all messages in progress, however they are framed

Cause: (1) ReplyReader and RequestReader kept each piece of a body as an object, so that chunks of two bytes took 6 to 8 times their size; (2) limits held for single messages only, 4 MB for a reply of a leaf, and did not add up to the memory of the process; (3) idle connections and rejected requests kept what they had read.

Ruled out: a leak; the memory was bounded per message, and fell after the calls had ended.

Fix: one buffer a body; messagememory counts all messages in progress against a quarter of MemoryMb and gives up the replies that exceed their expected size most; replies to a search are limited by the records that it needs. It works because the total is checked after each read, before the next one, whatever the framing and the number of peers.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -7,6 +7,7 @@
 
 import collections
 import contextlib
+import random
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Iterator
@@ -15,12 +16,14 @@
 from sapphire_core.routing import ClientLimits
 
 from sapphire_gateway import supervision, telemetry
+from sapphire_gateway.messagememory import PROCESS_MEMORY, MessageMemory
 from sapphire_gateway.messages import (
     RECEIVE_BYTES,
     MessageError,
     Request,
     Response,
     encode_response,
+    error_response,
 )
 from sapphire_gateway.requestreader import RequestReader
 
@@ -43,6 +46,11 @@
 TCP_INFO_RTT_OFFSET = 68
 MICROSECONDS_PER_S = 1e6
 HEAD = b"HEAD"
+# Retry-After of requests for which there is no memory, in seconds: at least,
+# and with up to as much again at random, so that their callers do not return
+# together.
+RETRY_NO_MEMORY_S = 0.5
+NO_MEMORY = "the VM has no memory for the request"
 
 
 class Caller:
@@ -91,6 +99,7 @@
         limits: ClientLimits,
         is_shutting_down: Callable[[], bool],
         on_sent: Callable[[Request, float], None],
+        memory: MessageMemory,
     ) -> None:
         self._stream = stream
         self._handler = handler
@@ -109,6 +118,11 @@
             _peer_host(stream.socket), _round_trip_s(stream.socket)
         )
         self._is_answering = False
+        # Memory of the requests that are queued or being answered, and of the
+        # answer that is being sent.
+        self._requests_bytes = 0
+        self._answer_bytes = 0
+        self._held = memory.hold()
         self._cancel_scope = trio.CancelScope()
 
     @property
@@ -134,6 +148,7 @@
                     await self._answer_requests()
                     nursery.cancel_scope.cancel()
         finally:
+            self._held.release()
             await trio.aclose_forcefully(self._stream)
 
     async def _read_requests(self) -> None:
@@ -173,11 +188,32 @@
             request.is_first = self._is_first
             self._is_first = False
             self._requests.append(request)
+            self._requests_bytes += request.held_bytes
+        if not self._record_memory():
+            self._refuse_new_messages(self._reader.complete)
         self._reader.complete.clear()
         if self._reader.is_between_messages:
             self._message_started_at = None
         self._progress.set()
 
+    def _record_memory(self) -> bool:
+        """Counts the memory of the connection; returns whether it has room."""
+        return self._held.resize(
+            self._reader.held_bytes + self._requests_bytes + self._answer_bytes
+        )
+
+    def _refuse_new_messages(self, new_requests: list[Request]) -> None:
+        """Drops what has just arrived; the callers are told to come back."""
+        for request in new_requests:
+            self._requests_bytes -= request.held_bytes
+            request.body = b""
+            request.has_room = False
+            self._requests_bytes += request.held_bytes
+        if self._message_error is None and not self._reader.is_between_messages:
+            self._reader.drop()
+            self._message_error = MessageError(NO_MEMORY, 503, _retry_after_s())
+        self._record_memory()
+
     async def _answer_requests(self) -> None:
         while True:
             request = await self._next_request()
@@ -188,11 +224,16 @@
             if self._caller.is_disconnected:
                 return
             close_after = not request.keeps_alive or self._is_shutting_down()
-            is_head = request.method == HEAD
-            if not await self._send(
-                encode_response(answer, close_after, is_head)
-            ):
+            data = encode_response(answer, close_after, request.method == HEAD)
+            del answer
+            self._answer_bytes = len(data)
+            self._record_memory()
+            if not await self._send(data):
                 return
+            del data
+            self._answer_bytes = 0
+            self._requests_bytes -= request.held_bytes
+            self._record_memory()
             self._on_sent(request, trio.current_time())
             self._is_answering = False
             if close_after:
@@ -200,6 +241,9 @@
                 return
 
     async def _answer(self, request: Request) -> Response:
+        if not request.has_room:
+            telemetry.reject_message("request", NO_MEMORY, self._caller.host)
+            return error_response(503, NO_MEMORY, _retry_after_s())
         try:
             return await self._handler(request, self._caller)
         except Exception as error:
@@ -249,10 +293,7 @@
 
     async def _reject(self, error: MessageError) -> None:
         telemetry.reject_message("request", str(error), self._caller.host)
-        body = str(error).encode()
-        answer = Response(
-            error.status, [(b"Content-Type", b"text/plain")], body
-        )
+        answer = error_response(error.status, str(error), error.retry_after_s)
         self._message_error = error
         if await self._send(encode_response(answer, True, False)):
             await self._linger(REJECT_LINGER_S)
@@ -277,6 +318,10 @@
                 await self._progress.wait()
 
 
+def _retry_after_s() -> float:
+    return RETRY_NO_MEMORY_S * (1.0 + random.random())
+
+
 def _peer_host(sock: trio.socket.SocketType) -> str:
     try:
         return str(sock.getpeername()[0])
@@ -306,6 +351,7 @@
         limits: Callable[[], ClientLimits],
         is_shutting_down: Callable[[], bool],
         on_sent: Callable[[Request, float], None],
+        memory: MessageMemory = PROCESS_MEMORY,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -316,8 +362,10 @@
                 answer.
             on_sent: Called with each answered request and the time at which its
                 answer was sent.
+            memory: Limits the memory of requests and answers.
         """
         self._handler = handler
+        self._memory = memory
         self._limits = limits
         self._is_shutting_down = is_shutting_down
         self._on_sent = on_sent
@@ -371,6 +419,7 @@
             self._limits(),
             self._is_shutting_down,
             self._on_sent,
+            self._memory,
         )
         self._connections.add(connection)
         try:
--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -13,6 +13,7 @@
 from sapphire_gateway.decoding import parse_count
 from sapphire_gateway.headernames import HeaderNames
 from sapphire_gateway.messages import Reply
+from sapphire_gateway.replyreader import SMALL_REPLY_LIMITS, ReplyLimits
 
 MISDIRECTED = 421
 FULL = 503
@@ -83,6 +84,7 @@
     sent_at: float = 0.0
     is_over: bool = False
     is_cancelled: bool = False
+    reply_limits: ReplyLimits = SMALL_REPLY_LIMITS
     number: int = field(default_factory=lambda: next(_call_numbers))
 
     def complete(self, result: CallResult) -> None:
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -14,16 +14,17 @@
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import Call, CallResult
 from sapphire_gateway.decoding import parse_count
+from sapphire_gateway.messagememory import (
+    PROCESS_MEMORY,
+    HeldMessage,
+    MessageMemory,
+)
 from sapphire_gateway.messages import (
     RECEIVE_BYTES,
     MessageError,
     Reply,
 )
-from sapphire_gateway.replyreader import (
-    SMALL_REPLY_LIMITS,
-    ReplyLimits,
-    ReplyReader,
-)
+from sapphire_gateway.replyreader import ReplyReader
 
 CONNECT_TIMEOUT_S = 0.5
 # TCP keep-alive probes, which detect a peer that has become unreachable.
@@ -47,8 +48,8 @@
         classify_reply: Callable[[Reply, Call], CallResult],
         on_free: Callable[[Connection], None],
         on_closed: Callable[[Connection], None],
-        reply_limits: ReplyLimits = SMALL_REPLY_LIMITS,
         traffic: Counter | None = None,
+        memory: MessageMemory = PROCESS_MEMORY,
     ) -> None:
         """Creates a connection that is not open yet.
 
@@ -57,8 +58,8 @@
             classify_reply: Returns the result of a call with a reply.
             on_free: Called when the connection is ready for the next call.
             on_closed: Called when it has ended.
-            reply_limits: Limits of each reply.
             traffic: Counts the bytes sent and received, if given.
+            memory: Limits the memory of replies that are not complete yet.
         """
         host, _, port = address.rpartition(":")
         self._traffic = traffic
@@ -66,10 +67,12 @@
         self._classify_reply = classify_reply
         self._on_free = on_free
         self._on_closed = on_closed
-        self._reply_limits = reply_limits
+        self._memory = memory
         self._socket: socket.socket | None = None
         self._call: Call | None = None
         self._reader: ReplyReader | None = None
+        # Set while a reply has arrived in part.
+        self._held: HeldMessage | None = None
         self._unsent = b""
         self._is_connected = False
         self._is_closed = False
@@ -159,6 +162,8 @@
             with contextlib.suppress(OSError):
                 trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
+        self._release_memory()
+        self._reader = None
         call, self._call = self._call, None
         if call is not None:
             call.complete(
@@ -209,9 +214,9 @@
         assert self._socket is not None
         call.sent_at = trio.current_time()
         if self._reader is None:
-            self._reader = ReplyReader(call.is_to_head, self._reply_limits)
+            self._reader = ReplyReader(call.is_to_head, call.reply_limits)
         else:
-            self._reader.restart(call.is_to_head)
+            self._reader.restart(call.is_to_head, call.reply_limits)
         self._has_received = False
         if self._traffic is not None:
             self._traffic.inc(len(call.payload))
@@ -279,24 +284,51 @@
         try:
             self._reader.feed(data)
         except MessageError as error:
-            host, port = self._address
-            telemetry.reject_message("reply", str(error), f"{host}:{port}")
-            self.close(str(error))
+            self._reject_reply(str(error))
             return
-        if self._reader.reply is not None:
-            self._finish_call(self._reader.reply, self._reader.has_extra)
+        if self._reader.is_complete:
+            self._finish_call(self._reader, self._reader.has_extra)
+        else:
+            self._record_memory(self._reader, self._call)
+
+    def _reject_reply(self, reason: str) -> None:
+        host, port = self._address
+        telemetry.reject_message("reply", reason, f"{host}:{port}")
+        self.close(reason)
+
+    def _record_memory(self, reader: ReplyReader, call: Call) -> None:
+        """Counts a partial reply; it may be given up, also by others' replies.
+
+        Most replies arrive at once and are never counted.
+        """
+        if self._held is None:
+            self._held = self._memory.hold(
+                call.reply_limits.expected_bytes, self._give_up_reply
+            )
+        if not self._held.resize(reader.held_bytes) and not self._is_closed:
+            self._give_up_reply()
+
+    def _give_up_reply(self) -> None:
+        self._reject_reply("the reply was given up for lack of memory")
+
+    def _release_memory(self) -> None:
+        if self._held is not None:
+            self._held.release()
+            self._held = None
 
     def _handle_eof(self) -> None:
         if self._reader is not None and self._call is not None:
             self._reader.finish()
-            if self._reader.reply is not None:
-                self._finish_call(self._reader.reply, ends_connection=True)
+            if self._reader.is_complete:
+                self._finish_call(self._reader, ends_connection=True)
                 return
         self.close("closed by the server", is_closed_by_server=True)
 
-    def _finish_call(self, reply: Reply, ends_connection: bool) -> None:
+    def _finish_call(self, reader: ReplyReader, ends_connection: bool) -> None:
         call, self._call = self._call, None
         assert call is not None
+        reply = reader.take_reply()
+        self._release_memory()
         self._has_replied = True
         result = self._classify_reply(reply, call)
         must_close = (
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -31,6 +31,7 @@
 from sapphire_gateway.headernames import HeaderNames
 from sapphire_gateway.helperpool import HelperPool
 from sapphire_gateway.limitends import LimitEndServer, LimitEndTeller
+from sapphire_gateway.messagememory import MEMORY_SHARE, PROCESS_MEMORY
 from sapphire_gateway.messages import Request, Response
 from sapphire_gateway.pool import LeafPool
 from sapphire_gateway.revisionexchange import RevisionExchange, RevisionServer
@@ -65,6 +66,7 @@
         addresses_ttl_s: Time for which callers may cache the addresses of the
             VMs; each look-up delays a request by two round trips.
         metrics_address: Address on which metrics are served, or None.
+        memory_bytes: Memory of the process, or None if it is not known.
     """
 
     name: str
@@ -76,6 +78,7 @@
     grace_s: float
     addresses_ttl_s: float
     metrics_address: str | None
+    memory_bytes: float | None = None
 
 
 ExtraHandler = Callable[["GatewayDaemon", Request], Response]
@@ -153,6 +156,10 @@
         self._view = FleetView(settings.name)
         self._is_shutting_down = False
         self._fleet: Fleet | None = None
+        if settings.memory_bytes is not None:
+            PROCESS_MEMORY.limit_bytes = int(
+                MEMORY_SHARE * settings.memory_bytes
+            )
 
     @property
     def is_ready(self) -> bool:
@@ -365,6 +372,7 @@
             age_s = self._view.freshness.age_s(trio.current_time())
             telemetry.DATA_AGE.set(age_s)
             telemetry.CONNECTIONS.set(pool.opened_count)
+            telemetry.MESSAGE_MEMORY.set(PROCESS_MEMORY.held_bytes)
             telemetry.LIMITED_LEAVES.set(pool.limited_count)
             telemetry.PAUSED_LEAVES.set(pool.paused_count(trio.current_time()))
             telemetry.LEAVING_LEAVES.set(self._view.registry.leaving_count)
--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -224,6 +224,7 @@
             target_s=target_s,
             ends_at=calls.ends_at,
             call_timeout_s=request.call_timeout_ms / MS_PER_S,
+            top=request.top,
         )
         caller = LeafCaller(self._fleet, spec, reply_times, is_helper=True)
         calls.start(request.parts, caller)
--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -464,4 +464,5 @@
         ends_at=job.policy.give_up_at,
         call_timeout_s=call_timeout_s,
         is_canary=job.is_canary,
+        top=job.route.gather.top if job.route.gather is not None else None,
     )
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -21,7 +21,14 @@
 from sapphire_gateway.headernames import HOP_BY_HOP_HEADERS
 from sapphire_gateway.job import Job, Outcome
 from sapphire_gateway.leafcalls import ReplyTimes, ReplyTimesByRoute
-from sapphire_gateway.messages import Headers, Reply, Request, Response, header
+from sapphire_gateway.messages import (
+    Headers,
+    Reply,
+    Request,
+    Response,
+    error_response,
+    header,
+)
 from sapphire_gateway.records import greatest
 
 # Retry-After of refused requests.
@@ -302,14 +309,14 @@
                 return self._merge_replies(job, outcome)
             return self._forward_reply(next(iter(outcome.replies.values())))
         if not outcome.may_have_run:
-            return _error_response(503, "the leaves are full", RETRY_FULL_S)
+            return error_response(503, "the leaves are full", RETRY_FULL_S)
         if outcome.failure_reply is not None and not job.is_search:
             return self._forward_reply(outcome.failure_reply)
         if outcome.was_ended:
-            return _error_response(504, "the VM is stopping")
+            return error_response(504, "the VM is stopping")
         if now >= job.policy.give_up_at:
-            return _error_response(504, "no reply in time")
-        return _error_response(502, "the leaves failed")
+            return error_response(504, "no reply in time")
+        return error_response(502, "the leaves failed")
 
     def _merge_replies(self, job: Job, outcome: Outcome) -> Response:
         assert job.route.gather is not None
@@ -372,7 +379,7 @@
                 **self._configuration_fields(),
             },
         )
-        return _error_response(status, reason, retry_after_s)
+        return error_response(status, reason, retry_after_s)
 
     def _record_outcome(
         self,
@@ -439,12 +446,3 @@
     if value is None:
         return frozenset()
     return frozenset(name.strip().lower() for name in value.split(b","))
-
-
-def _error_response(
-    status: int, reason: str, retry_after_s: float | None = None
-) -> Response:
-    headers: Headers = [(b"Content-Type", b"text/plain")]
-    if retry_after_s is not None:
-        headers.append((b"Retry-After", b"%.3f" % retry_after_s))
-    return Response(status, headers, reason.encode())
--- a/libs/gateway/src/sapphire_gateway/httpclient.py
+++ b/libs/gateway/src/sapphire_gateway/httpclient.py
@@ -97,7 +97,14 @@
             method, target, self._address, content, content_type
         )
         call = Call(
-            head + content, b"", False, False, now + timeout_s, on_end, now
+            head + content,
+            b"",
+            False,
+            False,
+            now + timeout_s,
+            on_end,
+            now,
+            reply_limits=self._reply_limits,
         )
         connection = self._idle_or_new_connection()
         connection.start(call)
@@ -132,7 +139,6 @@
             _accept_any_reply,
             _ignore,
             _ignore,
-            self._reply_limits,
             self._traffic,
         )
         self._connections.append(connection)
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -25,6 +25,12 @@
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.messages import Reply
 from sapphire_gateway.pool import LeafEndpoint, LostCall
+from sapphire_gateway.records import RECORD_BYTES, greatest
+from sapphire_gateway.replyreader import (
+    SMALL_REPLY_LIMITS,
+    ReplyLimits,
+    part_limits,
+)
 
 # All reply times are dropped above this number of routes: routes of earlier
 # configurations are not removed one by one.
@@ -117,6 +123,8 @@
         target_s: Target latency of the whole request.
         ends_at: Time after which replies are of no use.
         call_timeout_s: Time limit of each call, in addition to ends_at.
+        top: Number of records that the request needs of each reply at most;
+            None unless it is a search.
     """
 
     request_head: bytes
@@ -129,6 +137,14 @@
     ends_at: float
     call_timeout_s: float
     is_canary: bool = False
+    top: int | None = None
+
+    @property
+    def reply_limits(self) -> ReplyLimits:
+        """Limits of each reply."""
+        if self.top is None:
+            return SMALL_REPLY_LIMITS
+        return part_limits(self.top * RECORD_BYTES)
 
 
 class LeafCaller:
@@ -273,6 +289,7 @@
             spec.fingerprint,
             # Once a leaf has answered, the request is no longer suspected.
             spec.is_canary and not self._answered,
+            reply_limits=spec.reply_limits,
         )
 
     def _handle_result(
@@ -284,8 +301,20 @@
         result: CallResult,
     ) -> None:
         self._record_result(call, entry, endpoint, result, trio.current_time())
+        if result.reply is not None:
+            self._drop_surplus_records(result.reply)
         on_end(result)
 
+    def _drop_surplus_records(self, reply: Reply) -> None:
+        """Drops records that can't be among the greatest of all parts.
+
+        The replies to a search are kept until its answer, and a leaf may send
+        more than the search needs.
+        """
+        top = self._spec.top
+        if top is not None and len(reply.body) > 2 * top * RECORD_BYTES:
+            reply.body = greatest((reply.body,), top)
+
     def _record_result(
         self,
         call: Call,
--- a/libs/gateway/src/sapphire_gateway/messages.py
+++ b/libs/gateway/src/sapphire_gateway/messages.py
@@ -8,6 +8,9 @@
 Headers = list[tuple[bytes, bytes]]
 
 RECEIVE_BYTES = 65_536
+# Memory of a header in addition to its name and value: three objects and the
+# place in the list.
+HEADER_OVERHEAD_BYTES = 200
 # Replies with these statuses have no body, whatever their headers state.
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -17,11 +20,18 @@
 
     Attributes:
         status: HTTP status to answer with, if the bytes are a request.
+        retry_after_s: Time after which the sender may repeat it, if any.
     """
 
-    def __init__(self, message: str, status: int = 400) -> None:
+    def __init__(
+        self,
+        message: str,
+        status: int = 400,
+        retry_after_s: float | None = None,
+    ) -> None:
         super().__init__(message)
         self.status = status
+        self.retry_after_s = retry_after_s
 
 
 def header(headers: Headers, name: bytes) -> bytes | None:
@@ -32,6 +42,11 @@
     return None
 
 
+def header_memory_bytes(name: bytes, value: bytes) -> int:
+    """Returns the memory of a received header, in bytes."""
+    return HEADER_OVERHEAD_BYTES + len(name) + len(value)
+
+
 @dataclass(slots=True)
 class Request:
     """A complete request of a caller; header names are in lower case.
@@ -42,6 +57,7 @@
         is_first: Whether it is the first request of its connection.
         planned_at: Planned time of its answer, or None if the answer did not
             wait for that time.
+        has_room: Whether there was memory for it; if not, the body is dropped.
     """
 
     method: bytes
@@ -52,6 +68,13 @@
     received_at: float = 0.0
     is_first: bool = False
     planned_at: float | None = None
+    has_room: bool = True
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the request takes, in bytes."""
+        headers = sum(header_memory_bytes(*pair) for pair in self.headers)
+        return len(self.target) + headers + len(self.body)
 
 
 @dataclass(slots=True)
@@ -90,6 +113,22 @@
     body: bytes = b""
 
 
+def error_response(
+    status: int, reason: str, retry_after_s: float | None = None
+) -> Response:
+    """Returns a response of this VM's own that states a reason.
+
+    Args:
+        status: HTTP status.
+        reason: Body of the response.
+        retry_after_s: Value of Retry-After in seconds, if any.
+    """
+    headers: Headers = [(b"Content-Type", b"text/plain")]
+    if retry_after_s is not None:
+        headers.append((b"Retry-After", b"%.3f" % retry_after_s))
+    return Response(status, headers, reason.encode())
+
+
 def encode_response(
     response: Response, close_after: bool, is_to_head: bool
 ) -> bytes:
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -17,6 +17,7 @@
 from sapphire_gateway.calls import Call, CallResult, classify_reply
 from sapphire_gateway.connection import Connection
 from sapphire_gateway.headernames import HeaderNames
+from sapphire_gateway.messagememory import PROCESS_MEMORY, MessageMemory
 from sapphire_gateway.messages import Reply
 
 # Share of a leaf's connections that this fleet uses. The rest is left to other
@@ -153,10 +154,21 @@
     """
 
     def __init__(
-        self, nursery: trio.Nursery, header_names: HeaderNames
+        self,
+        nursery: trio.Nursery,
+        header_names: HeaderNames,
+        memory: MessageMemory = PROCESS_MEMORY,
     ) -> None:
+        """Creates a pool without connections.
+
+        Args:
+            nursery: Runs the connections.
+            header_names: Names of the HTTP headers.
+            memory: Limits the memory of partial replies.
+        """
         self._nursery = nursery
         self._header_names = header_names
+        self._memory = memory
         self._endpoints: dict[str, LeafEndpoint] = {}
         self._terms: dict[tuple[str, int, str], LeafTerms] = {}
         self._busy: set[Connection] = set()
@@ -391,7 +403,8 @@
             classify,
             on_free,
             on_closed,
-            traffic=self.traffic(endpoint.entry),
+            self.traffic(endpoint.entry),
+            self._memory,
         )
         endpoint.connections.append(connection)
         self._opened_count += 1
--- a/libs/gateway/src/sapphire_gateway/replyreader.py
+++ b/libs/gateway/src/sapphire_gateway/replyreader.py
@@ -11,27 +11,46 @@
     Headers,
     MessageError,
     Reply,
+    header_memory_bytes,
 )
 
 
 @dataclass(frozen=True, slots=True)
 class ReplyLimits:
-    """Largest size of a reply, in bytes.
+    """Largest and expected size of a reply, in bytes.
 
     Attributes:
         head_bytes: Size of the head, with the heads of interim replies.
         body_bytes: Size of the rest as received, with its chunked framing.
+        expected_bytes: Memory up to which the reply is not given up when the
+            memory of all messages is used up.
     """
 
     head_bytes: int
     body_bytes: int
+    expected_bytes: int = 0
 
 
 # For replies of leaves and helpers, of which many are in memory at a time.
-SMALL_REPLY_LIMITS = ReplyLimits(65_536, 4_194_304)
+SMALL_REPLY_LIMITS = ReplyLimits(65_536, 4_194_304, 65_536)
 # For replies of the store and of feeds. A page of keys has up to 1 MB of
 # values, which may be preceded by one value of the maximum size.
-LARGE_REPLY_LIMITS = ReplyLimits(65_536, 16_777_216)
+LARGE_REPLY_LIMITS = ReplyLimits(65_536, 16_777_216, 4_194_304)
+# A leaf may send more records than a search needs of it, and in small chunks.
+MIN_PART_BODY_BYTES = 65_536
+MAX_RECEIVED_PER_NEEDED_BYTE = 64
+
+
+def part_limits(needed_bytes: int) -> ReplyLimits:
+    """Returns the limits of a leaf's reply to a search.
+
+    Args:
+        needed_bytes: Size of the records that the search needs of it at most.
+    """
+    body_bytes = max(
+        MIN_PART_BODY_BYTES, MAX_RECEIVED_PER_NEEDED_BYTE * needed_bytes
+    )
+    return ReplyLimits(SMALL_REPLY_LIMITS.head_bytes, body_bytes, needed_bytes)
 
 
 class ReplyReader:
@@ -61,7 +80,9 @@
     def _reset(self, is_to_head: bool) -> None:
         self._is_to_head = is_to_head
         self._headers: Headers = []
-        self._body: list[bytes] = []
+        # One buffer: pieces kept one by one take many times their size.
+        self._body = bytearray()
+        self._headers_bytes = 0
         self._head_bytes = 0
         self._body_bytes = 0
         self._status = 0
@@ -70,12 +91,20 @@
         self._reply: Reply | None = None
         self._has_extra = False
 
-    def restart(self, is_to_head: bool) -> None:
+    def restart(
+        self, is_to_head: bool, limits: ReplyLimits | None = None
+    ) -> None:
         """Prepares for the next reply on the same connection.
 
         The parser is reused if it has reached the end of the last reply,
         because creating one costs more than parsing a reply.
+
+        Args:
+            is_to_head: Whether the request was HEAD.
+            limits: Limits of the reply, if they change.
         """
+        if limits is not None:
+            self._limits = limits
         if not self._is_parser_idle:
             self._parser = httptools.HttpResponseParser(self)
             self._is_parser_idle = True
@@ -86,6 +115,23 @@
         """The reply, or None until it is complete."""
         return self._reply
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the reply is complete."""
+        return self._reply is not None
+
+    def take_reply(self) -> Reply:
+        """Returns the complete reply, which the parser does not keep."""
+        assert self._reply is not None
+        reply = self._reply
+        self._reset(self._is_to_head)
+        return reply
+
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the reply takes until it is complete, in bytes."""
+        return self._head_bytes + self._headers_bytes + len(self._body)
+
     @property
     def has_extra(self) -> bool:
         """Whether bytes arrived after the end of the reply."""
@@ -150,6 +196,7 @@
         if self._reply is not None:
             self._has_extra = True
         self._headers = []
+        self._headers_bytes = 0
         self._has_stated_length = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -158,6 +205,7 @@
             return
         name = name.lower()
         self._headers.append((name, value))
+        self._headers_bytes += header_memory_bytes(name, value)
         if name in {b"content-length", b"transfer-encoding"}:
             self._has_stated_length = True
 
@@ -173,7 +221,7 @@
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a piece of the body."""
         if self._reply is None:
-            self._body.append(body)
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a reply."""
@@ -185,5 +233,6 @@
 
     def _complete(self, keeps_alive: bool) -> None:
         self._reply = Reply(
-            self._status, self._headers, b"".join(self._body), keeps_alive
+            self._status, self._headers, bytes(self._body), keeps_alive
         )
+        self._body = bytearray()
--- a/libs/gateway/src/sapphire_gateway/requestreader.py
+++ b/libs/gateway/src/sapphire_gateway/requestreader.py
@@ -6,7 +6,12 @@
 
 import httptools
 
-from sapphire_gateway.messages import Headers, MessageError, Request
+from sapphire_gateway.messages import (
+    Headers,
+    MessageError,
+    Request,
+    header_memory_bytes,
+)
 
 # Largest size of a chunked body as received, in bytes for each byte of the
 # limit of the body: the framing of a chunk of one byte takes five more.
@@ -17,9 +22,11 @@
 class _PartialRequest:
     target: bytes = b""
     headers: Headers = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
-    body_bytes: int = 0
+    # One buffer: pieces kept one by one take many times their size.
+    body: bytearray = field(default_factory=bytearray)
     head_bytes: int = 0
+    # Memory of the headers.
+    headers_bytes: int = 0
     # Received bytes of the unfinished head, and of the rest with its framing.
     received_head_bytes: int = 0
     received_body_bytes: int = 0
@@ -60,12 +67,42 @@
         """Whether all headers of the current request have arrived."""
         return self._partial is not None and self._partial.is_head_complete
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory that the current request takes, in bytes."""
+        partial = self._partial
+        if partial is None:
+            return 0
+        # The parser keeps an unfinished header.
+        return (
+            partial.received_head_bytes
+            + len(partial.target)
+            + partial.headers_bytes
+            + len(partial.body)
+        )
+
     def feed(self, data: bytes) -> None:
         """Parses bytes; complete requests are appended to complete.
 
         Raises:
             MessageError: The bytes are not a valid request, or exceed a limit.
+                What has arrived of the request is dropped.
+        """
+        try:
+            self._parse(data)
+        except MessageError:
+            self.drop()
+            raise
+
+    def drop(self) -> None:
+        """Drops what has arrived of the current request.
+
+        The reader can't be used for further requests.
         """
+        if self._partial is not None:
+            self._partial = _PartialRequest()
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -114,6 +151,7 @@
         if partial.is_head_complete:
             return
         partial.headers.append((name.lower(), value))
+        partial.headers_bytes += header_memory_bytes(name, value)
         self._add_head_bytes(partial, len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
@@ -125,9 +163,8 @@
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a piece of the body."""
         partial = self._current_request()
-        partial.body.append(body)
-        partial.body_bytes += len(body)
-        if partial.body_bytes > self._max_body_bytes:
+        partial.body += body
+        if len(partial.body) > self._max_body_bytes:
             self._fail("the body exceeds the limit", 413)
 
     def on_message_complete(self) -> None:
@@ -139,7 +176,7 @@
                 self._parser.get_method(),
                 partial.target,
                 partial.headers,
-                b"".join(partial.body),
+                bytes(partial.body),
                 partial.keeps_alive,
             )
         )
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -123,6 +123,16 @@
     ["kind"],
     registry=REGISTRY,
 )
+MESSAGE_MEMORY = Gauge(
+    "sapphirecross_message_memory_bytes",
+    "Memory of the messages that are being received, answered or sent.",
+    registry=REGISTRY,
+)
+GIVEN_UP_MESSAGES = Counter(
+    "sapphirecross_messages_given_up_total",
+    "Replies that were given up, as the messages took too much memory.",
+    registry=REGISTRY,
+)
 CONNECTIONS = Gauge(
     "sapphirecross_leaf_connections_opened",
     "Connections opened to leaves since the start.",
--- a/libs/gateway/tests/gateway_harness.py
+++ b/libs/gateway/tests/gateway_harness.py
@@ -22,6 +22,7 @@
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.gateway import Gateway
 from sapphire_gateway.headernames import HeaderNames
+from sapphire_gateway.messagememory import MessageMemory
 from sapphire_gateway.pool import LeafPool
 
 HEADER_NAMES = HeaderNames(
@@ -121,7 +122,8 @@
     def __init__(self, nursery) -> None:
         self.nursery = nursery
         self.view = FleetView("vm1")
-        self.pool = LeafPool(nursery, HEADER_NAMES)
+        self.memory = MessageMemory()
+        self.pool = LeafPool(nursery, HEADER_NAMES, self.memory)
         self.fleet = Fleet(
             self.view,
             self.pool,
@@ -175,6 +177,7 @@
             lambda: self.view.configuration.limits,
             lambda: self.is_shutting_down,
             self.gateway.answer_sent,
+            self.memory,
         )
         with trio.socket.socket() as sock:
             await sock.bind(("127.0.0.1", 0))
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -49,9 +49,19 @@
     assert config.store.address == "10.200.1.7:8102"
 
 
+@pytest.mark.parametrize(
+    ("lines", "memory_bytes"),
+    [("", None), ("MemoryMb = 0", None), ("MemoryMb = 300", 300e6)],
+)
+def test_memory_is_read_if_it_is_stated(tmp_path, lines, memory_bytes):
+    config = read(tmp_path, f"{TEXT}\n[Limits]\n{lines}\n")
+    assert config.memory_bytes == memory_bytes
+
+
 @pytest.mark.parametrize(
     ("old", "new"),
     [
+        ("[platform]", "[Limits]\nMemoryMb = -1\n[platform]"),
         ('Node = "vm1"', ""),
         ('Zone = "z1"', "Zone = 1"),
         ('Front = "10.1.0.9:8104"', ""),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -293,6 +293,10 @@
     await _disrupt_leaf_connections(environment, Mode.RESET)
 
 
+async def _send_endless_replies(environment: Environment) -> None:
+    await _disrupt_leaf_connections(environment, Mode.ENDLESS_REPLIES)
+
+
 async def _slow_leaf(environment: Environment) -> None:
     leaf = environment.random_leaf()
     # Multiplied and divided, so that a second such fault of the leaf adds to
@@ -536,4 +540,8 @@
 }
 # Faults that are injected only if they are named: one more among the others
 # would change what each seed means.
-NAMED_FAULTS = {**FAULTS, "failure_domain_cut": _cut_failure_domain}
+NAMED_FAULTS = {
+    **FAULTS,
+    "failure_domain_cut": _cut_failure_domain,
+    "leaf_replies_endless": _send_endless_replies,
+}
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -26,6 +26,7 @@
 # Time between SIGTERM and SIGKILL. Gateways get it in their settings, and
 # normally exit by themselves before it has passed.
 STOP_GRACE_S = 4
+DEFAULT_MEMORY_MB = 300.0
 # Node is the VM's name, Zone its failure domain, Front the address for callers,
 # ttl_max_s the time for which callers may cache the gateways' addresses, and
 # the address under platform that of the store.
@@ -47,6 +48,7 @@
 [Limits]
 CpuShare = 1.0
 Cores = {cores}
+MemoryMb = {memory_mb}
 [platform]
 Address = "{store_address}"
 """
@@ -93,12 +95,30 @@
         """Whether the process runs; also true while it is paused."""
         return self.process is not None and self.process.poll() is None
 
-    def write_settings(self, store_address: str, cores: float) -> None:
+    @property
+    def memory_bytes(self) -> int:
+        """Resident memory of the process; 0 if it does not run."""
+        if self.process is None or not self.is_running:
+            return 0
+        try:
+            pages = pathlib.Path(f"/proc/{self.process.pid}/statm").read_text()
+        except OSError:
+            # It has ended since.
+            return 0
+        return int(pages.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+    def write_settings(
+        self,
+        store_address: str,
+        cores: float,
+        memory_mb: float = DEFAULT_MEMORY_MB,
+    ) -> None:
         """Writes the settings file that the process reads at its start.
 
         Args:
             store_address: Address at which the gateway reaches the store.
             cores: Processor capacity of the VM, in standard cores.
+            memory_mb: Memory of the VM, in megabytes.
         """
         text = SETTINGS.format(
             name=self.name,
@@ -110,6 +130,7 @@
             directory=DIRECTORY_PORT,
             grace=STOP_GRACE_S,
             cores=cores,
+            memory_mb=memory_mb,
             store_address=store_address,
         )
         (self.folder / f"{self.name}.toml").write_text(text)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -5,6 +5,7 @@
 import contextlib
 import enum
 from random import Random
+from typing import NoReturn
 
 import trio
 
@@ -15,6 +16,10 @@
     trio.BusyResourceError,
 )
 READ_BYTES = 65_536
+# A reply without end: chunks of two bytes, which take the most memory to parse.
+ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS_CHUNKS = b"2\r\nab\r\n" * 4_000
+ENDLESS_INTERVAL_S = 0.005
 
 
 class Mode(enum.Enum):
@@ -29,6 +34,8 @@
     RESET = "reset"
     # Closes open connections and refuses new ones, as after a crash.
     REFUSE = "refuse"
+    # Sends chunks without end in place of each reply, until the client closes.
+    ENDLESS_REPLIES = "endless_replies"
 
 
 class Proxy:
@@ -137,6 +144,8 @@
                 await self._delay_or_stall(is_reply)
                 if is_reply and connection_scope in self._silenced:
                     await trio.sleep_forever()
+                if is_reply and self.mode is Mode.ENDLESS_REPLIES:
+                    await _send_without_end(sink)
                 await sink.send_all(data)
         connection_scope.cancel()
 
@@ -148,3 +157,15 @@
         )
         while self.mode in stalling_modes:
             await self._mode_changed.wait()
+
+
+async def _send_without_end(sink: trio.SocketStream) -> NoReturn:
+    """Sends a reply until the client closes the connection.
+
+    Raises:
+        trio.BrokenResourceError: The client has closed the connection.
+    """
+    await sink.send_all(ENDLESS_HEAD)
+    while True:
+        await sink.send_all(ENDLESS_CHUNKS)
+        await trio.sleep(ENDLESS_INTERVAL_S)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -22,7 +22,7 @@
 from soak.guarantees import UNDISTURBED_S, Observations, find_violations
 from soak.leaves import Leaf, Ledger
 from soak.operator import SHARDS, UNSHARDED_SERVICE, Operator
-from soak.processes import Gateway, killed_on_exit
+from soak.processes import DEFAULT_MEMORY_MB, Gateway, killed_on_exit
 from soak.proxy import Proxy
 from soak.store import Store
 
@@ -193,7 +193,10 @@
 
 @contextlib.asynccontextmanager
 async def running_environment(
-    seed: int, folder: pathlib.Path, unsharded_leaves: int
+    seed: int,
+    folder: pathlib.Path,
+    unsharded_leaves: int,
+    memory_mb: float = DEFAULT_MEMORY_MB,
 ) -> AsyncIterator[tuple[Environment, trio.Nursery]]:
     rng = Random(seed)
     store = Store()
@@ -226,7 +229,7 @@
                 await nursery.start(proxy.run)
                 environment.store_proxies[gateway.name] = proxy
                 cores = CORES_OF_VMS[number % len(CORES_OF_VMS)]
-                gateway.write_settings(proxy_address, cores)
+                gateway.write_settings(proxy_address, cores, memory_mb)
             await _start_leaves(environment, subnet, nursery, unsharded_leaves)
             with killed_on_exit(gateways):
                 for gateway in gateways:
