Ask at the moment of sending whether a leaf may still get a call

Callers saw: 502 for requests that must not be repeated.

Cause: the choice of a leaf left out those that leave, but a call that already waited in the queue of its leaf, or for a connection to open, was sent without another look at the registry, the evacuated domains or the leaf's terms.

Ruled out: that the gateway learns of the drain too late. In the tests the registry is changed directly, and new requests went elsewhere at once.

Fix: Connection asks Fleet.admit when it sends. A refused call is unsent, so its request chooses anew at once or is refused as not run. Waiting calls are looked at when the view changes and ten times a second. Cold rates and limits are charged again for calls that have waited for over half a second.

--- a/libs/core/src/sapphire_core/leafset.py
+++ b/libs/core/src/sapphire_core/leafset.py
@@ -238,6 +238,11 @@
                 last_resort.append(leaf)
         return usable or last_resort
 
+    def is_candidate(self, leaf: RegisteredLeaf, now: float) -> bool:
+        """Returns whether a request may use a leaf now; see candidates."""
+        candidates = self.candidates(leaf.entry.service, now)
+        return any(candidate is leaf for candidate in candidates)
+
     def domain_counts(self, services: Iterable[str]) -> dict[str, int]:
         """Counts the leaves of services by failure domain.
 
--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -85,6 +85,7 @@
     is_over: bool = False
     is_cancelled: bool = False
     reply_limits: ReplyLimits = SMALL_REPLY_LIMITS
+    reserved_at: float = -math.inf
     number: int = field(default_factory=lambda: next(_call_numbers))
 
     def complete(self, result: CallResult) -> None:
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -50,6 +50,7 @@
         on_closed: Callable[[Connection], None],
         traffic: Counter | None = None,
         memory: MessageMemory = PROCESS_MEMORY,
+        refusal: Callable[[Call], str | None] = lambda _call: None,
     ) -> None:
         """Creates a connection that is not open yet.
 
@@ -60,6 +61,8 @@
             on_closed: Called when it has ended.
             traffic: Counts the bytes sent and received, if given.
             memory: Limits the memory of replies that are not complete yet.
+            refusal: Returns why the server may not get a call any more, asked
+                at the moment of sending; None if it may.
         """
         host, _, port = address.rpartition(":")
         self._traffic = traffic
@@ -68,6 +71,7 @@
         self._on_free = on_free
         self._on_closed = on_closed
         self._memory = memory
+        self._refusal = refusal
         self._socket: socket.socket | None = None
         self._call: Call | None = None
         self._reader: ReplyReader | None = None
@@ -130,11 +134,15 @@
             return False
         return idle < max_idle_s
 
-    def start(self, call: Call) -> None:
-        """Sends a call, once the connection is established."""
+    def start(self, call: Call) -> bool:
+        """Sends a call, once the connection is established.
+
+        Returns:
+            False if the call was refused or is over already, so that the
+            connection is still free.
+        """
         self._call = call
-        if self._is_connected:
-            self._send(call)
+        return not self._is_connected or self._send(call)
 
     async def run(self) -> None:
         """Connects, then reads until the connection ends."""
@@ -204,14 +212,23 @@
         self._is_connected = True
         self.connected_at = self.idle_since = trio.current_time()
         self.connect_time_s = self.idle_since - started
-        if self._call is not None:
-            self._send(self._call)
-        else:
+        if self._call is None or not self._send(self._call):
             self._on_free(self)
         return not self._is_closed
 
-    def _send(self, call: Call) -> None:
+    def _send(self, call: Call) -> bool:
+        """Sends a call; returns False if it must not be sent any more."""
         assert self._socket is not None
+        if call.is_over:
+            self._call = None
+            return False
+        reason = self._refusal(call)
+        if reason is not None:
+            self._call = None
+            call.complete(
+                CallResult(None, Failure.NOT_RUN, reason, was_sent=False)
+            )
+            return False
         call.sent_at = trio.current_time()
         if self._reader is None:
             self._reader = ReplyReader(call.is_to_head, call.reply_limits)
@@ -228,8 +245,9 @@
             self.close(
                 f"sending failed: {error.strerror}", is_closed_by_server=True
             )
-            return
+            return True
         self._unsent = call.payload[sent:]
+        return True
 
     async def _read(self) -> None:
         assert self._socket is not None
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -349,6 +349,7 @@
         assert self._fleet is not None
         now = trio.current_time()
         self._fleet.recompute_shares(now)
+        self._fleet.pool.place_waiting_anew()
         self._fleet.connect_to_leaves()
 
     async def _run_periodic_tasks(self, sync: Sync, pool: LeafPool) -> None:
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -24,7 +24,7 @@
 from sapphire_core.retrybudget import RetryBudget, RetryBudgetPolicy
 
 from sapphire_gateway import telemetry
-from sapphire_gateway.calls import MISDIRECTED
+from sapphire_gateway.calls import MISDIRECTED, Call
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.headernames import HeaderNames
 from sapphire_gateway.messages import Reply
@@ -49,6 +49,10 @@
 # Choosing the serving VMs scans all leaves, so the result is cached for this
 # long or until the fleet view changes.
 SERVING_CACHE_S = 0.2
+# A call that waits for longer after its leaf was charged with it is charged
+# again. In no second does a leaf then get more than the calls that it was
+# charged with in one and a half, which is what cold leaves bear.
+RESERVATION_S = 0.5
 # Leaves that are probed when a leaf has crashed under a canary.
 MAX_NEIGHBOUR_PROBES = 3
 
@@ -106,6 +110,8 @@
         pool.traffic = lambda entry: telemetry.domain_traffic(
             "leaf calls", entry.domain != domain
         )
+        pool.refusal = self.refusal
+        pool.admit = self.admit
         pool.on_crash = self._record_crash
         pool.on_unreachable = self._record_unreachable
 
@@ -259,19 +265,63 @@
         """Returns the time from which a leaf wants a request."""
         return endpoint.terms.room_at(self.limit_share(endpoint, now), now)
 
-    def record_limited_request(
-        self, endpoint: LeafEndpoint, now: float
-    ) -> None:
-        """Counts a request to a leaf, if the leaf names a limit."""
+    def refusal(self, endpoint: LeafEndpoint, call: Call) -> str | None:
+        """Returns why a leaf may not get a call that was chosen for it before.
+
+        A call may have waited for a connection, or for its opening, while the
+        leaf began to leave, asked for a pause or a limit, turned cold, or its
+        failure domain was evacuated.
+
+        Returns:
+            The reason, or None if the call may be sent.
+        """
+        now = trio.current_time()
+        registry = self.view.registry
+        leaf = registry.get(endpoint.entry.leaf_id)
+        if leaf is None or (
+            leaf.entry.incarnation != endpoint.entry.incarnation
+        ):
+            return "the leaf is gone"
+        if not registry.is_candidate(leaf, now):
+            return "the leaf gets no more requests"
+        if now < endpoint.terms.paused_until:
+            return "the leaf asked for a pause"
+        if _is_reserved(call, now):
+            return None
+        if not self.may_send(leaf, now):
+            return "the leaf is cold"
+        share = self.limit_share(endpoint, now)
+        if not endpoint.terms.may_send(share, is_idle=True, now=now):
+            return "the leaf has reached its limit"
+        return None
+
+    def admit(self, endpoint: LeafEndpoint, call: Call) -> str | None:
+        """Decides on a call at the moment of sending.
+
+        The leaf is charged with a call that has waited for long again.
+
+        Returns:
+            The reason for which it must not be sent, or None.
+        """
+        reason = self.refusal(endpoint, call)
+        if reason is None and not _is_reserved(call, trio.current_time()):
+            self.reserve(endpoint, call)
+        return reason
+
+    def reserve(self, endpoint: LeafEndpoint, call: Call) -> None:
+        """Charges a leaf's cold rate and its limit with a call."""
+        now = trio.current_time()
+        leaf = self.view.registry.get(endpoint.entry.leaf_id)
+        is_cold = leaf is not None and leaf.is_cold(now)
+        if is_cold:
+            self._record_cold_request(endpoint.entry, now)
         if endpoint.terms.has_limit:
             telemetry.LIMITED_CALLS.inc()
             endpoint.terms.record_sent(self.limit_share(endpoint, now), now)
+        if is_cold or endpoint.terms.has_limit:
+            call.reserved_at = now
 
-    def record_cold_request(self, entry: LeafEntry, now: float) -> None:
-        """Counts a request to a cold leaf.
-
-        The caller must have checked that the leaf is cold (LeafChoice.is_cold).
-        """
+    def _record_cold_request(self, entry: LeafEntry, now: float) -> None:
         rate = self._cold_rate(entry)
         if rate > 0:
             self._cold_limiter.record_sent(entry.leaf_id, rate, now)
@@ -347,5 +397,9 @@
         return max(MIN_CONNECTIONS_PER_VM, connections)
 
 
+def _is_reserved(call: Call, now: float) -> bool:
+    return now - call.reserved_at <= RESERVATION_S
+
+
 def _crashed_leaf(entry: LeafEntry) -> CrashedLeaf:
     return CrashedLeaf(entry.service, f"{entry.leaf_id}@{entry.born_ms}")
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -104,7 +104,6 @@
     entry: LeafEntry
     endpoint: LeafEndpoint
     estimate: Estimate
-    is_cold: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,7 +229,6 @@
             leaves[index].entry,
             endpoints[index],
             estimate,
-            leaf_candidates[index].is_cold,
         )
 
     def room_at(self, service: str, now: float) -> float:
@@ -255,10 +253,8 @@
         now: float,
     ) -> Call:
         """Sends a call; on_end is called once with its result."""
-        if choice.is_cold:
-            self._fleet.record_cold_request(choice.entry, now)
-        self._fleet.record_limited_request(choice.endpoint, now)
         call = self._create_call(choice.entry, now)
+        self._fleet.reserve(choice.endpoint, call)
         call.on_end = functools.partial(
             self._handle_result, call, choice.entry, choice.endpoint, on_end
         )
@@ -381,7 +377,9 @@
             terms.record_answer(now)
         if statement.is_leaving:
             registry = self._fleet.view.registry
-            has_changed |= registry.record_leaving(entry.incarnation, now)
+            if registry.record_leaving(entry.incarnation, now):
+                has_changed = True
+                self._fleet.pool.place_waiting_anew()
         if has_changed or statement.pause_s:
             telemetry.leaf_event(
                 now,
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import functools
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -147,6 +148,10 @@
             Set by Fleet, from the configuration and the number of VMs.
         traffic: Returns the counter of the bytes exchanged with a leaf. Set by
             Fleet.
+        refusal: Returns why a leaf may not get a call that waits for it; None
+            if it may. Set by Fleet.
+        admit: The same at the moment of sending, where the leaf's cold rate
+            and limit are charged. Set by Fleet.
         on_crash: Called with a leaf that has crashed and the calls that were
             running on it. Set by Fleet.
         on_unreachable: Called with a leaf to which no connection can be opened.
@@ -178,6 +183,10 @@
             INITIAL_MAX_CONNECTIONS
         )
         self.traffic: Callable[[LeafEntry], Counter | None] = lambda _: None
+        self.refusal: Callable[[LeafEndpoint, Call], str | None] = (
+            lambda _endpoint, _call: None
+        )
+        self.admit: Callable[[LeafEndpoint, Call], str | None] = self.refusal
         self.on_crash: Callable[[LeafEntry, list[LostCall]], None] = (
             lambda _entry, _lost_calls: None
         )
@@ -257,9 +266,30 @@
         calls = list(endpoint.queue)
         endpoint.queue.clear()
         for call in calls:
-            call.complete(
-                CallResult(None, Failure.NOT_RUN, reason, was_sent=False)
-            )
+            _complete_unsent(call, reason)
+
+    def place_waiting_anew(self) -> None:
+        """Ends the waiting calls that their leaf may not get any more.
+
+        Their requests choose another leaf at once, instead of when a connection
+        becomes free.
+        """
+        for endpoint in list(self._endpoints.values()):
+            if endpoint.queue:
+                self._place_waiting_anew_of(endpoint)
+
+    def _place_waiting_anew_of(self, endpoint: LeafEndpoint) -> None:
+        calls = [call for call in endpoint.queue if not call.is_over]
+        reasons = [self.refusal(endpoint, call) for call in calls]
+        endpoint.queue = collections.deque(
+            call
+            for call, reason in zip(calls, reasons, strict=True)
+            if reason is None
+        )
+        for call, reason in zip(calls, reasons, strict=True):
+            if reason is not None:
+                telemetry.PLACED_ANEW.inc()
+                _complete_unsent(call, reason)
 
     def connect(self, entry: LeafEntry) -> None:
         """Opens a connection to a leaf in advance, unless there is one.
@@ -291,7 +321,8 @@
         connection = endpoint.take_free(call, now)
         if connection is not None:
             self._busy.add(connection)
-            connection.start(call)
+            if not connection.start(call):
+                self._on_free(endpoint, connection)
         elif not endpoint.connections or (
             len(endpoint.connections) < self.max_connections(endpoint.entry)
             and now >= endpoint.refused_until
@@ -325,15 +356,8 @@
             if endpoint.lost_calls:
                 self._check_is_alive(endpoint, now)
             while endpoint.queue and endpoint.queue[0].expires_at < limit:
-                expired = endpoint.queue.popleft()
-                expired.complete(
-                    CallResult(
-                        None,
-                        Failure.NOT_RUN,
-                        "queued too long",
-                        was_sent=False,
-                    )
-                )
+                _complete_unsent(endpoint.queue.popleft(), "queued too long")
+        self.place_waiting_anew()
 
     def _check_is_alive(self, endpoint: LeafEndpoint, now: float) -> None:
         """Checks whether a leaf that closed connections of calls is alive.
@@ -405,6 +429,7 @@
             on_closed,
             self.traffic(endpoint.entry),
             self._memory,
+            functools.partial(self.admit, endpoint),
         )
         endpoint.connections.append(connection)
         self._opened_count += 1
@@ -439,9 +464,8 @@
             connection.connect_time_s = 0.0
         while endpoint.queue:
             call = endpoint.queue.popleft()
-            if not call.is_over:
+            if connection.start(call):
                 self._busy.add(connection)
-                connection.start(call)
                 return
         if self._endpoints.get(endpoint.entry.leaf_id) is not endpoint:
             # The endpoint was dropped while a call was running.
@@ -472,5 +496,11 @@
             self._report_crash(endpoint)
         else:
             self._probe_if_lost(endpoint)
+        if endpoint.queue and not endpoint.connections:
+            self._place_waiting_anew_of(endpoint)
         if endpoint.queue and not endpoint.connections:
             self._open(endpoint, endpoint.queue.popleft())
+
+
+def _complete_unsent(call: Call, reason: str) -> None:
+    call.complete(CallResult(None, Failure.NOT_RUN, reason, was_sent=False))
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -91,6 +91,11 @@
     " the pause they asked for.",
     registry=REGISTRY,
 )
+PLACED_ANEW = Counter(
+    "sapphirecross_calls_placed_anew_total",
+    "Calls that waited for a leaf which may not get them any more.",
+    registry=REGISTRY,
+)
 DOMAIN_TRAFFIC = Counter(
     "sapphirecross_domain_traffic_bytes_total",
     "Bytes that this VM exchanged with other failure domains as a client, both"
--- a/libs/gateway/tests/test_delegated_calls.py
+++ b/libs/gateway/tests/test_delegated_calls.py
@@ -82,6 +82,8 @@
         for leaf in self.harness.view.registry.leaves:
             view.registry.put(leaf.entry, trio.current_time())
         pool = LeafPool(nursery, HEADER_NAMES)
+        nursery.start_soon(pool.run_sweeps)
+        self.helper_pool = pool
         budget_policy = RetryBudgetPolicy(0.2, 50.0, 10.0)
         fleet = Fleet(view, pool, HEADER_NAMES, REMOTE_DOMAIN, budget_policy)
         helper = HelperServer(fleet)
@@ -336,3 +338,44 @@
         assert known == HELPER_REVISION + 2
 
     run_with_harness(test)
+
+
+def test_part_that_waits_at_a_helper_does_not_reach_a_leaf_that_leaves(
+    run_with_harness,
+):
+    """Guards against helpers that send what they decided on earlier."""
+
+    async def test(harness):
+        delegation = DelegationHarness(harness)
+        await delegation.start()
+        delegation.helper_pool.max_connections = lambda _: 1
+        leaf = delegation.leaves["s"]
+        leaf.make_reply = delayed("s", 0.5)
+        answers = []
+
+        async def search(request_id):
+            answers.append(await harness.request(request_id=request_id))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(search, "r1")
+            await trio.sleep(0.1)
+            nursery.start_soon(search, "r2")
+            await trio.sleep(0.1)
+            other = await harness.leaf(
+                "s", shard_reply("s"), domain=REMOTE_DOMAIN
+            )
+            now = trio.current_time()
+            for known in list(harness.view.registry.leaves):
+                delegation.helper_view.registry.put(known.entry, now)
+                if known.entry.address == leaf.address:
+                    for view in (delegation.helper_view, harness.view):
+                        view.registry.record_leaving(
+                            known.entry.incarnation, now
+                        )
+        for answer in answers:
+            check_complete(answer)
+        assert len(leaf.requests) == 1
+        # A hedge of the first search may have reached it, too.
+        assert other.requests
+
+    run_with_harness(test)
--- a/libs/gateway/tests/test_fuzz_leaf_terms.py
+++ b/libs/gateway/tests/test_fuzz_leaf_terms.py
@@ -164,8 +164,8 @@
             if choice is None:
                 return
             self.told[choice.entry.incarnation].check_request(now)
-            self.fleet.record_limited_request(choice.endpoint, now)
             call = self.caller._create_call(choice.entry, now)
+            self.fleet.reserve(choice.endpoint, call)
             call.sent_at = now
             choice.endpoint.load.record_call(call.number, now)
             self.running.append((call, choice))
