Start and go on where an address is taken or a stream is closed

Reproduced here, which of it they saw is not proved: exit 1 with the port for metrics taken, with any other address taken for 2 s by a listener or a connection, with a closed standard output, and on SIGINT; exit 2 with half a settings file; ended by SIGHUP within 60 ms of the start.

Cause: the start took whatever it could not have at the first moment as final.

Related paths: accepting that fails, sockets that can't be created, reloads with an unusable address of the store.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -16,6 +16,7 @@
 from sapphire_core.routing import ClientLimits
 
 from sapphire_gateway import supervision, telemetry
+from sapphire_gateway.listening import open_listeners
 from sapphire_gateway.messagememory import PROCESS_MEMORY, MessageMemory
 from sapphire_gateway.messages import (
     RECEIVE_BYTES,
@@ -38,7 +39,6 @@
 REJECT_LINGER_S = 2.0
 # Reading of a connection pauses while at least this many requests are queued.
 MAX_PIPELINED = 8
-BACKLOG = 512
 DEFAULT_ROUND_TRIP_S = 0.002
 # Number of bytes requested of the kernel's struct tcp_info, and offset of its
 # field tcpi_rtt, which is in microseconds.
@@ -389,18 +389,32 @@
     ) -> None:
         """Serves an address until stop is called.
 
-        Returns when the connections that were open then have ended.
+        It waits while the address is taken. Returns when the connections that
+        were open when stop was called have ended.
+
+        Args:
+            address: IP address and port.
+            task_status: Reports that the address is served.
         """
-        host, _, port = address.rpartition(":")
-        listeners = await trio.open_tcp_listeners(
-            int(port), host=host, backlog=BACKLOG
-        )
-        task_status.started()
         async with trio.open_nursery() as handlers:
             with self._listen_scope:
-                await trio.serve_listeners(
-                    self._handle_connection, listeners, handler_nursery=handlers
-                )
+                listeners = await open_listeners(address)
+                task_status.started()
+                while True:
+                    # serve_listeners returns only with an error.
+                    try:
+                        await trio.serve_listeners(
+                            self._handle_connection,
+                            listeners,
+                            handler_nursery=handlers,
+                        )
+                    except* OSError as errors:
+                        telemetry.event(
+                            "accept_failed",
+                            address=address,
+                            error=repr(errors.exceptions),
+                        )
+                    listeners = await open_listeners(address)
 
     def stop(self) -> None:
         """Stops listening and closes the idle connections.
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -195,7 +195,12 @@
 
     async def _connect(self) -> bool:
         started = trio.current_time()
-        self._socket = _new_socket()
+        try:
+            self._socket = _new_socket()
+        except OSError as error:
+            # For example, the process has no descriptor left.
+            self.close(f"no socket: {error.strerror}")
+            return False
         code = self._socket.connect_ex(self._address)
         if code == errno.EINPROGRESS:
             with trio.move_on_after(CONNECT_TIMEOUT_S) as scope:
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -38,6 +38,7 @@
 from sapphire_gateway.store import Store
 from sapphire_gateway.sync import Sync
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 TICK_S = 0.25
 BUSY_CHECK_INTERVAL_S = 0.02
 # Number of ticks between checks for changes of the settings file.
@@ -155,6 +156,7 @@
         self._reload_settings = reload_settings
         self._view = FleetView(settings.name)
         self._is_shutting_down = False
+        self._is_serving = False
         self._fleet: Fleet | None = None
         if settings.memory_bytes is not None:
             PROCESS_MEMORY.limit_bytes = int(
@@ -189,11 +191,9 @@
             self._fleet.budget.set_policy(policy)
 
     async def run(self) -> None:
-        """Runs until a graceful stop after SIGTERM."""
+        """Runs until a graceful stop after SIGTERM or SIGINT."""
         telemetry.event("start", vm=self._settings.name)
-        with trio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGHUP
-        ) as signals:
+        with trio.open_signal_receiver(*STOP_SIGNALS, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 await self._serve(nursery, signals)
                 nursery.cancel_scope.cancel()
@@ -219,18 +219,6 @@
             self._closes_connections,
             gateway.answer_sent,
         )
-        await nursery.start(server.serve, self._settings.callers_address)
-        extras = list(self._extras)
-        if self._settings.metrics_address is not None:
-            extras.append(
-                ExtraListener(self._settings.metrics_address, _answer_metrics)
-            )
-        for extra in extras:
-            await self._listen(
-                nursery,
-                extra.address,
-                functools.partial(self._handle_extra, extra),
-            )
         self_member = Member(
             self._settings.name,
             self._settings.callers_address,
@@ -269,8 +257,6 @@
             LimitEndServer(pool),
         )
         fleet.helpers = HelperPool(fleet, nursery)
-        await self._listen(nursery, self._settings.peer_address, peers.handle)
-        nursery.start_soon(sync.run)
 
         def start_task(task: str, run: Callable[[], Awaitable[None]]) -> None:
             nursery.start_soon(supervision.run_always, task, run)
@@ -288,12 +274,50 @@
             "periodic tasks",
             functools.partial(self._run_periodic_tasks, sync, pool),
         )
-        telemetry.event("serving", address=self._settings.callers_address)
+
+        async def begin_serving() -> None:
+            await nursery.start(server.serve, self._settings.callers_address)
+            for extra in self._extras:
+                await self._listen_extra(nursery, extra)
+            await self._listen(
+                nursery, self._settings.peer_address, peers.handle
+            )
+            # Other VMs direct callers to this one as soon as its entry is in
+            # the store, which is written by sync.
+            nursery.start_soon(sync.run)
+            self._is_serving = True
+            telemetry.event("serving", address=self._settings.callers_address)
+
+        nursery.start_soon(begin_serving)
+        if self._settings.metrics_address is not None:
+            # Nobody waits for the metrics: requests are served without them.
+            nursery.start_soon(
+                self._listen_extra,
+                nursery,
+                ExtraListener(self._settings.metrics_address, _answer_metrics),
+            )
         async for signal_number in signals:
-            if signal_number == signal.SIGTERM:
-                await self._shut_down(sync, server, gateway)
+            if signal_number in STOP_SIGNALS:
+                if self._is_serving:
+                    await self._shut_down(sync, server, gateway)
                 return
-            self._reload_settings(True)
+            self._reload(is_requested=True)
+
+    def _reload(self, is_requested: bool) -> None:
+        """Reads the settings again; an unexpected error changes nothing."""
+        try:
+            self._reload_settings(is_requested)
+        except Exception as error:
+            supervision.record_failure("reload of the settings", error)
+
+    async def _listen_extra(
+        self, nursery: trio.Nursery, extra: ExtraListener
+    ) -> None:
+        await self._listen(
+            nursery,
+            extra.address,
+            functools.partial(self._handle_extra, extra),
+        )
 
     async def _handle_extra(
         self, extra: ExtraListener, request: Request
@@ -358,7 +382,7 @@
         for tick in itertools.count(1):
             await trio.sleep(TICK_S)
             if tick % RELOAD_TICKS == 0:
-                self._reload_settings(False)
+                self._reload(is_requested=False)
             now = _read_clocks()
             if (
                 max(n - b for n, b in zip(now, previous, strict=True))
--- a/libs/gateway/src/sapphire_gateway/supervision.py
+++ b/libs/gateway/src/sapphire_gateway/supervision.py
@@ -3,8 +3,8 @@
 A VM that ends takes the requests of all its callers with it. An error that
 nobody expected is therefore logged with its place in the code and counted. A
 task for one request, message or connection then ends; a task that has to go on
-starts again after a pause. Errors at the start of the process, in its settings
-and in the handling of signals do end it, as nothing works without them.
+starts again after a pause. Errors at the start of the process and in the
+settings that it starts with do end it, as nothing works without them.
 """
 
 from __future__ import annotations
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import sys
 from collections.abc import Mapping
 
 import eliot
@@ -15,6 +14,8 @@
 # changes are not limited.
 REQUEST_LOG_BURST = 400.0
 REQUEST_LOG_PER_S = 150.0
+# sys.stdout is None if the process was started without one.
+STANDARD_OUTPUT = 1
 # Below PIPE_BUF (4096 bytes on Linux), so that a non-blocking write to a pipe
 # is all or nothing.
 MAX_LINE_BYTES = 4_000
@@ -308,7 +309,7 @@
 
 def start() -> None:
     """Sends log lines to standard output."""
-    eliot.to_file(LineWriter(sys.stdout.fileno()))
+    eliot.to_file(LineWriter(STANDARD_OUTPUT))
 
 
 def event(kind: str, **fields: object) -> None:
