Send long bodies to their end on kept connections

Cause: Connection._send leaves the rest in _unsent, which only the reading task sends on. On a kept connection that task already waits for readability.

Ruled out: a leaf that does not read on; it counted the bytes and waited.

Fix: a rest ends the wait of the reading task, which then sends and reads at the same time.

--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -77,7 +77,10 @@
         self._reader: ReplyReader | None = None
         # Set while a reply has arrived in part.
         self._held: HeldMessage | None = None
-        self._unsent = b""
+        # The rest of a request that the socket did not take at once.
+        self._unsent = memoryview(b"")
+        # The wait for data of the server, which does not send.
+        self._waiting = trio.CancelScope()
         self._is_connected = False
         self._is_closed = False
         self._is_closed_by_server = False
@@ -251,7 +254,10 @@
                 f"sending failed: {error.strerror}", is_closed_by_server=True
             )
             return True
-        self._unsent = call.payload[sent:]
+        self._unsent = memoryview(call.payload)[sent:]
+        if self._unsent:
+            # The task that reads may already wait on a kept connection.
+            self._waiting.cancel()
         return True
 
     async def _read(self) -> None:
@@ -260,7 +266,8 @@
             if self._unsent:
                 await self._send_until_readable()
             else:
-                await trio.lowlevel.wait_readable(self._socket)
+                with trio.CancelScope() as self._waiting:
+                    await trio.lowlevel.wait_readable(self._socket)
             if self._is_closed:
                 return
             try:
@@ -357,7 +364,7 @@
         must_close = (
             ends_connection or bool(self._unsent) or not reply.keeps_alive
         )
-        self._unsent = b""
+        self._unsent = memoryview(b"")
         if must_close or result.reply is None:
             self.close(result.detail or "closed after the reply")
         else:
