Keep the time of spent calls when the window of the retry budget changes

A longer window numbers its slots lower, so that the slots before the change lay ahead: their counts were never dropped, and calls were denied until the clock caught up.

Evidence: test_spent_calls_keep_their_time_when_the_window_changes failed for windows of 5 and 20 s before the fix, and passes.

--- a/libs/core/src/sapphire_core/retrybudget.py
+++ b/libs/core/src/sapphire_core/retrybudget.py
@@ -51,6 +51,20 @@
             self.slots.append([slot, 0.0, 0.0])
         return self.slots[-1]
 
+    def renumber(self, factor: float) -> None:
+        """Keeps the times of the slots when their length changes.
+
+        Args:
+            factor: Former length of a slot as a multiple of the new one.
+        """
+        slots, self.slots = self.slots, collections.deque()
+        for number, requests, extras in slots:
+            slot = int(number * factor)
+            if not self.slots or self.slots[-1][0] != slot:
+                self.slots.append([slot, 0.0, 0.0])
+            self.slots[-1][1] += requests
+            self.slots[-1][2] += extras
+
 
 class RetryBudget:
     """Limits extra calls to each service to this VM's share of the budget."""
@@ -63,6 +77,10 @@
 
     def set_policy(self, policy: RetryBudgetPolicy) -> None:
         """Replaces the limit."""
+        factor = self._policy.window_s / policy.window_s
+        if factor != 1.0:
+            for window in self._windows.values():
+                window.renumber(factor)
         self._policy = policy
 
     def set_share(self, share: float) -> None:
--- a/libs/core/tests/test_retrybudget.py
+++ b/libs/core/tests/test_retrybudget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import pytest
@@ -40,6 +41,16 @@
     assert spend_all(budget, 10.6) == first
 
 
+@pytest.mark.parametrize("window_s", [5.0, 20.0])
+def test_spent_calls_keep_their_time_when_the_window_changes(window_s):
+    """Guards against counts that lie ahead and are never dropped."""
+    budget = new_budget()
+    first = spend_all(budget, 100.0)
+    budget.set_policy(dataclasses.replace(POLICY, window_s=window_s))
+    assert spend_all(budget, 100.0 + 0.9 * window_s) == 0
+    assert spend_all(budget, 100.0 + 1.1 * window_s) == first
+
+
 def test_the_reserve_remains_for_retries():
     budget = new_budget()
     while budget.allows_extra_call("s", 0.0, reserve=0.5):
