Take over settings that change at run time, and name those that do not

Cause: a reload took over the store's address and the budget, and dropped all other changes without a word.

A stop that is under way keeps the shorter of its two ends.

--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 import itertools
+import math
 import signal
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -82,6 +84,21 @@
     memory_bytes: float | None = None
 
 
+# Settings that are taken over while the process runs.
+RUNTIME_SETTINGS = frozenset(
+    {"budget", "grace_s", "addresses_ttl_s", "memory_bytes"}
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SettingChange:
+    """A setting that has changed but needs a restart."""
+
+    name: str
+    before: object
+    after: object
+
+
 ExtraHandler = Callable[["GatewayDaemon", Request], Response]
 
 
@@ -158,10 +175,9 @@
         self._is_shutting_down = False
         self._is_serving = False
         self._fleet: Fleet | None = None
-        if settings.memory_bytes is not None:
-            PROCESS_MEMORY.limit_bytes = int(
-                MEMORY_SHARE * settings.memory_bytes
-            )
+        # Set when the time to stop becomes shorter.
+        self._grace_shortened = trio.Event()
+        self._limit_message_memory()
 
     @property
     def is_ready(self) -> bool:
@@ -185,10 +201,38 @@
             return [self._settings.callers_address]
         return [member.address for member in serving_members]
 
-    def set_budget(self, policy: RetryBudgetPolicy) -> None:
-        """Sets the limit of retries and hedges."""
-        if self._fleet is not None:
-            self._fleet.budget.set_policy(policy)
+    def apply_settings(self, new: GatewaySettings) -> list[SettingChange]:
+        """Takes over the settings that can change at run time.
+
+        A stop that is under way keeps the shorter of its two ends.
+
+        Args:
+            new: All settings as they are now.
+
+        Returns:
+            The changes of other settings, which need a restart.
+        """
+        old = self._settings
+        runtime = {name: getattr(new, name) for name in RUNTIME_SETTINGS}
+        self._settings = dataclasses.replace(old, **runtime)
+        if self._fleet is not None and new.budget != old.budget:
+            self._fleet.budget.set_policy(new.budget)
+        self._limit_message_memory()
+        if new.grace_s < old.grace_s:
+            self._grace_shortened.set()
+        return [
+            SettingChange(field.name, before, after)
+            for field in dataclasses.fields(GatewaySettings)
+            if field.name not in RUNTIME_SETTINGS
+            and (before := getattr(old, field.name))
+            != (after := getattr(new, field.name))
+        ]
+
+    def _limit_message_memory(self) -> None:
+        if self._settings.memory_bytes is not None:
+            PROCESS_MEMORY.limit_bytes = int(
+                MEMORY_SHARE * self._settings.memory_bytes
+            )
 
     async def run(self) -> None:
         """Runs until a graceful stop after SIGTERM or SIGINT."""
@@ -299,10 +343,17 @@
         async for signal_number in signals:
             if signal_number in STOP_SIGNALS:
                 if self._is_serving:
+                    nursery.start_soon(self._handle_reloads, signals)
                     await self._shut_down(sync, server, gateway)
                 return
             self._reload(is_requested=True)
 
+    async def _handle_reloads(self, signals: AsyncIterator[int]) -> None:
+        """Handles signals while the process stops: it stops only once."""
+        async for signal_number in signals:
+            if signal_number not in STOP_SIGNALS:
+                self._reload(is_requested=True)
+
     def _reload(self, is_requested: bool) -> None:
         """Reads the settings again; an unexpected error changes nothing."""
         try:
@@ -350,12 +401,17 @@
         for as long as the grace period allows. Every request that is accepted
         gets an answer before the process ends.
         """
-        killed_at = trio.current_time() + self._settings.grace_s
+        began = trio.current_time()
         self._is_shutting_down = True
         sync.own_entry.publish_leaving()
         telemetry.event("leaving", connections=server.connections)
-        gateway.begin_stop(killed_at - ANSWER_MARGIN_S)
-        await trio.sleep_until(killed_at - CLOSE_MARGIN_S)
+        killed_at = math.inf
+        while began + self._settings.grace_s < killed_at:
+            self._grace_shortened = trio.Event()
+            killed_at = began + self._settings.grace_s
+            gateway.begin_stop(killed_at - ANSWER_MARGIN_S)
+            with trio.move_on_at(killed_at - CLOSE_MARGIN_S):
+                await self._grace_shortened.wait()
         server.stop()
         await _wait_while_busy(server, killed_at - ANSWER_MARGIN_S)
         gateway.end_requests()
