Soak: processes that end by themselves are violations

A later fault started them again, so that their end was noticed only by requests without an answer. Processes have the descriptors of a small VM now. SIGHUP in the moment before the interpreter runs the gateway's code is left out: no program can prevent that end.

test_process_that_ends_by_itself_is_noticed shows the check with a settings file that is empty.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -27,6 +28,9 @@
 # normally exit by themselves before it has passed.
 STOP_GRACE_S = 4
 DEFAULT_MEMORY_MB = 300.0
+# File descriptors that a process may have.
+MAX_DESCRIPTORS = 4_100
+ENDING_SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGKILL}
 # Node is the VM's name, Zone its failure domain, Front the address for callers,
 # ttl_max_s the time for which callers may cache the gateways' addresses, and
 # the address under platform that of the store.
@@ -71,6 +75,8 @@
         folder: Folder of the settings file and the log.
         process: The latest process, running or not; None before the first.
         disturbances: Start and end time of each disturbance.
+        unexpected_ends: A description of each end of a process that no fault
+            has caused.
     """
 
     name: str
@@ -79,6 +85,9 @@
     folder: pathlib.Path
     process: subprocess.Popen[bytes] | None = None
     disturbances: list[tuple[float, float]] = field(default_factory=list)
+    unexpected_ends: list[str] = field(default_factory=list)
+    # Whether the process was told to end.
+    _is_ending: bool = False
 
     @property
     def callers_address(self) -> str:
@@ -143,6 +152,8 @@
         """
         if self.is_running:
             return
+        self.record_unexpected_end()
+        self._is_ending = False
         settings = str(self.folder / f"{self.name}.toml")
         with self._log.open("ab") as file:
             self.process = subprocess.Popen(
@@ -152,9 +163,25 @@
                 env={**os.environ, "SAPPHIRECROSS_BOOT": settings},
                 stdout=file,
                 stderr=file,
+                preexec_fn=_limit_descriptors,
             )
         self.record_disturbance()
 
+    def record_unexpected_end(self) -> None:
+        """Records that the process has ended if no fault has caused that.
+
+        SIGHUP ends a process whose interpreter has not run the gateway's code
+        yet; no program can prevent that.
+        """
+        if self.process is None or self._is_ending:
+            return
+        code = self.process.poll()
+        if code is not None and code != -signal.SIGHUP:
+            self.unexpected_ends.append(
+                f"{self.name} ended by itself with status {code}"
+            )
+            self._is_ending = True
+
     def log_lines(self, message_type: str) -> list[str]:
         """Returns the lines of a type in the logs of all starts."""
         text = self._log.read_text(errors="replace")
@@ -169,7 +196,9 @@
 
         Records a disturbance at this moment in any case.
         """
+        self.record_unexpected_end()
         if self.process is not None and self.is_running:
+            self._is_ending |= number in ENDING_SIGNALS
             self.process.send_signal(number)
         self.record_disturbance()
 
@@ -179,7 +208,9 @@
         A disturbance is recorded only once the process has ended, so that the
         guarantees are also checked for requests during the graceful stop.
         """
+        self.record_unexpected_end()
         if self.process is not None and self.is_running:
+            self._is_ending = True
             self.process.send_signal(signal.SIGTERM)
         with trio.move_on_after(STOP_GRACE_S):
             while self.is_running:
@@ -221,3 +252,8 @@
             if gateway.process is not None and gateway.is_running:
                 gateway.process.kill()
                 gateway.process.wait()
+
+
+def _limit_descriptors() -> None:
+    limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+    resource.setrlimit(resource.RLIMIT_NOFILE, limits)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -137,6 +137,9 @@
         await trio.sleep(FAULT_FREE_S)
         result.violations = find_violations(environment.observations)
         result.violations += _task_failures(environment)
+        for gateway in environment.gateways:
+            gateway.record_unexpected_end()
+            result.violations += gateway.unexpected_ends
         result.requests = len(environment.observations.attempts)
         result.served = sum(
             a.reply is not None and a.reply.status == 200
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,6 +56,24 @@
     assert result.violations == [], result.faults
 
 
+def test_process_that_ends_by_itself_is_noticed(tmp_path):
+    """Guards against ends that a later fault hides by a new start."""
+    gateway = Gateway("vm1", "127.0.0.1", "za", tmp_path)
+    (tmp_path / "vm1.toml").write_text("")
+
+    async def main():
+        gateway.start()
+        with trio.fail_after(30):
+            while gateway.is_running:
+                await trio.sleep(0.05)
+        gateway.kill()
+        gateway.start()
+        gateway.kill()
+
+    trio.run(main)
+    assert gateway.unexpected_ends == ["vm1 ended by itself with status 2"]
+
+
 def _gateway():
     return Gateway(
         name="g", host="127.0.0.1", failure_domain="za", folder=pathlib.Path()
