Keep no closed connection among the busy ones

A call that is sent from the queue may fail at once and close its connection, which was then added to the busy ones for good.

--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -462,11 +462,14 @@
             change = connection.connect_time_s - endpoint.average_connect_s
             endpoint.average_connect_s += _CONNECT_AVERAGE_WEIGHT * change
             connection.connect_time_s = 0.0
-        while endpoint.queue:
-            call = endpoint.queue.popleft()
-            if connection.start(call):
-                self._busy.add(connection)
+        while endpoint.queue and connection.is_free:
+            self._busy.add(connection)
+            if connection.start(endpoint.queue.popleft()):
                 return
+            self._busy.discard(connection)
+        if connection.is_closed:
+            # By what followed from a call that was refused.
+            return
         if self._endpoints.get(endpoint.entry.leaf_id) is not endpoint:
             # The endpoint was dropped while a call was running.
             connection.close("the leaf is gone")
