Pass on no failure of a leaf that reads as a refusal

Cause: the gateway forwarded the failure of a leaf whatever its status. By PROTOCOL, 408, 421, 429 and 503 promise that a request has not run, and a leaf says so only with Not-Executed or 421. Such a failure is answered with 502 of our own now, without the leaf's signature, as the status is another.

Also: limits and pauses with more than nine digits after the point are read.

--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -18,8 +18,10 @@
 MISDIRECTED = 421
 FULL = 503
 _LEAVING = b"1"
+# Statuses that tell a caller that its request has not run and never will.
+REFUSAL_STATUSES = frozenset({408, MISDIRECTED, 429, FULL})
 # A decimal number without sign or exponent, and of limited size.
-_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,64})?")
 _call_numbers = itertools.count(1)
 
 
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -14,6 +14,7 @@
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.callers import HEAD, Caller
+from sapphire_gateway.calls import REFUSAL_STATUSES
 from sapphire_gateway.crashes import request_fingerprint
 from sapphire_gateway.decoding import parse_count
 from sapphire_gateway.execution import RequestExecution
@@ -310,8 +311,13 @@
             return self._forward_reply(next(iter(outcome.replies.values())))
         if not outcome.may_have_run:
             return error_response(503, "the leaves are full", RETRY_FULL_S)
-        if outcome.failure_reply is not None and not job.is_search:
-            return self._forward_reply(outcome.failure_reply)
+        failure_reply = outcome.failure_reply
+        if failure_reply is not None and not job.is_search:
+            if failure_reply.status in REFUSAL_STATUSES:
+                # The leaf does not say that it has not run the request, and a
+                # caller would conclude that from the status.
+                return error_response(502, "the leaf failed")
+            return self._forward_reply(failure_reply)
         if outcome.was_ended:
             return error_response(504, "the VM is stopping")
         if now >= job.policy.give_up_at:
