--- a/conftest.py
+++ b/conftest.py
@@ -10,9 +10,15 @@
 import signal
 import threading
 
+import hypothesis
 import pytest
 from sapphire_gateway import telemetry
 
+# No test asserts wall-clock speed; by default, an example that takes 0.2 s on a
+# busy machine fails its test.
+hypothesis.settings.register_profile("suite", deadline=None)
+hypothesis.settings.load_profile("suite")
+
 KNOWN_RED_FILE = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 _TEST_PREFIX = "test: "
 
--- a/libs/config/src/sapphire_config/reference.py
+++ b/libs/config/src/sapphire_config/reference.py
@@ -54,13 +54,34 @@
 )
 
 
+_GATEWAY_SETTINGS = """\
+## Settings of the gateway that change at run time
+
+A gateway reads its settings file on SIGHUP, and when the file has changed. \
+It takes over:
+
+| settings | from |
+|---|---|
+| address of the store | the next call |
+| budget of retries and hedges: ratio, slack, window | the next call; what \
+was spent keeps its time |
+| time to stop (`grace_s`) | the next stop; a stop that is under way keeps \
+the shorter of its two ends |
+| life of addresses (`addresses_ttl_s`) | the next look-up |
+| memory | the next message |
+
+All others (name, failure domain, cores, addresses, metrics) need a restart; \
+the log line `needs_restart` names the setting and both values.
+"""
+
+
 def render() -> str:
     """Returns the text of docs/configuration.md."""
     seen = {"Document"}
     parts = [_HEADER]
     for title, model in _SECTIONS:
         parts += _section(title, model.model_json_schema(), seen)
-    return "\n".join([*parts, _RULES])
+    return "\n".join([*parts, _RULES, _GATEWAY_SETTINGS])
 
 
 def _section(
