--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -79,7 +79,7 @@
         self._held: HeldMessage | None = None
         # The rest of a request that the socket did not take at once.
         self._unsent = memoryview(b"")
-        # The wait for data of the server, which does not send.
+        # Cancelled to end the wait for a reply when a request is left to send.
         self._waiting = trio.CancelScope()
         self._is_connected = False
         self._is_closed = False
--- a/libs/gateway/src/sapphire_gateway/listening.py
+++ b/libs/gateway/src/sapphire_gateway/listening.py
@@ -1,4 +1,4 @@
-"""Listening sockets that outlive the reasons for which they can't be opened.
+"""Opens listening sockets, and waits while their address is taken.
 
 An address may be taken for a moment: by the process that ran before, or by a
 connection of another process whose local port it is. A process that ended then
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -468,7 +468,7 @@
                 return
             self._busy.discard(connection)
         if connection.is_closed:
-            # By what followed from a call that was refused.
+            # Its leaf was dropped while a refused call was placed anew.
             return
         if self._endpoints.get(endpoint.entry.leaf_id) is not endpoint:
             # The endpoint was dropped while a call was running.
