--- a/libs/core/src/sapphire_core/repeatgate.py
+++ b/libs/core/src/sapphire_core/repeatgate.py
@@ -39,6 +39,11 @@
         """Whether any number of calls may be made."""
         return self._has_answer or not self._is_suspicious
 
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether the request is suspected, or has lost a leaf."""
+        return self._is_suspicious
+
     def request_call(self, part: str) -> Repetition:
         """Returns whether a call for a part may be made now.
 
--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -172,6 +172,7 @@
             <= trio.current_time(),
             was_ended=self._must_end,
             passed_over=self.passed_over,
+            is_suspicious=self._gate.is_suspicious,
         )
         if verdict is Verdict.GIVE_UP:
             # No leaf should start a request that has already failed, or whose
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import zlib
 
 import trio
 from sapphire_core.crashsuspects import CrashVerdict
@@ -50,6 +51,8 @@
 # A request is ended this long before the last time at which its answer would
 # still reach the caller by the deadline.
 GIVE_UP_MARGIN_S = 0.01
+# Host and target are logged up to this size.
+MAX_LOGGED_BYTES = 200
 
 
 class Gateway:
@@ -404,6 +407,8 @@
         telemetry.LATENCY.labels(route.name).observe(elapsed_s)
         if outcome.verdict is Verdict.ANSWER:
             telemetry.PARTS_MISSING.inc(missing)
+        if outcome.is_suspicious:
+            self._log_suspicious_request(request, job, caller, now)
         self._request_log.write(
             now,
             "request",
@@ -427,6 +432,25 @@
             },
         )
 
+    def _log_suspicious_request(
+        self, request: Request, job: Job, caller: Caller, now: float
+    ) -> None:
+        """Logs what identifies a request that has lost leaves."""
+        host = header(request.headers, b"host") or b""
+        telemetry.leaf_event(
+            now,
+            "request_suspicious",
+            request=job.request_id.decode("latin-1"),
+            fingerprint=job.fingerprint,
+            caller=caller.host,
+            method=request.method.decode("latin-1"),
+            host=host[:MAX_LOGGED_BYTES].decode("latin-1"),
+            target=request.target[:MAX_LOGGED_BYTES].decode("latin-1"),
+            body_bytes=len(request.body),
+            body_crc32=zlib.crc32(request.body),
+            canary=job.is_canary,
+        )
+
     def _configuration_fields(self) -> dict[str, object]:
         view = self._fleet.view
         configuration = view.configuration
--- a/libs/gateway/src/sapphire_gateway/job.py
+++ b/libs/gateway/src/sapphire_gateway/job.py
@@ -66,6 +66,8 @@
         was_ended: Whether it was ended because the VM is being stopped.
         passed_over: Ids of the first leaves that were not chosen for what they
             have asked for.
+        is_suspicious: Whether it was suspected of crashing leaves, or one of
+            its calls has lost a leaf.
     """
 
     verdict: Verdict
@@ -79,3 +81,4 @@
     waited_for_missing_parts: bool
     was_ended: bool
     passed_over: list[str]
+    is_suspicious: bool
--- a/libs/gateway/tests/conftest.py
+++ b/libs/gateway/tests/conftest.py
@@ -2,9 +2,29 @@
 
 from __future__ import annotations
 
+import eliot
 import pytest
 import trio
 from gateway_harness import GatewayHarness
+from sapphire_gateway import telemetry
+
+
+@pytest.fixture
+def log_events(monkeypatch):
+    """Returns a function that returns the logged lines of one kind."""
+    # The clock of each run starts anew, also that of the limiter's tokens.
+    monkeypatch.setattr(telemetry, "_LEAF_LOG", telemetry.RequestLogLimiter())
+    lines = []
+    add = lines.append
+    eliot.add_destinations(add)
+
+    def select(kind):
+        return [
+            line for line in lines if line["message_type"] == f"gateway:{kind}"
+        ]
+
+    yield select
+    eliot.remove_destination(add)
 
 
 @pytest.fixture
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -446,3 +446,22 @@
         assert [part.was_sent for part in decoded.failed] == [False]
 
     run_with_harness(test)
+
+
+def test_log_names_what_identifies_a_request_that_lost_a_leaf(
+    run_with_harness, log_events
+):
+    """Guards against fingerprints that can't be traced to their requests."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness)
+        await leaves.add("s", 2)
+        harness.configure(single_leaf_route(max_attempts=1))
+        await harness.request(POISON)
+        await harness.request("/a/other")
+
+    run_with_harness(test)
+    lines = log_events("request_suspicious")
+    assert [(line["target"], line["caller"]) for line in lines] == [
+        (POISON, "127.0.0.1")
+    ]
