--- a/libs/gateway/tests/conftest.py
+++ b/libs/gateway/tests/conftest.py
@@ -17,6 +17,8 @@
     lines = []
     add = lines.append
     eliot.add_destinations(add)
+    # Lines that were logged before the first destination existed.
+    lines.clear()
 
     def select(kind):
         return [
--- a/libs/gateway/tests/gateway_harness.py
+++ b/libs/gateway/tests/gateway_harness.py
@@ -185,15 +185,20 @@
         host, port = self.address
         await self.nursery.start(self.server.serve, f"{host}:{port}")
 
-    async def connect(self):
-        """Opens a connection as a caller."""
-        return await trio.open_tcp_stream(*self.address)
+    async def connect(self, source=None):
+        """Opens a connection as a caller, from an IP address if given."""
+        return await trio.open_tcp_stream(*self.address, local_address=source)
 
     async def request(
-        self, path="/a/x", request_id="r1", method="GET", **more: object
+        self,
+        path="/a/x",
+        request_id="r1",
+        method="GET",
+        source=None,
+        **more: object,
     ):
         """Sends one request on a new connection and returns the response."""
-        async with await self.connect() as stream:
+        async with await self.connect(source) as stream:
             await stream.send_all(
                 request_bytes(path, request_id, method, **more)
             )
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -137,6 +137,23 @@
     run_with_harness(test)
 
 
+def test_request_of_many_callers_that_crashes_leaves_is_refused(
+    run_with_harness,
+):
+    """Guards against a request that each caller gives a new name."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness)
+        await leaves.add("s", 10)
+        harness.configure(single_leaf_route(max_attempts=1))
+        for number in range(10):
+            await harness.request(POISON, source=f"127.0.0.{10 + number}")
+            await trio.sleep(0.3)
+        assert leaves.crashes <= 2
+
+    run_with_harness(test)
+
+
 def test_quarantine_names_its_end_to_the_caller(run_with_harness):
     """Guards against callers that are told to come back while it lasts."""
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -192,7 +192,10 @@
 
 
 async def send_request(
-    gateway: Gateway, route: SoakRoute, path: str
+    gateway: Gateway,
+    route: SoakRoute,
+    path: str,
+    source: str | None = None,
 ) -> Attempt:
     """Sends a request to a gateway, on a connection of its own.
 
@@ -200,6 +203,7 @@
         gateway: The gateway, whether callers are directed to it or not.
         route: The route of the path.
         path: Path of the request, with the route's prefix.
+        source: IP address of the caller; the default is chosen by the system.
     """
     request_id = f"{next(_REQUEST_IDS):08x}"
     head = (
@@ -215,7 +219,9 @@
         contextlib.suppress(OSError, trio.BrokenResourceError),
     ):
         host, _, port = gateway.callers_address.rpartition(":")
-        async with await trio.open_tcp_stream(host, int(port)) as stream:
+        async with await trio.open_tcp_stream(
+            host, int(port), local_address=source
+        ) as stream:
             was_sent = True
             await stream.send_all(head.encode())
             while reader.reply is None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -57,6 +57,10 @@
 CRASH_REPETITION_S = 8.0
 CRASH_PAUSES_S = (0.02, 0.1, 0.3, 1.0)
 CRASH_CALLER_COUNTS = (1, 4)
+# Number of hosts from which a crashing request is repeated in turn, and number
+# of the first one in the subnet of the gateways.
+CRASH_CALLER_HOSTS = 16
+FIRST_CALLER_HOST = 200
 # Time from the crash of a leaf to its next start.
 CRASH_RESTART_S = 0.5
 # Limits that a leaf names, in requests a second, and for how long.
@@ -384,20 +388,42 @@
     await _repeat_crash_request(environment, SEARCH, environment.gateways)
 
 
+async def _repeat_crash_fetch_from_many_hosts(environment: Environment) -> None:
+    subnet = environment.gateways[0].host.rpartition(".")[0]
+    hosts = [
+        f"{subnet}.{FIRST_CALLER_HOST + number}"
+        for number in range(CRASH_CALLER_HOSTS)
+    ]
+    await _repeat_crash_request(environment, FETCH, environment.gateways, hosts)
+
+
 async def _repeat_crash_request(
-    environment: Environment, route: SoakRoute, gateways: Sequence[Gateway]
+    environment: Environment,
+    route: SoakRoute,
+    gateways: Sequence[Gateway],
+    hosts: Sequence[str | None] = (None,),
 ) -> None:
-    """Repeats a request that crashes leaves, at any of some gateways."""
+    """Repeats a request that crashes leaves, at any of some gateways.
+
+    Args:
+        environment: The running environment.
+        route: Route of the request.
+        gateways: Gateways to choose from.
+        hosts: IP addresses from which it is sent in turn.
+    """
     rng = environment.rng
     number = next(_CRASH_REQUEST_NUMBERS)
     path = f"{route.prefix}{number}{CRASH_PATH.decode()}"
     attempts = environment.observations.crash_attempts.setdefault(path, [])
     ends_at = trio.current_time() + CRASH_REPETITION_S
+    sources = itertools.cycle(hosts)
 
     async def repeat(pause_s: float) -> None:
         while trio.current_time() < ends_at:
             attempts.append(
-                await send_request(rng.choice(gateways), route, path)
+                await send_request(
+                    rng.choice(gateways), route, path, next(sources)
+                )
             )
             await trio.sleep(pause_s)
 
@@ -542,6 +568,7 @@
 # would change what each seed means.
 NAMED_FAULTS = {
     **FAULTS,
+    "crash_fetch_from_many_hosts": _repeat_crash_fetch_from_many_hosts,
     "failure_domain_cut": _cut_failure_domain,
     "leaf_replies_endless": _send_endless_replies,
 }
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -48,6 +48,18 @@
     assert _violations(monkeypatch, names, QUICK_PAUSE_S, callers) == []
 
 
+@pytest.mark.parametrize("pause_s", [QUICK_PAUSE_S, SLOW_PAUSE_S])
+def test_crash_request_of_many_callers_is_kept_from_leaves(
+    monkeypatch, pause_s
+):
+    """Guards against one request that each caller's address gives a new name.
+
+    Nobody had seen it before at each of its arrivals, and it ran each time.
+    """
+    names = ("crash_fetch_from_many_hosts",)
+    assert _violations(monkeypatch, names, pause_s) == []
+
+
 def test_crash_search_is_kept_from_leaves(monkeypatch):
     """Guards against a search that ends the leaves of all its shards."""
     assert _violations(monkeypatch, ("crash_search",), SLOW_PAUSE_S) == []
