Know a request that crashes leaves by what the leaves get, not by its caller

What callers saw: a search that crashes leaves ended one leaf of each shard every few seconds, and other searches came back incomplete, as 502 or refused.

Cause: the fingerprint held the caller's IP address, which leaves never see. The same request came from many addresses, had a new name each time, was unknown, and went to all shards at once.

Change: the fingerprint is made of method, host, target and body. A caller who can crash leaves with a request can so have the same request of others refused; it would end the leaves under them, too, and a canary whose leaf answers clears the request for all.

--- a/libs/core/src/sapphire_core/crashsuspects.py
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -94,7 +94,7 @@
     """What a VM knows of a suspected request, for other VMs.
 
     Attributes:
-        fingerprint: Equal for equal requests of one caller.
+        fingerprint: Equal for repeated requests, whoever sends them.
         leaves: Leaves that crashed under it, MAX_SHARED_LEAVES at most.
         is_quarantined: Whether it must not run.
         expires_in_s: Time until the record is forgotten.
@@ -241,7 +241,7 @@
     def record_refusal(self, fingerprint: str, now: float) -> float:
         """Records that a request was sent and refused.
 
-        As long as its caller keeps sending it, a quarantined request stays
+        As long as it keeps being sent, a quarantined request stays
         quarantined.
 
         Returns:
--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -65,7 +65,7 @@
         created_at: Time at which the call was created.
         is_canary: Whether the request is suspected of crashing leaves.
         sent_at: Time at which sending began, or 0.
-        fingerprint: Equal for equal requests of one caller; empty for calls
+        fingerprint: Equal for repeated requests; empty for calls
             that do not forward a caller's request.
         is_over: Whether the result was reported.
         is_cancelled: Whether the call was cancelled because the caller has
--- a/libs/gateway/src/sapphire_gateway/crashes.py
+++ b/libs/gateway/src/sapphire_gateway/crashes.py
@@ -28,19 +28,21 @@
 
 
 def request_fingerprint(
-    method: bytes, host: bytes, target: bytes, body: bytes, caller_host: str
+    method: bytes, host: bytes, target: bytes, body: bytes
 ) -> str:
-    """Returns a hash that is equal for repeated requests of one caller.
+    """Returns a hash that is equal for repeated requests, whoever sends them.
+
+    The address of the caller is not part of it: leaves do not see it, and a
+    caller may repeat a request from another one.
 
     Args:
         method: Method of the request.
         host: Its header Host; other headers are not part of the hash.
         target: Its target.
         body: Its body.
-        caller_host: IP address of the caller.
     """
     digest = hashlib.blake2b(digest_size=12)
-    for part in (method, host.lower(), target, caller_host.encode(), body):
+    for part in (method, host.lower(), target, body):
         digest.update(b"%d:" % len(part))
         digest.update(part)
     return digest.hexdigest()
--- a/libs/gateway/src/sapphire_gateway/delegation_messages.py
+++ b/libs/gateway/src/sapphire_gateway/delegation_messages.py
@@ -22,7 +22,7 @@
         request_head: Request line and headers for the leaves.
         body: Body for the leaves.
         request_id: Request id that replies must repeat.
-        fingerprint: Equal for repeated requests of one caller.
+        fingerprint: Equal for repeated requests, whoever sends them.
         parts: Services to call, one leaf of each.
         target_ms: Latency target of the whole request.
         call_timeout_ms: Time limit of the calls to leaves.
--- a/libs/gateway/src/sapphire_gateway/gateway.py
+++ b/libs/gateway/src/sapphire_gateway/gateway.py
@@ -103,7 +103,7 @@
         if route is None:
             return self._refuse(request, 404, "no route")
         fingerprint = request_fingerprint(
-            request.method, host, request.target, request.body, caller.host
+            request.method, host, request.target, request.body
         )
         suspects = self._fleet.view.crashes.suspects
         verdict = suspects.verdict(fingerprint, trio.current_time())
--- a/libs/gateway/src/sapphire_gateway/job.py
+++ b/libs/gateway/src/sapphire_gateway/job.py
@@ -20,7 +20,7 @@
             headers that differ from call to call.
         body: Body for the leaves.
         is_to_head: Whether the method is HEAD, so that replies have no body.
-        fingerprint: Equal for equal requests of one caller.
+        fingerprint: Equal for repeated requests, whoever sends them.
         route: Route from the configuration in force on arrival.
         parts: Services that get the request; several if it is a search.
         is_canary: Whether the request is suspected of crashing leaves, so that
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -115,7 +115,7 @@
             headers that differ from call to call.
         body: Body for the leaves.
         request_id: Identifier that replies must repeat if they have one.
-        fingerprint: Equal for equal requests of one caller.
+        fingerprint: Equal for repeated requests, whoever sends them.
         is_canary: Whether the request is suspected of crashing leaves.
         is_to_head: Whether the method is HEAD, so that replies have no body.
         is_repeatable: Whether leaves may run the request more than once.
