Take a new connection to a lost leaf for no proof that it lives

What callers would see: a request that crashes leaves runs again and again where leaves are started again at once on the same address.

Cause: a leaf that lost its connections during a call was taken to live if a new connection to its address succeeded. A supervisor that holds the socket, a restart at once, or the kernel's backlog accepts it as well.

Change: only a connection from before the loss proves life. Otherwise the call is kept for 5 s, in which the store tells of the restart or of the end (then it is a crash), and the loss is unexplained until then. A single reset, and a reset of all connections, count for nothing.

--- a/libs/core/src/sapphire_core/crashsuspects.py
+++ b/libs/core/src/sapphire_core/crashsuspects.py
@@ -12,6 +12,11 @@
 
 Harmless requests are mostly cleared at once, by the reply to their retry.
 
+A leaf that loses all connections while its address accepts new ones may have
+crashed and started again, or may have closed them for another reason. Such a
+loss counts as a crash once the request has had another one, at another leaf and
+moment, and no reply since.
+
 Crashes are told apart by the leaf, so that VMs can add up what each has seen.
 All times are in seconds of one monotonic clock.
 """
@@ -57,6 +62,8 @@
 DIGEST_BYTES = 8
 # Resolution at which the remaining lifetime of a record enters its digest.
 DIGEST_EXPIRY_STEP_S = 300.0
+# Requests whose unexplained losses are remembered.
+MAX_UNEXPLAINED = 4_000
 # Leaves that are remembered for each request, and told to other VMs.
 MAX_LEAVES = 64
 MAX_SHARED_LEAVES = 8
@@ -216,6 +223,9 @@
         # When this VM first knew of a crash, oldest first. Crashes that were
         # cleared stay: other leaves may have been lost with them.
         self._known_at: dict[CrashedLeaf, float] = {}
+        # Leaves that may have crashed under a request, with the times at which
+        # they lost their connections. Requests that were lost first come first.
+        self._unexplained: dict[str, dict[CrashedLeaf, float]] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -311,6 +321,42 @@
             entry.canaries[leaf] = _CanaryCrash(now)
         return is_new
 
+    def record_unexplained_loss(
+        self, fingerprint: str, leaf: CrashedLeaf, is_canary: bool, now: float
+    ) -> tuple[CrashedLeaf, ...]:
+        """Records that a leaf may have crashed while it ran the request.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            leaf: The leaf, whose address accepts connections.
+            is_canary: Whether the request was suspected when it was sent.
+            now: Present time.
+
+        Returns:
+            The leaves that count as crashed from now on; none if the losses may
+            have another cause.
+        """
+        losses = self._unexplained.pop(fingerprint, {})
+        losses = {
+            lost: at for lost, at in losses.items() if now - at < SUSPICION_S
+        }
+        has_earlier = any(
+            lost != leaf and now - at > COINCIDENCE_S
+            for lost, at in losses.items()
+        )
+        losses.setdefault(leaf, now)
+        if not is_canary and not has_earlier:
+            self._unexplained[fingerprint] = losses
+            while len(self._unexplained) > MAX_UNEXPLAINED:
+                del self._unexplained[next(iter(self._unexplained))]
+            return ()
+        self._add(fingerprint, losses, now + SUSPICION_S, now)
+        entry = self._entries[fingerprint]
+        if is_canary and leaf in entry.leaves:
+            # One of the MAX_CANARY_CRASHES: this one alone proves nothing.
+            entry.canaries.setdefault(leaf, _CanaryCrash())
+        return tuple(losses)
+
     def record_lost_leaf(self, leaf: CrashedLeaf, now: float) -> None:
         """Records that a leaf is gone, whether it ran a request or not."""
         self._record_known(leaf, now)
@@ -325,6 +371,7 @@
         Returns:
             Whether the request is no longer suspected.
         """
+        self._unexplained.pop(fingerprint, None)
         entry = self._entries.get(fingerprint)
         if entry is None or entry.is_quarantined:
             return False
@@ -388,6 +435,8 @@
         if entry is None:
             entry = _Entry(expires, now)
             self._store(record.fingerprint, entry, now)
+        if record.cleared:
+            self._unexplained.pop(record.fingerprint, None)
         is_cleared = entry.clear(record.cleared)
         for leaf in record.cleared[: MAX_LEAVES - len(entry.cleared)]:
             entry.cleared.setdefault(leaf)
--- a/libs/core/tests/test_crashsuspects.py
+++ b/libs/core/tests/test_crashsuspects.py
@@ -328,3 +328,54 @@
     assert records[0].fingerprint == "bad"
     assert records[0].is_quarantined
     assert max(len(r.leaves) for r in records) == MAX_SHARED_LEAVES
+
+
+def test_one_unexplained_loss_is_no_crash():
+    """Guards against requests that are held for one reset connection."""
+    suspects = CrashSuspects("vm1")
+    leaf = CrashedLeaf("s", "i-1@1")
+    for now in (10.0, 11.0):
+        assert suspects.record_unexplained_loss("a", leaf, False, now) == ()
+    assert suspects.verdict("a", 11.0) is CrashVerdict.CLEAR
+
+
+def test_losses_at_one_moment_are_no_crash():
+    """Guards against a search held after a reset of all its connections."""
+    suspects = CrashSuspects("vm1")
+    for number in range(5):
+        leaf = CrashedLeaf(f"s{number}", f"i-{number}@1")
+        now = 10.0 + 0.01 * number
+        assert suspects.record_unexplained_loss("a", leaf, False, now) == ()
+
+
+def test_losses_at_two_leaves_and_moments_count_as_crashes():
+    """Guards against crashes that a restart at once hides."""
+    suspects = CrashSuspects("vm1")
+    first, second = CrashedLeaf("s", "i-1@1"), CrashedLeaf("s", "i-2@1")
+    suspects.record_unexplained_loss("a", first, False, 10.0)
+    counted = suspects.record_unexplained_loss("a", second, False, 10.5)
+    assert counted == (first, second)
+    assert suspects.verdict("a", 10.5) is CrashVerdict.HELD
+
+
+def test_reply_between_unexplained_losses_clears_the_first():
+    """Guards against requests that are held for two unrelated resets."""
+    suspects = CrashSuspects("vm1")
+    first, second = CrashedLeaf("s", "i-1@1"), CrashedLeaf("s", "i-2@1")
+    suspects.record_unexplained_loss("a", first, False, 10.0)
+    suspects.record_survival("a", "s", False)
+    assert suspects.record_unexplained_loss("a", second, False, 10.5) == ()
+
+
+def test_unexplained_losses_of_canaries_quarantine_at_the_third():
+    """Guards against a quarantine for one reset, and against none at all."""
+    suspects = CrashSuspects("vm1")
+    suspects.record_crash("a", CrashedLeaf("s", "i-0@1"), False, 10.0)
+    verdicts = []
+    for number in range(1, 4):
+        now = 10.0 + 2 * number
+        leaf = CrashedLeaf("s", f"i-{number}@1")
+        suspects.record_unexplained_loss("a", leaf, True, now)
+        verdicts.append(suspects.verdict("a", now + 0.3))
+    assert verdicts[:2] == [CrashVerdict.HELD, CrashVerdict.HELD]
+    assert verdicts[2] is CrashVerdict.QUARANTINED
--- a/libs/gateway/src/sapphire_gateway/crashes.py
+++ b/libs/gateway/src/sapphire_gateway/crashes.py
@@ -98,6 +98,27 @@
             self._is_unpublished = True
             self._add_own_news(fingerprint)
 
+    def record_unexplained_loss(
+        self, fingerprint: str, leaf: CrashedLeaf, is_canary: bool, now: float
+    ) -> None:
+        """Records that a leaf may have crashed while it ran a request."""
+        crashed = self.suspects.record_unexplained_loss(
+            fingerprint, leaf, is_canary, now
+        )
+        telemetry.leaf_event(
+            now,
+            "leaf_loss_unexplained",
+            leaf=leaf.incarnation,
+            service=leaf.service,
+            fingerprint=fingerprint,
+            canary=is_canary,
+            counted=len(crashed),
+            verdict=self.suspects.verdict(fingerprint, now).value,
+        )
+        if crashed:
+            self._is_unpublished = True
+            self._add_own_news(fingerprint)
+
     def record_survival(
         self, fingerprint: str, service: str, is_canary: bool, now: float
     ) -> None:
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -113,6 +113,7 @@
         pool.refusal = self.refusal
         pool.admit = self.admit
         pool.on_crash = self._record_crash
+        pool.on_unexplained_loss = self._record_unexplained_loss
         pool.on_unreachable = self._record_unreachable
 
     @property
@@ -355,6 +356,16 @@
                 functools.partial(self._probe_neighbours, entry)
             )
 
+    def _record_unexplained_loss(
+        self, entry: LeafEntry, lost_calls: list[LostCall]
+    ) -> None:
+        """Records that a leaf may have crashed, and started again since."""
+        now = trio.current_time()
+        for call in lost_calls:
+            self.view.crashes.record_unexplained_loss(
+                call.fingerprint, _crashed_leaf(entry), call.is_canary, now
+            )
+
     def _probe_neighbours(self, lost: LeafEntry) -> None:
         """Finds out whether more of a lost leaf's failure domain is lost.
 
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -31,6 +31,10 @@
 MAX_IDLE_IF_NOT_REPEATABLE_S = 1.0
 # Closing all connections of a crashed leaf is noticed within this time.
 CLOSING_DELAY_S = 0.05
+# A leaf that has lost all connections, and accepts new ones, may have crashed
+# and started again. The store says so within this time: by the entry of the new
+# process, or by the end of the old entry.
+RESTART_NOTICE_S = 5.0
 MAX_LOGGED_FINGERPRINTS = 10
 # Incarnations of leaves whose terms are kept.
 MAX_TERMS = 20_000
@@ -50,7 +54,7 @@
 _CONNECT_AVERAGE_WEIGHT = 0.2
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class LostCall:
     """A call whose leaf closed the connection or fell silent.
 
@@ -59,12 +63,15 @@
         is_canary: Whether the request was suspected when it was sent.
         is_silent: Whether the leaf fell silent and closed nothing.
         lost_at: Time at which the call ended.
+        is_unexplained: Whether the leaf has lost all connections, and accepts
+            new ones.
     """
 
     fingerprint: str
     is_canary: bool
     is_silent: bool
     lost_at: float
+    is_unexplained: bool = False
 
 
 @dataclass(slots=True)
@@ -129,6 +136,15 @@
             for connection in self.connections
         )
 
+    def has_connection_since(self, time: float) -> bool:
+        """Returns whether a connection from before a time is established."""
+        return any(
+            connection.was_established
+            and not connection.is_closed
+            and connection.connected_at < time
+            for connection in self.connections
+        )
+
     @property
     def expected_connect_s(self) -> float:
         """Expected time until a call can be sent, apart from queueing."""
@@ -154,6 +170,9 @@
             and limit are charged. Set by Fleet.
         on_crash: Called with a leaf that has crashed and the calls that were
             running on it. Set by Fleet.
+        on_unexplained_loss: Called with a leaf that may have crashed and
+            started again, and with the calls that were running on it. Set by
+            Fleet.
         on_unreachable: Called with a leaf to which no connection can be opened.
             Set by Fleet.
     """
@@ -190,6 +209,9 @@
         self.on_crash: Callable[[LeafEntry, list[LostCall]], None] = (
             lambda _entry, _lost_calls: None
         )
+        self.on_unexplained_loss: Callable[
+            [LeafEntry, list[LostCall]], None
+        ] = lambda _entry, _lost_calls: None
         self.on_unreachable: Callable[[LeafEntry], None] = lambda _entry: None
 
     @property
@@ -363,19 +385,37 @@
         """Checks whether a leaf that closed connections of calls is alive.
 
         A process that crashes closes all its connections, so a leaf is alive if
-        one is still established a moment later. If none is left, a new one is
-        opened. If that succeeds, the next check finds the leaf alive; if it
-        fails, _on_closed reports a crash.
+        an older one is still established a moment later. If none is left, a new
+        one is opened. If that fails, _on_closed reports a crash. If it
+        succeeds, the loss is unexplained: a process that was started again, or
+        the kernel on its behalf, accepts connections as well. Such calls are
+        kept until the store would have told of the crash.
         """
         if not endpoint.is_connected:
             self._probe_if_lost(endpoint)
             return
-        alive = [
-            call.fingerprint
+        due = [
+            call
             for call in endpoint.lost_calls.values()
             if not call.is_silent and now - call.lost_at >= CLOSING_DELAY_S
         ]
+        alive = [
+            call.fingerprint
+            for call in due
+            if endpoint.has_connection_since(call.lost_at)
+            or now - call.lost_at >= RESTART_NOTICE_S
+        ]
         self._record_alive(endpoint, alive, "connected")
+        unexplained = [
+            call
+            for call in due
+            if call.fingerprint in endpoint.lost_calls
+            and not call.is_unexplained
+        ]
+        for call in unexplained:
+            call.is_unexplained = True
+        if unexplained:
+            self.on_unexplained_loss(endpoint.entry, unexplained)
 
     def _probe_if_lost(self, endpoint: LeafEndpoint) -> None:
         """Connects to a leaf that has closed all connections during a call.
--- a/libs/gateway/tests/gateway_harness.py
+++ b/libs/gateway/tests/gateway_harness.py
@@ -74,19 +74,25 @@
         self.closed = 0
         self.address = ""
         self._running = trio.CancelScope()
+        self._connections = set()
         # Cancelled to end the listener only.
         self.listening = trio.CancelScope()
 
     async def serve(self, stream):
-        with contextlib.suppress(
-            trio.BrokenResourceError, trio.ClosedResourceError
+        with (
+            contextlib.suppress(
+                trio.BrokenResourceError, trio.ClosedResourceError
+            ),
+            trio.CancelScope() as scope,
         ):
+            self._connections.add(scope)
             while True:
                 data = await stream.receive_some(65536)
                 if not data:
                     break
                 self.requests.append(data)
                 await self._send_reply(stream, data)
+        self._connections.discard(scope)
         self.closed += 1
 
     async def run(self, task_status):
@@ -101,6 +107,11 @@
                         task_status=task_status,
                     )
 
+    def close_connections(self):
+        """Closes all connections; the leaf still listens."""
+        for scope in self._connections:
+            scope.cancel()
+
     def crash(self):
         """Closes all connections and the listening socket."""
         self._running.cancel()
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import msgspec
 import pytest
 import trio
@@ -85,9 +87,18 @@
 class CrashingLeaves:
     """Leaves of a harness that end when they get a request for POISON."""
 
-    def __init__(self, harness, is_silent=False) -> None:
+    def __init__(self, harness, is_silent=False, keeps_listening=False) -> None:
+        """Creates a group without leaves.
+
+        Args:
+            harness: The harness.
+            is_silent: Whether a leaf ends without closing its connections.
+            keeps_listening: Whether its address accepts connections at once, as
+                that of a leaf which a supervisor restarts.
+        """
         self._harness = harness
         self._is_silent = is_silent
+        self._keeps_listening = keeps_listening
         self._leaves = []
         self.crashes = 0
 
@@ -107,7 +118,10 @@
                 # The listener ends at once and connections stay open.
                 leaf.listening.cancel()
                 await trio.sleep(3.0)
-            leaf.crash()
+            if self._keeps_listening:
+                leaf.close_connections()
+            else:
+                leaf.crash()
             return None
 
         return answer
@@ -155,6 +169,68 @@
     run_with_harness(test)
 
 
+@pytest.mark.parametrize("max_attempts", [1, 2])
+def test_crash_of_a_leaf_whose_address_accepts_is_seen(
+    run_with_harness, max_attempts
+):
+    """Guards against a new connection that is taken for a sign of life.
+
+    A supervisor, a restart at once, or the kernel's backlog accepts it.
+    """
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness, keeps_listening=True)
+        await leaves.add("s", 30)
+        harness.configure(single_leaf_route(max_attempts=max_attempts))
+        reached = 0
+        for _ in range(12):
+            crashes_before = leaves.crashes
+            await harness.request(POISON)
+            reached += leaves.crashes > crashes_before
+            await trio.sleep(0.35)
+        # Three, and three more that are allowed.
+        assert reached <= 6
+        assert (await harness.request("/a/other")).status == 200
+
+    run_with_harness(test)
+
+
+def test_leaf_that_restarts_under_its_id_at_once_has_crashed(run_with_harness):
+    """Guards against a restart that is taken for a sign of life."""
+
+    async def test(harness):
+        leaves = CrashingLeaves(harness, keeps_listening=True)
+        await leaves.add("s")
+        (known,) = harness.view.registry.leaves
+        harness.configure(single_leaf_route(max_attempts=1))
+        assert (await harness.request(POISON)).status == 502
+        await trio.sleep(0.3)
+        restarted = dataclasses.replace(known.entry, born_ms=2000)
+        harness.view.registry.put(restarted, trio.current_time())
+        assert (await harness.request("/a/other")).status == 200
+        assert (await harness.request(POISON)).status == 503
+        assert leaves.crashes == 1
+
+    run_with_harness(test)
+
+
+def test_connections_reset_together_are_no_sign_of_a_crash(run_with_harness):
+    """Guards against a search that is held back after a reset of the network.
+
+    The leaves of all its shards lose their connections at the same moment.
+    """
+
+    async def test(harness):
+        shards = [f"s{number}" for number in range(4)]
+        for shard in shards:
+            await harness.leaf(shard, lambda _: (b"",))
+        harness.configure(search_route(*shards))
+        for _ in range(2):
+            assert (await harness.request()).status == 502
+
+    run_with_harness(test)
+
+
 def test_quarantine_names_its_end_to_the_caller(run_with_harness):
     """Guards against callers that are told to come back while it lasts."""
 
--- a/tests/test_crash_requests.py
+++ b/tests/test_crash_requests.py
@@ -6,8 +6,18 @@
 from __future__ import annotations
 
 import pytest
+import trio
 from soak import faults
-from soak.runner import run_seed
+from soak.callers import send_request
+from soak.guarantees import (
+    CRASH_LIMIT_S,
+    CRASHES_BEFORE_LIMIT,
+    MAX_LATE_CRASH_REQUESTS,
+)
+from soak.leafprocess import SupervisedLeaf
+from soak.leaves import CRASH_PATH
+from soak.operator import FETCH, UNSHARDED_SERVICE
+from soak.runner import run_seed, running_environment, wait_until_ready
 
 # Time during which a run starts faults. A fault that repeats a crashing request
 # goes on for some seconds more.
@@ -16,6 +26,11 @@
 LEAVES = 16
 QUICK_PAUSE_S = 0.02
 SLOW_PAUSE_S = 0.6
+# Leaves that are processes of their own, and how their request is repeated.
+SUPERVISED_LEAVES = 8
+FIRST_SUPERVISED_PORT = 9400
+SUPERVISED_REPETITION_S = 12.0
+SUPERVISED_PAUSE_S = 0.1
 
 
 def _violations(monkeypatch, names, pause_s, callers=1, phase_s=FAULT_PHASE_S):
@@ -83,3 +98,63 @@
     """Guards against blaming the requests that ran on lost leaves."""
     names = ("failure_domain_crashes",)
     assert _violations(monkeypatch, names, SLOW_PAUSE_S, phase_s=6.0) == []
+
+
+@pytest.mark.parametrize(
+    ("end", "keeps_id"),
+    [("SIGKILL", False), ("SIGSEGV", True), ("exit", False)],
+)
+def test_crash_of_a_supervised_leaf_process_is_seen(tmp_path, end, keeps_id):
+    """Guards against a leaf that counts as alive as its address accepts.
+
+    A supervisor keeps its socket open and starts it again at once.
+    """
+    reached_at, status = trio.run(
+        _repeat_at_supervised_leaves, tmp_path, end, keeps_id
+    )
+    assert len(reached_at) >= CRASHES_BEFORE_LIMIT
+    limit_at = reached_at[CRASHES_BEFORE_LIMIT - 1] + CRASH_LIMIT_S
+    late = [at for at in reached_at if at > limit_at]
+    assert len(late) <= MAX_LATE_CRASH_REQUESTS
+    assert status == 200
+
+
+async def _repeat_at_supervised_leaves(folder, end, keeps_id):
+    """Repeats a request that crashes leaves.
+
+    Returns:
+        The times of the repetitions that crashed leaves, and the status of a
+        harmless request after them.
+    """
+    async with running_environment(1, folder, 0) as (environment, nursery):
+        subnet = environment.gateways[0].host.rpartition(".")[0]
+        leaves = [
+            SupervisedLeaf(
+                f"{subnet}.3:{FIRST_SUPERVISED_PORT + number}",
+                UNSHARDED_SERVICE,
+                "za",
+                environment.store,
+                end,
+            )
+            for number in range(SUPERVISED_LEAVES)
+        ]
+        for leaf in leaves:
+            nursery.start_soon(leaf.run, keeps_id)
+        await wait_until_ready(environment, nursery)
+        path = f"{FETCH.prefix}{CRASH_PATH.decode()}"
+        reached_at = []
+        ends_at = trio.current_time() + SUPERVISED_REPETITION_S
+        while trio.current_time() < ends_at:
+            before = sum(leaf.crashes for leaf in leaves)
+            gateway = environment.rng.choice(environment.gateways)
+            await send_request(gateway, FETCH, path)
+            await trio.sleep(SUPERVISED_PAUSE_S)
+            if sum(leaf.crashes for leaf in leaves) > before:
+                reached_at.append(trio.current_time())
+        # The last leaf is up again.
+        await trio.sleep(SLOW_PAUSE_S)
+        attempt = await send_request(
+            environment.gateways[0], FETCH, f"{FETCH.prefix}x"
+        )
+        nursery.cancel_scope.cancel()
+    return reached_at, attempt.reply and attempt.reply.status
