Count a leaf that reports a failure and then ends as crashed

Cause: only calls without a reply counted, so a process that reports its failure before it ends left no suspect.

Change: calls to which a leaf has replied that it has failed are remembered for 1 s. If the leaf closes all its connections in that time and can't be reached any more, they count as lost under it. A leaf whose address accepts connections is taken to live here: one that answers 500 and closes would else be suspected.

Result: at most 6 of 10 repetitions reach leaves in the test that failed before; a live leaf that answers 500 and closes its connection is not suspected. Leaves that answer with success and then end are not covered.

--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -337,6 +337,11 @@
             )
             self._reply_times.add(elapsed)
             return
+        if (
+            result.failure is Failure.ANSWERED
+            and entry.service not in self._answered
+        ):
+            endpoint.record_failed_reply(call, now)
         if result.failure is Failure.LOST and result.was_sent:
             self._record_lost_call(call, entry, endpoint, result, now)
         if call.is_cancelled or not result.was_sent:
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -38,6 +38,11 @@
 MAX_LOGGED_FINGERPRINTS = 10
 # Incarnations of leaves whose terms are kept.
 MAX_TERMS = 20_000
+# A leaf that ends within this time after it has reported a failure may have
+# ended because of the same request.
+FAILED_REPLY_S = 1.0
+# Such requests that are remembered for each leaf.
+MAX_FAILED_CALLS = 16
 # A call without a reply is ended this long after its expiry.
 EXPIRY_GRACE_S = 0.1
 # After a leaf has closed a new connection without a reply, for example because
@@ -65,6 +70,7 @@
         lost_at: Time at which the call ended.
         is_unexplained: Whether the leaf has lost all connections, and accepts
             new ones.
+        has_reply: Whether the leaf had replied that it has failed.
     """
 
     fingerprint: str
@@ -72,6 +78,7 @@
     is_silent: bool
     lost_at: float
     is_unexplained: bool = False
+    has_reply: bool = False
 
 
 @dataclass(slots=True)
@@ -88,6 +95,8 @@
         queue: Calls waiting for a connection.
         lost_calls: By fingerprint, the last call that was lost, until it is
             known whether the leaf crashed. Added by LeafCaller.
+        failed_calls: By fingerprint, the last calls to which the leaf has
+            replied that it has failed. Added by LeafCaller.
         average_connect_s: Moving average of the time to connect, in seconds.
         refused_until: Time before which no connection is opened beside others.
         refusal_backoff_s: Present back-off after a refused connection.
@@ -100,6 +109,7 @@
     free_connections: list[Connection] = field(default_factory=list)
     queue: collections.deque[Call] = field(default_factory=collections.deque)
     lost_calls: dict[str, LostCall] = field(default_factory=dict)
+    failed_calls: dict[str, LostCall] = field(default_factory=dict)
     average_connect_s: float = INITIAL_CONNECT_S
     refused_until: float = 0.0
     refusal_backoff_s: float = 0.0
@@ -136,6 +146,25 @@
             for connection in self.connections
         )
 
+    def record_failed_reply(self, call: Call, now: float) -> None:
+        """Records that the leaf has replied to a call that it has failed."""
+        lost_call = LostCall(
+            call.fingerprint, call.is_canary, False, now, has_reply=True
+        )
+        self.failed_calls[call.fingerprint] = lost_call
+        while len(self.failed_calls) > MAX_FAILED_CALLS:
+            del self.failed_calls[next(iter(self.failed_calls))]
+
+    def take_failed_calls(self, now: float) -> None:
+        """Takes the calls that have just failed as lost: the leaf may be too.
+
+        The leaf has closed all connections.
+        """
+        for call in self.failed_calls.values():
+            if now - call.lost_at <= FAILED_REPLY_S:
+                self.lost_calls.setdefault(call.fingerprint, call)
+        self.failed_calls.clear()
+
     def has_connection_since(self, time: float) -> bool:
         """Returns whether a connection from before a time is established."""
         return any(
@@ -403,6 +432,7 @@
             call.fingerprint
             for call in due
             if endpoint.has_connection_since(call.lost_at)
+            or call.has_reply
             or now - call.lost_at >= RESTART_NOTICE_S
         ]
         self._record_alive(endpoint, alive, "connected")
@@ -538,6 +568,8 @@
         elif is_dropped:
             self._report_crash(endpoint)
         else:
+            if connection.is_closed_by_server and not endpoint.is_connected:
+                endpoint.take_failed_calls(trio.current_time())
             self._probe_if_lost(endpoint)
         if endpoint.queue and not endpoint.connections:
             self._place_waiting_anew_of(endpoint)
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -214,6 +214,57 @@
     run_with_harness(test)
 
 
+def test_request_whose_leaves_answer_500_and_end_is_refused(run_with_harness):
+    """Guards against crashes that count only without a reply."""
+
+    async def test(harness):
+        ended = 0
+
+        def make_reply(leaf):
+            async def answer(request):
+                nonlocal ended
+                if POISON.encode() not in request:
+                    return reply(request, b"r")
+                ended += 1
+                harness.nursery.start_soon(end_soon, leaf)
+                return reply(request, status="500 Internal Server Error")
+
+            return answer
+
+        async def end_soon(leaf):
+            await trio.sleep(0.05)
+            leaf.crash()
+
+        for _ in range(20):
+            leaf = Leaf(None)
+            leaf.make_reply = make_reply(leaf)
+            await harness.leaf("s", leaf)
+        harness.configure(single_leaf_route(max_attempts=1))
+        for _ in range(10):
+            assert (await harness.request(POISON)).status in {500, 503}
+            await trio.sleep(0.35)
+        # Three, and three more that are allowed.
+        assert ended <= 6
+        assert (await harness.request("/a/other")).status == 200
+
+    run_with_harness(test)
+
+
+def test_leaf_that_answers_500_and_lives_is_no_crash(run_with_harness):
+    """Guards against requests that are held for an answer of a live leaf."""
+
+    async def test(harness):
+        failed = "500 Internal Server Error"
+        for _ in range(2):
+            await harness.leaf("s", lambda r: (reply(r, status=failed),))
+        harness.configure(single_leaf_route(max_attempts=1))
+        for _ in range(4):
+            assert (await harness.request()).status == 500
+            await trio.sleep(0.35)
+
+    run_with_harness(test)
+
+
 def test_connections_reset_together_are_no_sign_of_a_crash(run_with_harness):
     """Guards against a search that is held back after a reset of the network.
 
