--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -196,6 +196,7 @@
     route: SoakRoute,
     path: str,
     source: str | None = None,
+    body: bytes = b"",
 ) -> Attempt:
     """Sends a request to a gateway, on a connection of its own.
 
@@ -204,11 +205,12 @@
         route: The route of the path.
         path: Path of the request, with the route's prefix.
         source: IP address of the caller; the default is chosen by the system.
+        body: Body of the request.
     """
     request_id = f"{next(_REQUEST_IDS):08x}"
     head = (
         f"{route.method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
-        f"Request-Id: {request_id}\r\nContent-Length: 0\r\n"
+        f"Request-Id: {request_id}\r\nContent-Length: {len(body)}\r\n"
         f"Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n\r\n"
     )
     started_at = trio.current_time()
@@ -223,7 +225,7 @@
             host, int(port), local_address=source
         ) as stream:
             was_sent = True
-            await stream.send_all(head.encode())
+            await stream.send_all(head.encode() + body)
             while reader.reply is None:
                 data = await stream.receive_some()
                 if not data:
--- a/tests/soak/leaves.py
+++ b/tests/soak/leaves.py
@@ -32,6 +32,9 @@
 # it.
 CRASH_PATH = b"crash"
 CRASH_REPLY_DELAY_S = 0.05
+# A request whose path ends with this gets a reply of this size.
+LARGE_PATH = b"large"
+LARGE_BODY = bytes(1_000_000)
 # Start times in Unix milliseconds. They are counted instead of read from the
 # clock, so that each start of a leaf has a later one and thus an id of its own.
 _START_TIMES_MS = itertools.count(1_700_000_000_000)
@@ -244,7 +247,10 @@
             )
         finally:
             self._running -= 1
-        return self._reply(request_id)
+        reply = self._reply(request_id)
+        if request.target.endswith(LARGE_PATH):
+            return Response(reply.status, reply.headers, LARGE_BODY)
+        return reply
 
     def _statement_headers(self) -> Headers:
         headers = []
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import os
 import pathlib
 import resource
@@ -53,6 +54,7 @@
 CpuShare = 1.0
 Cores = {cores}
 MemoryMb = {memory_mb}
+MaxFds = {max_descriptors}
 [platform]
 Address = "{store_address}"
 """
@@ -77,6 +79,7 @@
         disturbances: Start and end time of each disturbance.
         unexpected_ends: A description of each end of a process that no fault
             has caused.
+        max_descriptors: File descriptors that the process may have.
     """
 
     name: str
@@ -86,6 +89,7 @@
     process: subprocess.Popen[bytes] | None = None
     disturbances: list[tuple[float, float]] = field(default_factory=list)
     unexpected_ends: list[str] = field(default_factory=list)
+    max_descriptors: int = MAX_DESCRIPTORS
     # Whether the process was told to end.
     _is_ending: bool = False
 
@@ -116,6 +120,17 @@
             return 0
         return int(pages.split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
+    @property
+    def open_descriptors(self) -> int:
+        """Open file descriptors of the process; 0 if it does not run."""
+        if self.process is None or not self.is_running:
+            return 0
+        try:
+            return len(os.listdir(f"/proc/{self.process.pid}/fd"))
+        except OSError:
+            # It has ended since.
+            return 0
+
     def write_settings(
         self,
         store_address: str,
@@ -140,6 +155,7 @@
             grace=STOP_GRACE_S,
             cores=cores,
             memory_mb=memory_mb,
+            max_descriptors=self.max_descriptors,
             store_address=store_address,
         )
         (self.folder / f"{self.name}.toml").write_text(text)
@@ -163,7 +179,9 @@
                 env={**os.environ, "SAPPHIRECROSS_BOOT": settings},
                 stdout=file,
                 stderr=file,
-                preexec_fn=_limit_descriptors,
+                preexec_fn=functools.partial(
+                    _limit_descriptors, self.max_descriptors
+                ),
             )
         self.record_disturbance()
 
@@ -254,6 +272,6 @@
                 gateway.process.wait()
 
 
-def _limit_descriptors() -> None:
-    limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+def _limit_descriptors(count: int) -> None:
+    limits = (count, count)
     resource.setrlimit(resource.RLIMIT_NOFILE, limits)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -22,7 +22,12 @@
 from soak.guarantees import UNDISTURBED_S, Observations, find_violations
 from soak.leaves import Leaf, Ledger
 from soak.operator import SHARDS, UNSHARDED_SERVICE, Operator
-from soak.processes import DEFAULT_MEMORY_MB, Gateway, killed_on_exit
+from soak.processes import (
+    DEFAULT_MEMORY_MB,
+    MAX_DESCRIPTORS,
+    Gateway,
+    killed_on_exit,
+)
 from soak.proxy import Proxy
 from soak.store import Store
 
@@ -200,7 +205,17 @@
     folder: pathlib.Path,
     unsharded_leaves: int,
     memory_mb: float = DEFAULT_MEMORY_MB,
+    max_descriptors: int = MAX_DESCRIPTORS,
 ) -> AsyncIterator[tuple[Environment, trio.Nursery]]:
+    """Runs gateways with their store and leaves during the block.
+
+    Args:
+        seed: Seed of the random choices.
+        folder: Folder for settings and logs.
+        unsharded_leaves: Number of leaves of UNSHARDED_SERVICE.
+        memory_mb: Memory of each VM, in megabytes.
+        max_descriptors: File descriptors that each process may have.
+    """
     rng = Random(seed)
     store = Store()
     operator = Operator(store)
@@ -232,6 +247,7 @@
                 await nursery.start(proxy.run)
                 environment.store_proxies[gateway.name] = proxy
                 cores = CORES_OF_VMS[number % len(CORES_OF_VMS)]
+                gateway.max_descriptors = max_descriptors
                 gateway.write_settings(proxy_address, cores, memory_mb)
             await _start_leaves(environment, subnet, nursery, unsharded_leaves)
             with killed_on_exit(gateways):
