Free replies and partial messages with their request or connection

What the users saw: a process that ran out of memory.

Cause: a request's execution, and each reader with its parser, are part of reference cycles. What they held stayed until the next garbage collection, which is started by the number of objects, not by their size.

Change: the execution hands its replies over; readers drop what they have when their connection ends.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -148,6 +148,7 @@
                     await self._answer_requests()
                     nursery.cancel_scope.cancel()
         finally:
+            self._reader.drop()
             self._held.release()
             await trio.aclose_forcefully(self._stream)
 
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -174,7 +174,9 @@
                 trio.lowlevel.notify_closing(self._socket)
             self._socket.close()
         self._release_memory()
-        self._reader = None
+        if self._reader is not None:
+            self._reader.drop()
+            self._reader = None
         call, self._call = self._call, None
         if call is not None:
             call.complete(
--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -174,6 +174,9 @@
             passed_over=self.passed_over,
             is_suspicious=self._gate.is_suspicious,
         )
+        # This object is part of reference cycles, and may outlive the answer.
+        self._replies = {}
+        self._failure_reply = None
         if verdict is Verdict.GIVE_UP:
             # No leaf should start a request that has already failed, or whose
             # caller has disconnected.
--- a/libs/gateway/src/sapphire_gateway/replyreader.py
+++ b/libs/gateway/src/sapphire_gateway/replyreader.py
@@ -127,6 +127,14 @@
         self._reset(self._is_to_head)
         return reply
 
+    def drop(self) -> None:
+        """Drops what has arrived of the reply.
+
+        The reader and its parser refer to each other, and would keep it until
+        the next garbage collection.
+        """
+        self._reset(self._is_to_head)
+
     @property
     def held_bytes(self) -> int:
         """Memory that the reply takes until it is complete, in bytes."""
--- a/libs/gateway/src/sapphire_gateway/requestreader.py
+++ b/libs/gateway/src/sapphire_gateway/requestreader.py
@@ -97,7 +97,9 @@
     def drop(self) -> None:
         """Drops what has arrived of the current request.
 
-        The reader can't be used for further requests.
+        The reader can't be used for further requests. It and its parser refer
+        to each other, and would keep the request until the next garbage
+        collection.
         """
         if self._partial is not None:
             self._partial = _PartialRequest()
--- a/libs/gateway/tests/test_message_memory.py
+++ b/libs/gateway/tests/test_message_memory.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import gc
 import tracemalloc
 
 import pytest
@@ -367,3 +368,54 @@
         await wait_until_released(harness)
 
     run_with_harness(test)
+
+
+def test_replies_are_freed_with_their_answer(run_with_harness):
+    """Guards against replies that stay until the next garbage collection."""
+
+    async def test(harness):
+        body = bytes(1_000_000)
+        await harness.leaf("s", lambda r: reply(r, body))
+        harness.configure(single_leaf_route("s"))
+        await harness.request()
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            for number in range(5):
+                await harness.request(request_id=f"r{number}")
+            assert tracemalloc.get_traced_memory()[0] < 1_000_000
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+
+    run_with_harness(test)
+
+
+def test_partial_messages_are_freed_with_their_connection(run_with_harness):
+    """Guards against given-up messages that stay until garbage collection."""
+
+    async def test(harness):
+        await harness.leaf(
+            "s", lambda r: (reply(r, bytes(1_000_000))[:-1],), domain="z2"
+        )
+        harness.configure(single_leaf_route("s", max_attempts=1))
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            for number in range(3):
+                failed = await harness.request(request_id=f"r{number}")
+                assert failed.status == 502
+                body = bytes(1_000_000)
+                async with await harness.connect() as stream:
+                    await stream.send_all(request_bytes(body=body)[:-1])
+                    await trio.sleep(0.2)
+            await wait_until_released(harness)
+            del body
+            assert tracemalloc.get_traced_memory()[0] < 1_000_000
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+
+    run_with_harness(test)
