Limit the memory of answers that callers read slowly

What the users saw: a process ran out of memory while many clients read long answers slowly.

Cause: an answer was counted as held memory, and nothing looked at whether there was room for it; a slow reader kept its answer for up to 10 s.

Change: a message that its caller makes last (here: an answer) may be given up once it has lasted for 1 s and the memory of all messages is used up, oldest first. Replies of leaves that exceed their expected size are given up as before; whichever of the two kinds takes more gives way first. An answer that finds no room becomes a 502, since a leaf may have run the request.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -118,11 +118,14 @@
             _peer_host(stream.socket), _round_trip_s(stream.socket)
         )
         self._is_answering = False
-        # Memory of the requests that are queued or being answered, and of the
-        # answer that is being sent.
+        # Memory of the requests that are queued or being answered.
         self._requests_bytes = 0
-        self._answer_bytes = 0
-        self._held = memory.hold()
+        self._held_requests = memory.hold()
+        # Memory of the request that is being received.
+        self._held_partial = memory.hold()
+        # Memory of the answer that is being sent: the caller decides how long
+        # that takes.
+        self._held_answer = memory.hold_timed(self._give_up_answer)
         self._cancel_scope = trio.CancelScope()
 
     @property
@@ -149,7 +152,9 @@
                     nursery.cancel_scope.cancel()
         finally:
             self._reader.drop()
-            self._held.release()
+            self._held_partial.release()
+            self._held_requests.release()
+            self._held_answer.release()
             await trio.aclose_forcefully(self._stream)
 
     async def _read_requests(self) -> None:
@@ -190,19 +195,15 @@
             self._is_first = False
             self._requests.append(request)
             self._requests_bytes += request.held_bytes
-        if not self._record_memory():
+        # First the partial request, which may have become a complete one.
+        has_room = self._held_partial.resize(self._reader.held_bytes)
+        if not self._held_requests.resize(self._requests_bytes) or not has_room:
             self._refuse_new_messages(self._reader.complete)
         self._reader.complete.clear()
         if self._reader.is_between_messages:
             self._message_started_at = None
         self._progress.set()
 
-    def _record_memory(self) -> bool:
-        """Counts the memory of the connection; returns whether it has room."""
-        return self._held.resize(
-            self._reader.held_bytes + self._requests_bytes + self._answer_bytes
-        )
-
     def _refuse_new_messages(self, new_requests: list[Request]) -> None:
         """Drops what has just arrived; the callers are told to come back."""
         for request in new_requests:
@@ -210,10 +211,26 @@
             request.body = b""
             request.has_room = False
             self._requests_bytes += request.held_bytes
+        self._held_requests.resize(self._requests_bytes)
+        self._give_up_partial()
+
+    def _give_up_partial(self) -> None:
+        """Drops the partial request, if any; its caller may come back."""
         if self._message_error is None and not self._reader.is_between_messages:
             self._reader.drop()
             self._message_error = MessageError(NO_MEMORY, 503, _retry_after_s())
-        self._record_memory()
+            self._progress.set()
+        self._held_partial.release()
+
+    def _give_up_answer(self) -> None:
+        """Closes the connection of a caller that reads its answer slowly."""
+        telemetry.caller_event(
+            "answer_given_up",
+            caller=self._caller.host,
+            bytes=self._held_answer.held_bytes,
+        )
+        self._held_answer.release()
+        self._cancel_scope.cancel()
 
     async def _answer_requests(self) -> None:
         while True:
@@ -227,14 +244,18 @@
             close_after = not request.keeps_alive or self._is_shutting_down()
             data = encode_response(answer, close_after, request.method == HEAD)
             del answer
-            self._answer_bytes = len(data)
-            self._record_memory()
+            self._requests_bytes -= request.held_bytes
+            request.body = b""
+            self._held_requests.resize(self._requests_bytes)
+            if not self._held_answer.resize(len(data)):
+                # A leaf may have run the request.
+                answer = error_response(502, "the VM has no memory to answer")
+                data = encode_response(answer, close_after, False)
+                self._held_answer.resize(len(data))
             if not await self._send(data):
                 return
             del data
-            self._answer_bytes = 0
-            self._requests_bytes -= request.held_bytes
-            self._record_memory()
+            self._held_answer.release()
             self._on_sent(request, trio.current_time())
             self._is_answering = False
             if close_after:
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -136,7 +136,7 @@
 )
 GIVEN_UP_MESSAGES = Counter(
     "sapphirecross_messages_given_up_total",
-    "Replies that were given up, as the messages took too much memory.",
+    "Messages that were given up, as all messages took too much memory.",
     registry=REGISTRY,
 )
 CONNECTIONS = Gauge(
@@ -279,6 +279,7 @@
 
 _REJECTION_LOG = RequestLogLimiter()
 _LEAF_LOG = RequestLogLimiter()
+_CALLER_LOG = RequestLogLimiter()
 
 
 def leaf_event(now: float, kind: str, **fields: object) -> None:
@@ -290,6 +291,11 @@
     _LEAF_LOG.write(now, kind, fields)
 
 
+def caller_event(kind: str, **fields: object) -> None:
+    """Logs what is done about a caller's connection; limited in rate."""
+    _CALLER_LOG.write(trio.current_time(), kind, fields)
+
+
 def reject_message(kind: str, error: str, peer: str) -> None:
     """Counts and logs a message of a peer that cannot be used.
 
--- a/libs/gateway/tests/test_message_memory.py
+++ b/libs/gateway/tests/test_message_memory.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import gc
+import socket
 import tracemalloc
 
 import pytest
@@ -21,7 +23,7 @@
     search_route,
     single_leaf_route,
 )
-from sapphire_gateway.messagememory import MessageMemory
+from sapphire_gateway.messagememory import PATIENCE_S, MessageMemory
 from sapphire_gateway.messages import MessageError
 from sapphire_gateway.replyreader import ReplyReader
 from sapphire_gateway.requestreader import RequestReader
@@ -419,3 +421,43 @@
             gc.enable()
 
     run_with_harness(test)
+
+
+async def read_slowly(harness, number):
+    """Sends a request, and reads its answer without end."""
+    sock = trio.socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    await sock.connect(harness.address)
+    async with trio.SocketStream(sock) as stream:
+        await stream.send_all(request_bytes("/a/long", f"r{number}"))
+        with contextlib.suppress(trio.BrokenResourceError):
+            while await stream.receive_some(100):
+                await trio.sleep(0.1)
+
+
+def test_answers_that_are_read_slowly_are_given_up(run_with_harness):
+    """Guards against answers without a limit: 198 MB of 120 MB.
+
+    Others get their long answers meanwhile.
+    """
+    limit = 20_000_000
+
+    async def test(harness):
+        harness.memory.limit_bytes = limit
+        await harness.leaf("s", lambda r: reply(r, bytes(4_000_000)))
+        harness.configure(single_leaf_route("s", target_s=1.0))
+        peak = 0
+        async with trio.open_nursery() as callers:
+            for number in range(8):
+                callers.start_soon(read_slowly, harness, number)
+                await trio.sleep(0.2)
+                peak = max(peak, harness.memory.held_bytes)
+            assert peak > limit / 2
+            await trio.sleep(PATIENCE_S)
+            answer = await harness.request("/a/long", "r9")
+            assert (answer.status, len(answer.body)) == (200, 4_000_000)
+            assert peak <= limit
+            callers.cancel_scope.cancel()
+        await wait_until_released(harness)
+
+    run_with_harness(test)
