Take the room of unfinished requests back for others

What callers saw: while 300 clients held bodies that stop one byte short, 20 of 20 ordinary requests with a body of 20 KB were refused.

Cause: a body without room was refused, but one that had room kept it until the idle timeout, 20 to 60 s, whether it arrived or not; clients that come again kept the room from all others for good.

Change: a request that is being received may be given up like an answer: after 1 s, oldest first, and only if the memory of all messages is used up. Its caller gets 503 with Retry-After; it has not run.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -121,10 +121,9 @@
         # Memory of the requests that are queued or being answered.
         self._requests_bytes = 0
         self._held_requests = memory.hold()
-        # Memory of the request that is being received.
-        self._held_partial = memory.hold()
-        # Memory of the answer that is being sent: the caller decides how long
-        # that takes.
+        # Memory of the request that is being received, and of the answer that
+        # is being sent: the caller decides how long that takes.
+        self._held_partial = memory.hold_timed(self._give_up_partial)
         self._held_answer = memory.hold_timed(self._give_up_answer)
         self._cancel_scope = trio.CancelScope()
 
--- a/libs/gateway/tests/test_message_memory.py
+++ b/libs/gateway/tests/test_message_memory.py
@@ -461,3 +461,39 @@
         await wait_until_released(harness)
 
     run_with_harness(test)
+
+
+def test_body_that_stops_short_gives_way_to_others(run_with_harness):
+    """Guards against unfinished bodies that keep the room from all others.
+
+    Their callers are told that their requests have not run.
+    """
+
+    async def test(harness):
+        harness.memory.limit_bytes = 400_000
+        await harness.leaf("s", lambda r: reply(r, b"r"))
+        harness.configure(single_leaf_route("s"))
+        body = b"b" * 100_000
+        async with contextlib.AsyncExitStack() as stack:
+            streams = []
+            for number in range(4):
+                stream = await stack.enter_async_context(
+                    await harness.connect()
+                )
+                await stream.send_all(
+                    request_bytes(
+                        method="POST", request_id=f"r{number}", body=body
+                    )[:-1]
+                )
+                streams.append(stream)
+            await trio.sleep(0.2)
+            refused = await harness.request(method="POST", body=body)
+            assert refused.status == 503
+            await trio.sleep(PATIENCE_S)
+            answer = await harness.request(method="POST", body=body)
+            assert answer.status == 200
+            given_up = await read_response(streams[0])
+            assert given_up.status == 503
+            assert "retry-after" in given_up.headers
+
+    run_with_harness(test)
