Limit the connections of callers by descriptors and memory

What callers saw: 1,500 idle connections took all 1,000 descriptors of a gateway; three ordinary requests in a row got no answer, and connections to leaves and the store failed with them.

Cause: only the operating system limited the number of connections, and none gave way to another before its idle timeout.

At the limit a new connection takes the place of the one that has waited longest without a complete request. MaxFds is read from the settings and may change at run time.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -16,6 +16,10 @@
 from sapphire_core.routing import ClientLimits
 
 from sapphire_gateway import supervision, telemetry
+from sapphire_gateway.connectionlimit import (
+    CALLER_CONNECTIONS,
+    ConnectionLimit,
+)
 from sapphire_gateway.listening import open_listeners
 from sapphire_gateway.messagememory import PROCESS_MEMORY, MessageMemory
 from sapphire_gateway.messages import (
@@ -100,7 +104,9 @@
         is_shutting_down: Callable[[], bool],
         on_sent: Callable[[Request, float], None],
         memory: MessageMemory,
+        limit: ConnectionLimit,
     ) -> None:
+        self._connection_limit = limit
         self._stream = stream
         self._handler = handler
         self._limits = limits
@@ -141,8 +147,15 @@
         if self.is_idle:
             self._cancel_scope.cancel()
 
+    def close_for_room(self) -> None:
+        """Closes the connection, which has no complete request."""
+        self._cancel_scope.cancel()
+
     async def run(self) -> None:
         """Serves requests until the connection ends, then closes it."""
+        if not self._connection_limit.admit(self):
+            await trio.aclose_forcefully(self._stream)
+            return
         try:
             with self._cancel_scope:
                 async with trio.open_nursery() as nursery:
@@ -150,6 +163,7 @@
                     await self._answer_requests()
                     nursery.cancel_scope.cancel()
         finally:
+            self._connection_limit.remove(self)
             self._reader.drop()
             self._held_partial.release()
             self._held_requests.release()
@@ -237,6 +251,7 @@
             if request is None:
                 return
             self._is_answering = True
+            self._connection_limit.begin_request(self)
             answer = await self._answer(request)
             if self._caller.is_disconnected:
                 return
@@ -257,6 +272,7 @@
             self._held_answer.release()
             self._on_sent(request, trio.current_time())
             self._is_answering = False
+            self._connection_limit.end_request(self)
             if close_after:
                 await self._linger(LINGER_S)
                 return
@@ -373,6 +389,7 @@
         is_shutting_down: Callable[[], bool],
         on_sent: Callable[[Request, float], None],
         memory: MessageMemory = PROCESS_MEMORY,
+        connection_limit: ConnectionLimit = CALLER_CONNECTIONS,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -384,8 +401,10 @@
             on_sent: Called with each answered request and the time at which its
                 answer was sent.
             memory: Limits the memory of requests and answers.
+            connection_limit: Limits the number of connections.
         """
         self._handler = handler
+        self._connection_limit = connection_limit
         self._memory = memory
         self._limits = limits
         self._is_shutting_down = is_shutting_down
@@ -455,6 +474,7 @@
             self._is_shutting_down,
             self._on_sent,
             self._memory,
+            self._connection_limit,
         )
         self._connections.add(connection)
         try:
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -24,6 +24,11 @@
     telemetry,
 )
 from sapphire_gateway.callers import Caller, CallerServer
+from sapphire_gateway.connectionlimit import (
+    CALLER_CONNECTIONS,
+    PEER_CONNECTIONS,
+    ConnectionLimit,
+)
 from sapphire_gateway.crashexchange import CrashExchange, CrashServer
 from sapphire_gateway.delegated_calls import HelperServer
 from sapphire_gateway.feed import FeedClient, FeedServer
@@ -70,6 +75,8 @@
             VMs; each look-up delays a request by two round trips.
         metrics_address: Address on which metrics are served, or None.
         memory_bytes: Memory of the process, or None if it is not known.
+        max_descriptors: File descriptors that the process may have, or None for
+            the limit of the operating system.
     """
 
     name: str
@@ -82,11 +89,18 @@
     addresses_ttl_s: float
     metrics_address: str | None
     memory_bytes: float | None = None
+    max_descriptors: int | None = None
 
 
 # Settings that are taken over while the process runs.
 RUNTIME_SETTINGS = frozenset(
-    {"budget", "grace_s", "addresses_ttl_s", "memory_bytes"}
+    {
+        "budget",
+        "grace_s",
+        "addresses_ttl_s",
+        "memory_bytes",
+        "max_descriptors",
+    }
 )
 
 
@@ -177,7 +191,7 @@
         self._fleet: Fleet | None = None
         # Set when the time to stop becomes shorter.
         self._grace_shortened = trio.Event()
-        self._limit_message_memory()
+        self._limit_resources()
 
     @property
     def is_ready(self) -> bool:
@@ -217,7 +231,7 @@
         self._settings = dataclasses.replace(old, **runtime)
         if self._fleet is not None and new.budget != old.budget:
             self._fleet.budget.set_policy(new.budget)
-        self._limit_message_memory()
+        self._limit_resources()
         if new.grace_s < old.grace_s:
             self._grace_shortened.set()
         return [
@@ -228,7 +242,11 @@
             != (after := getattr(new, field.name))
         ]
 
-    def _limit_message_memory(self) -> None:
+    def _limit_resources(self) -> None:
+        for limit in (CALLER_CONNECTIONS, PEER_CONNECTIONS):
+            limit.set_resources(
+                self._settings.max_descriptors, self._settings.memory_bytes
+            )
         if self._settings.memory_bytes is not None:
             PROCESS_MEMORY.limit_bytes = int(
                 MEMORY_SHARE * self._settings.memory_bytes
@@ -324,7 +342,10 @@
             for extra in self._extras:
                 await self._listen_extra(nursery, extra)
             await self._listen(
-                nursery, self._settings.peer_address, peers.handle
+                nursery,
+                self._settings.peer_address,
+                peers.handle,
+                PEER_CONNECTIONS,
             )
             # Other VMs direct callers to this one as soon as its entry is in
             # the store, which is written by sync.
@@ -380,6 +401,7 @@
         nursery: trio.Nursery,
         address: str,
         handle_request: Callable[[Request], Awaitable[Response]],
+        connection_limit: ConnectionLimit = CALLER_CONNECTIONS,
     ) -> None:
         async def handle(request: Request, caller: Caller) -> Response:
             return await handle_request(request)
@@ -389,6 +411,7 @@
             ClientLimits,
             self._closes_connections,
             lambda _request, _now: None,
+            connection_limit=connection_limit,
         )
         await nursery.start(server.serve, address)
 
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -129,6 +129,13 @@
     ["kind"],
     registry=REGISTRY,
 )
+CLOSED_FOR_ROOM = Counter(
+    "sapphirecross_connections_closed_for_room",
+    "Connections of callers and VMs that were closed at the limit, by which:"
+    " one that was waiting for a request, or the new one.",
+    ["which"],
+    registry=REGISTRY,
+)
 MESSAGE_MEMORY = Gauge(
     "sapphirecross_message_memory_bytes",
     "Memory of the messages that are being received, answered or sent.",
--- a/libs/gateway/tests/gateway_harness.py
+++ b/libs/gateway/tests/gateway_harness.py
@@ -18,6 +18,7 @@
     WeightedService,
 )
 from sapphire_gateway.callers import CallerServer
+from sapphire_gateway.connectionlimit import CALLERS_SHARE, ConnectionLimit
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.gateway import Gateway
@@ -134,6 +135,7 @@
         self.nursery = nursery
         self.view = FleetView("vm1")
         self.memory = MessageMemory()
+        self.connection_limit = ConnectionLimit(CALLERS_SHARE)
         self.pool = LeafPool(nursery, HEADER_NAMES, self.memory)
         self.fleet = Fleet(
             self.view,
@@ -189,6 +191,7 @@
             lambda: self.is_shutting_down,
             self.gateway.answer_sent,
             self.memory,
+            self.connection_limit,
         )
         with trio.socket.socket() as sock:
             await sock.bind(("127.0.0.1", 0))
