Count and free all memory of unfinished messages

What the users saw: memory that grows beyond what the messages take, with many clients that stop short of the end of a request.

Cause: three parts of a partial message were not seen. A head that comes in one read counted for nothing, since its parser keeps it. The parser of a message that was dropped kept its head until the next garbage collection. The task that reads a connection kept the bytes of its last read, up to 64 KB, until the next.

Change: all received bytes of an unfinished head count; a dropped reader lets its parser go; read bytes are let go once they are parsed, also on connections to leaves.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -184,6 +184,8 @@
                 return
             if self._message_error is None:
                 self._handle_data(data)
+            # Not kept until the next bytes arrive.
+            del data
 
     async def _receive(self) -> bytes:
         try:
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -286,6 +286,8 @@
                 self._handle_data(data)
             else:
                 self._handle_eof()
+            # Not kept until the next bytes arrive.
+            del data
 
     async def _send_until_readable(self) -> None:
         """Sends the rest of the request until the server starts to reply."""
--- a/libs/gateway/src/sapphire_gateway/replyreader.py
+++ b/libs/gateway/src/sapphire_gateway/replyreader.py
@@ -42,6 +42,10 @@
 MAX_RECEIVED_PER_NEEDED_BYTE = 64
 
 
+# Takes the place of a parser that is not used any more.
+_NO_PARSER = httptools.HttpResponseParser(object())
+
+
 def part_limits(needed_bytes: int) -> ReplyLimits:
     """Returns the limits of a leaf's reply to a search.
 
@@ -130,10 +134,11 @@
     def drop(self) -> None:
         """Drops what has arrived of the reply.
 
-        The reader and its parser refer to each other, and would keep it until
-        the next garbage collection.
+        The reader can't be used for further replies. It and its parser refer to
+        each other, and would keep the reply until the next garbage collection.
         """
         self._reset(self._is_to_head)
+        self._parser = _NO_PARSER
 
     @property
     def held_bytes(self) -> int:
--- a/libs/gateway/src/sapphire_gateway/requestreader.py
+++ b/libs/gateway/src/sapphire_gateway/requestreader.py
@@ -19,6 +19,10 @@
 CHUNK_BYTES_PER_BODY_BYTE = 6
 
 
+# Takes the place of a parser that is not used any more.
+_NO_PARSER = httptools.HttpRequestParser(object())
+
+
 @dataclass(slots=True)
 class _PartialRequest:
     target: bytes = b""
@@ -27,7 +31,10 @@
     head_bytes: int = 0
     # Memory of the headers.
     headers_bytes: int = 0
-    # Received bytes of the unfinished head, and of the rest with its framing.
+    # Received bytes of the head, as long as it is not complete.
+    unparsed_head_bytes: int = 0
+    # Received bytes of the unfinished head, and of the rest with its framing,
+    # that count against the limits.
     received_head_bytes: int = 0
     received_body_bytes: int = 0
     is_head_complete: bool = False
@@ -75,7 +82,7 @@
             return 0
         # The parser keeps an unfinished header.
         return (
-            partial.received_head_bytes
+            partial.unparsed_head_bytes
             + len(partial.target)
             + partial.headers_bytes
             + len(partial.body)
@@ -103,6 +110,8 @@
         """
         if self._partial is not None:
             self._partial = _PartialRequest()
+        # The parser keeps an unfinished header.
+        self._parser = _NO_PARSER
 
     def _parse(self, data: bytes) -> None:
         try:
@@ -122,11 +131,13 @@
         head began or ended.
         """
         if not partial.is_head_complete:
+            partial.unparsed_head_bytes += count
             if partial.has_begun_before:
                 partial.received_head_bytes += count
             if partial.received_head_bytes > self._max_head_bytes:
                 self._fail("the request head exceeds the limit", 431)
         else:
+            partial.unparsed_head_bytes = 0
             if partial.had_head_before:
                 partial.received_body_bytes += count
             if partial.received_body_bytes > self._max_received_body_bytes:
--- a/libs/gateway/tests/test_message_memory.py
+++ b/libs/gateway/tests/test_message_memory.py
@@ -497,3 +497,76 @@
             assert "retry-after" in given_up.headers
 
     run_with_harness(test)
+
+
+@pytest.mark.parametrize("reads", [1, 2, 16])
+def test_reader_states_the_memory_of_an_unfinished_head(reads):
+    """Guards against a head that counts for nothing if it comes in one read."""
+
+    def feed():
+        reader = RequestReader(65_536, 0)
+        head = b"GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + b"x" * 16_000
+        step = -(-len(head) // reads)
+        for begin in range(0, len(head), step):
+            reader.feed(head[begin : begin + step])
+        readers.append(reader)
+        return reader
+
+    readers = []
+    feed()
+    assert readers[0].held_bytes >= 16_000
+    assert allocated_by(feed) <= 1.25 * readers[1].held_bytes
+
+
+def test_dropped_readers_free_what_their_parsers_keep():
+    """Guards against unfinished heads that stay until garbage collection."""
+    long = b"X-Long: " + b"x" * 16_000
+    request = b"GET / HTTP/1.1\r\nHost: h\r\n" + long
+    answer = b"HTTP/1.1 200 OK\r\n" + long
+
+    def feed_and_drop():
+        for _ in range(50):
+            for reader, data in (
+                (RequestReader(65_536, 0), request),
+                (ReplyReader(), answer),
+            ):
+                reader.feed(data)
+                reader.drop()
+        return True
+
+    feed_and_drop()
+    gc.collect()
+    gc.disable()
+    try:
+        assert allocated_by(feed_and_drop) < 500_000
+    finally:
+        gc.enable()
+
+
+def test_connections_do_not_keep_the_bytes_that_they_have_parsed(
+    run_with_harness,
+):
+    """Guards against twice the memory for callers that stop halfway."""
+    callers = 20
+    received = 60_000
+
+    async def test(harness):
+        harness.configure(single_leaf_route("s"))
+        head = request_bytes(method="POST", body=bytes(100_000))[:received]
+        streams = [await harness.connect() for _ in range(callers)]
+        tracemalloc.start()
+        try:
+            for stream in streams:
+                await stream.send_all(head)
+            with trio.fail_after(5.0):
+                while harness.memory.held_bytes < 0.9 * callers * received:
+                    await trio.sleep(0.01)
+            await trio.sleep(0.1)
+            traced = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+        assert traced < MAX_FACTOR * callers * received
+        for stream in streams:
+            await stream.aclose()
+
+    run_with_harness(test)
