Parse the bodies of a crowd one at a time

Cause: a read of 64 KB in such chunks takes some milliseconds to parse, and the event loop ran all connections that were ready before any other task.

Change: the rest of a body is parsed while holding a lock, so that one body has its turn and then all other tasks; and 16 KB of it are read at a time.

The test checks turns, not times.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -43,6 +43,9 @@
 REJECT_LINGER_S = 2.0
 # Reading of a connection pauses while at least this many requests are queued.
 MAX_PIPELINED = 8
+# Bytes that are read at once of a body. Parsing them takes some milliseconds if
+# they come in chunks of a few bytes.
+BODY_READ_BYTES = 16_384
 DEFAULT_ROUND_TRIP_S = 0.002
 # Number of bytes requested of the kernel's struct tcp_info, and offset of its
 # field tcpi_rtt, which is in microseconds.
@@ -90,6 +93,10 @@
             self._on_disconnect()
 
 
+# Held while the rest of a body is parsed. The tasks that wait for it run one
+# after the other, and all other tasks in between.
+_BODY_TURN = trio.Lock()
+
 Handler = Callable[[Request, Caller], Awaitable[Response]]
 
 
@@ -182,18 +189,26 @@
                 self._caller.mark_disconnected()
                 self._progress.set()
                 return
-            if self._message_error is None:
+            if self._reader.is_head_complete:
+                # The others of a crowd that sends small pieces wait meanwhile.
+                async with _BODY_TURN:
+                    self._handle_data(data)
+            else:
                 self._handle_data(data)
             # Not kept until the next bytes arrive.
             del data
 
     async def _receive(self) -> bytes:
+        is_body = self._reader.is_head_complete
+        limit = BODY_READ_BYTES if is_body else RECEIVE_BYTES
         try:
-            return bytes(await self._stream.receive_some(RECEIVE_BYTES))
+            return bytes(await self._stream.receive_some(limit))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return b""
 
     def _handle_data(self, data: bytes) -> None:
+        if self._message_error is not None:
+            return
         now = trio.current_time()
         if self._reader.is_between_messages:
             self._message_started_at = now
--- a/libs/gateway/tests/test_long_bodies.py
+++ b/libs/gateway/tests/test_long_bodies.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import dataclasses
+import os
 import socket
 
 import pytest
 import trio
-from gateway_harness import Leaf, reply, single_leaf_route
+from gateway_harness import Leaf, reply, request_bytes, single_leaf_route
 from sapphire_core.routing import Kind
 from sapphire_gateway.httpclient import HttpClient
+from sapphire_gateway.requestreader import RequestReader
 
 # Segments as on an Ethernet link; those of the loopback interface are so large
 # that a socket takes megabytes at once.
@@ -194,3 +196,43 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_bodies_of_a_crowd_are_parsed_one_at_a_time(
+    run_with_harness, monkeypatch
+):
+    """Guards against small chunks of many callers that hold up all others."""
+    feeds = []
+    feed = RequestReader.feed
+
+    def record_feed(reader, data):
+        if reader.is_head_complete:
+            feeds.append(len(data))
+        feed(reader, data)
+
+    async def test(harness):
+        harness.configure(single_leaf_route())
+        monkeypatch.setattr(RequestReader, "feed", record_feed)
+        head = request_bytes(method="POST").replace(
+            b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        streams = [await harness.connect() for _ in range(20)]
+        for stream in streams:
+            await stream.send_all(head)
+        await trio.sleep(0.1)
+        # All at once: the gateway does not run before the last one is sent.
+        for stream in streams:
+            with socket.socket(fileno=os.dup(stream.socket.fileno())) as sock:
+                assert sock.send(b"2\r\nab\r\n" * 1_000) == 7_000
+        # The loop runs all tasks that are ready in turn, in any order: one body
+        # each turn is two at most between two turns of this task.
+        most = 0
+        while len(feeds) < 20:
+            before = len(feeds)
+            await trio.lowlevel.checkpoint()
+            most = max(most, len(feeds) - before)
+        assert most <= 2
+        for stream in streams:
+            await stream.aclose()
+
+    run_with_harness(test)
