Reject replies with statuses that HTTP does not know

What callers would see: bytes of a leaf in trouble before those of a true answer. 000 with a body and then a 200 gave a caller 200 with both bodies under the leaf's signature (also 099 and 199); 600 and 999 were passed on; 000 alone was waited out to the deadline.

Cause: a status below 200 counted as that of an interim reply, and the body had no tie to the head that it followed.

--- a/libs/gateway/src/sapphire_gateway/messages.py
+++ b/libs/gateway/src/sapphire_gateway/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import http
 from dataclasses import dataclass, field
 
@@ -18,6 +19,34 @@
 BODILESS_STATUSES = frozenset({204, 304})
 
 
+class StatusKind(enum.Enum):
+    """What the status of a received reply says of the reply."""
+
+    # Another reply follows.
+    INTERIM = "interim"
+    FINAL = "final"
+    # HTTP knows no such status, or none that this VM asks for.
+    INVALID = "invalid"
+
+
+# Upgrades are never asked for.
+_SWITCHING_PROTOCOLS = 101
+_STATUS_KINDS = (
+    (range(100, 200), StatusKind.INTERIM),
+    (range(200, 600), StatusKind.FINAL),
+)
+
+
+def status_kind(status: int) -> StatusKind:
+    """Returns what a status says of its reply."""
+    if status == _SWITCHING_PROTOCOLS:
+        return StatusKind.INVALID
+    for statuses, kind in _STATUS_KINDS:
+        if status in statuses:
+            return kind
+    return StatusKind.INVALID
+
+
 class BodyBuffer:
     """A body that arrives in pieces of any size.
 
--- a/libs/gateway/src/sapphire_gateway/replyreader.py
+++ b/libs/gateway/src/sapphire_gateway/replyreader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import NoReturn
 
 import httptools
 
@@ -12,7 +13,9 @@
     Headers,
     MessageError,
     Reply,
+    StatusKind,
     header_memory_bytes,
+    status_kind,
 )
 
 
@@ -94,6 +97,7 @@
         self._has_final_head = False
         self._reply: Reply | None = None
         self._has_extra = False
+        self._error: MessageError | None = None
 
     def restart(
         self, is_to_head: bool, limits: ReplyLimits | None = None
@@ -164,7 +168,7 @@
             httptools.HttpParserUpgrade,
         ) as error:
             if self._reply is None:
-                raise MessageError("malformed reply") from error
+                raise self._error or MessageError("malformed reply") from error
             self._has_extra = True
         if self._reply is None:
             self._count_bytes(len(data), had_final_head)
@@ -227,23 +231,34 @@
         if self._reply is not None:
             return
         self._status = self._parser.get_status_code()
-        self._has_final_head = self._status >= 200
+        kind = status_kind(self._status)
+        if kind is StatusKind.INVALID:
+            self._fail(f"the status {self._status} is not one of HTTP")
+        self._has_final_head = kind is StatusKind.FINAL
         if self._has_final_head and self._is_to_head:
             self._complete(self._parser.should_keep_alive())
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser with a piece of the body."""
-        if self._reply is None:
-            self._body.append(body)
+        if self._reply is not None:
+            return
+        if not self._has_final_head:
+            self._fail(f"a reply with status {self._status} has a body")
+        self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Called by the parser at the end of a reply."""
         self._is_parser_idle = True
-        if self._reply is not None or self._status < 200:
+        if self._reply is not None or not self._has_final_head:
             return
         if self._has_stated_length or self._status in BODILESS_STATUSES:
             self._complete(self._parser.should_keep_alive())
 
+    def _fail(self, message: str) -> NoReturn:
+        """Ends the parsing: the parser hides the errors of its callbacks."""
+        self._error = MessageError(message)
+        raise self._error
+
     def _complete(self, keeps_alive: bool) -> None:
         self._reply = Reply(
             self._status, self._headers, self._body.content(), keeps_alive
