--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -27,13 +27,9 @@
 from sapphire_gateway.calls import MISDIRECTED, Call
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.headernames import HeaderNames
+from sapphire_gateway.leafendpoint import LeafEndpoint, LostCall
 from sapphire_gateway.messages import Reply
-from sapphire_gateway.pool import (
-    CONNECTION_SHARE,
-    LeafEndpoint,
-    LeafPool,
-    LostCall,
-)
+from sapphire_gateway.pool import CONNECTION_SHARE, LeafPool
 
 if TYPE_CHECKING:
     from sapphire_gateway.helperpool import HelperPool
--- a/libs/gateway/src/sapphire_gateway/leafcalls.py
+++ b/libs/gateway/src/sapphire_gateway/leafcalls.py
@@ -23,8 +23,8 @@
     parse_statement,
 )
 from sapphire_gateway.fleet import Fleet
+from sapphire_gateway.leafendpoint import LeafEndpoint, LostCall
 from sapphire_gateway.messages import Reply
-from sapphire_gateway.pool import LeafEndpoint, LostCall
 from sapphire_gateway.records import RECORD_BYTES, greatest
 from sapphire_gateway.replyreader import (
     SMALL_REPLY_LIMITS,
--- a/libs/gateway/tests/test_connection_limits.py
+++ b/libs/gateway/tests/test_connection_limits.py
@@ -8,7 +8,7 @@
 import trio
 from gateway_harness import Leaf, reply, single_leaf_route
 from sapphire_core.members import Member
-from sapphire_gateway.pool import INITIAL_REFUSAL_BACKOFF_S
+from sapphire_gateway.leafendpoint import INITIAL_REFUSAL_BACKOFF_S
 
 REPLY_DELAY_S = 0.05
 SETTLING_S = 0.1
