Apply changed limits to kept connections from the next request on

What callers saw: a connection kept the limits of head, body and times that were in force when it was accepted, for as long as it was reused.

Change: the limits are read when a request begins.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -107,7 +107,7 @@
         self,
         stream: trio.SocketStream,
         handler: Handler,
-        limits: ClientLimits,
+        current_limits: Callable[[], ClientLimits],
         is_shutting_down: Callable[[], bool],
         on_sent: Callable[[Request, float], None],
         memory: MessageMemory,
@@ -116,10 +116,13 @@
         self._connection_limit = limit
         self._stream = stream
         self._handler = handler
-        self._limits = limits
+        self._current_limits = current_limits
+        self._limits = current_limits()
         self._is_shutting_down = is_shutting_down
         self._on_sent = on_sent
-        self._reader = RequestReader(limits.header_bytes, limits.body_bytes)
+        self._reader = RequestReader(
+            self._limits.header_bytes, self._limits.body_bytes
+        )
         self._requests: collections.deque[Request] = collections.deque()
         self._progress = trio.Event()
         self._queue_has_room = trio.Event()
@@ -212,6 +215,7 @@
         now = trio.current_time()
         if self._reader.is_between_messages:
             self._message_started_at = now
+            self._update_limits()
         try:
             self._reader.feed(data)
         except MessageError as error:
@@ -234,6 +238,13 @@
             self._message_started_at = None
         self._progress.set()
 
+    def _update_limits(self) -> None:
+        """Takes over the limits that are in force now, between requests."""
+        self._limits = self._current_limits()
+        self._reader.set_limits(
+            self._limits.header_bytes, self._limits.body_bytes
+        )
+
     def _refuse_new_messages(self, new_requests: list[Request]) -> None:
         """Drops what has just arrived; the callers are told to come back."""
         for request in new_requests:
@@ -412,7 +423,7 @@
 
         Args:
             handler: Answers one request.
-            limits: Returns the limits for a new connection.
+            limits: Returns the limits that are in force.
             is_shutting_down: Returns whether connections close after their next
                 answer.
             on_sent: Called with each answered request and the time at which its
@@ -487,7 +498,7 @@
         connection = CallerConnection(
             stream,
             self._handler,
-            self._limits(),
+            self._limits,
             self._is_shutting_down,
             self._on_sent,
             self._memory,
--- a/libs/gateway/src/sapphire_gateway/requestreader.py
+++ b/libs/gateway/src/sapphire_gateway/requestreader.py
@@ -55,14 +55,23 @@
             max_body_bytes: Largest size of the body.
         """
         self._parser = httptools.HttpRequestParser(self)
+        self.set_limits(max_head_bytes, max_body_bytes)
+        self._partial: _PartialRequest | None = None
+        self._error: MessageError | None = None
+        self.complete: list[Request] = []
+
+    def set_limits(self, max_head_bytes: int, max_body_bytes: int) -> None:
+        """Sets the limits of the requests that begin from now on.
+
+        Args:
+            max_head_bytes: Largest size of the target and headers.
+            max_body_bytes: Largest size of the body.
+        """
         self._max_head_bytes = max_head_bytes
         self._max_body_bytes = max_body_bytes
         self._max_received_body_bytes = (
             max_head_bytes + CHUNK_BYTES_PER_BODY_BYTE * max_body_bytes
         )
-        self._partial: _PartialRequest | None = None
-        self._error: MessageError | None = None
-        self.complete: list[Request] = []
 
     @property
     def is_between_messages(self) -> bool:
