Keep connections with a queued request at the limit of connections

A connection counted as waiting until its request was taken from the queue, one turn of the loop after it was complete, and could be closed for another in between. Found by reading; a test holds a request in progress and a queued one beside a crowd.

--- a/libs/gateway/src/sapphire_gateway/callers.py
+++ b/libs/gateway/src/sapphire_gateway/callers.py
@@ -229,6 +229,7 @@
             self._is_first = False
             self._requests.append(request)
             self._requests_bytes += request.held_bytes
+            self._connection_limit.begin_request(self)
         # First the partial request, which may have become a complete one.
         has_room = self._held_partial.resize(self._reader.held_bytes)
         if not self._held_requests.resize(self._requests_bytes) or not has_room:
@@ -279,7 +280,6 @@
             if request is None:
                 return
             self._is_answering = True
-            self._connection_limit.begin_request(self)
             answer = await self._answer(request)
             if self._caller.is_disconnected:
                 return
@@ -300,7 +300,8 @@
             self._held_answer.release()
             self._on_sent(request, trio.current_time())
             self._is_answering = False
-            self._connection_limit.end_request(self)
+            if not self._requests:
+                self._connection_limit.end_request(self)
             if close_after:
                 await self._linger(LINGER_S)
                 return
--- a/libs/gateway/src/sapphire_gateway/leafendpoint.py
+++ b/libs/gateway/src/sapphire_gateway/leafendpoint.py
@@ -136,7 +136,7 @@
                 self.lost_calls.setdefault(call.fingerprint, call)
         self.failed_calls.clear()
 
-    def has_connection_since(self, time: float) -> bool:
+    def has_connection_from_before(self, time: float) -> bool:
         """Returns whether a connection from before a time is established."""
         return any(
             connection.was_established
--- a/libs/gateway/src/sapphire_gateway/pool.py
+++ b/libs/gateway/src/sapphire_gateway/pool.py
@@ -294,7 +294,7 @@
         alive = [
             call.fingerprint
             for call in due
-            if endpoint.has_connection_since(call.lost_at)
+            if endpoint.has_connection_from_before(call.lost_at)
             or call.has_reply
             or now - call.lost_at >= RESTART_NOTICE_S
         ]
--- a/libs/gateway/tests/test_connectionlimit.py
+++ b/libs/gateway/tests/test_connectionlimit.py
@@ -98,3 +98,27 @@
             await stream.aclose()
 
     run_with_harness(test)
+
+
+def test_request_in_progress_outlives_a_crowd_of_connections(run_with_harness):
+    """Guards against requests that are cut for new connections."""
+
+    async def test(harness):
+        harness.connection_limit.max_connections = 3
+
+        async def answer_late(request):
+            await trio.sleep(0.3)
+            return reply(request, b"r")
+
+        await harness.leaf("s", answer_late)
+        harness.configure(single_leaf_route())
+        async with await harness.connect() as stream:
+            # The second request waits for the answer to the first.
+            await stream.send_all(request_bytes() * 2)
+            idle = [await harness.connect() for _ in range(6)]
+            statuses = [(await read_response(stream)).status for _ in range(2)]
+        assert statuses == [200, 200]
+        for other in idle:
+            await other.aclose()
+
+    run_with_harness(test)
