--- a/libs/config/src/sapphire_config/reference.py
+++ b/libs/config/src/sapphire_config/reference.py
@@ -68,7 +68,8 @@
 | time to stop (`grace_s`) | the next stop; a stop that is under way keeps \
 the shorter of its two ends |
 | life of addresses (`addresses_ttl_s`) | the next look-up |
-| memory | the next message |
+| memory | the next message, and the next connection |
+| descriptors | the next connection |
 
 All others (name, failure domain, cores, addresses, metrics) need a restart; \
 the log line `needs_restart` names the setting and both values.
