--- a/review/lab2.py
+++ b/review/lab2.py
@@ -216,6 +216,7 @@
         self.revision = 1
         self.era = 1
         self.is_away = False
+        self._away_since = 0.0
 
     async def open_door(self, ip: str) -> Door:
         """Listens on one more address."""
@@ -262,6 +263,7 @@
     def go_away(self) -> None:
         """Ends all connections; new ones are closed until the return."""
         self.is_away = True
+        self._away_since = now()
         for door in self._doors.values():
             for writer in list(door.writers):
                 writer.transport.abort()
@@ -275,8 +277,12 @@
             self._next_lease = state.next_lease
             self._events = [e for e in self._events if e[0] <= state.revision]
             self.era += 1
-        for lease in self._leases.values():
-            lease.expires_at = now() + lease.ttl_s
+            for lease in self._leases.values():
+                lease.expires_at = now() + lease.ttl_s
+        else:
+            # Leases have paused.
+            for lease in self._leases.values():
+                lease.expires_at += now() - self._away_since
         self.is_away = False
         self._notify()
 
