--- a/review/lab2.py
+++ b/review/lab2.py
@@ -501,6 +501,14 @@
     _free: asyncio.Semaphore = field(init=False)
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     is_dark: bool = False
+    # A request whose path begins with this ends the leaf's process.
+    crash_prefix: str = ""
+    down_s: float = 2.0
+    # Whether a supervisor holds the listening socket while the leaf is down.
+    is_supervised: bool = False
+    crashes: int = 0
+    _is_up: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Listens, then registers."""
@@ -508,10 +516,14 @@
         self._born_ms = int(time.time() * 1000)
         self._free = asyncio.Semaphore(self.slots)
         self.address = f"{self.ip}:{free_port(self.ip)}"
-        host, _, port = self.address.rpartition(":")
-        await asyncio.start_server(self._serve, host, int(port))
+        self._is_up.set()
+        await self._listen()
         self.register()
 
+    async def _listen(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+
     async def go_dark(self, for_s: float) -> None:
         """Falls silent, and comes back as another incarnation.
 
@@ -534,6 +546,37 @@
         self.register()
         self.record.write(f"{self.leaf_id} ({self.service}) is back")
 
+    def crash(self) -> None:
+        """Ends the process, which is started again after a time.
+
+        If it is supervised, the supervisor holds the listening socket, so that
+        connections are accepted meanwhile, and wait. The new process has
+        another id; the entry of the old one is removed after three heartbeat
+        intervals.
+        """
+        self.crashes += 1
+        self.record.write(f"{self.leaf_id} ({self.service}) has crashed")
+        self._is_up.clear()
+        if self._server is not None and not self.is_supervised:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        loop = asyncio.get_running_loop()
+        lapse_s = 3 * HEARTBEAT_S
+        loop.call_later(lapse_s, self.store.remove, f"servers/{self.leaf_id}")
+        loop.call_later(
+            self.down_s, lambda: asyncio.ensure_future(self._restart())
+        )
+
+    async def _restart(self) -> None:
+        if not self.is_supervised:
+            await self._listen()
+        self.leaf_id = f"i-{random.randrange(16**8):08x}"
+        self._born_ms = int(time.time() * 1000)
+        self._sequence = 0
+        self._is_up.set()
+        self.register()
+
     def register(self) -> None:
         """Writes the leaf's entry."""
         self._sequence += 1
@@ -559,8 +602,9 @@
             writer.transport.abort()
             return
         self._connections += 1
-        self._writers.add(writer)
         try:
+            await self._is_up.wait()
+            self._writers.add(writer)
             while True:
                 message = await read_message(reader)
                 if message is None:
@@ -597,6 +641,10 @@
         self.runs.append(run)
         if self._waiting >= self.queue:
             return encode_answer(503, {**headers, "Not-Executed": "1"}, b"")
+        if self.crash_prefix and path.startswith(self.crash_prefix):
+            run.began_at = run.ended_at = now()
+            self.crash()
+            return None
         deadline_s = int(message.headers.get("deadline-ms", "60000")) / 1000
         work = asyncio.ensure_future(self._work(run, deadline_s))
         closed = asyncio.ensure_future(_wait_for_close(reader))
