--- a/libs/core/src/sapphire_core/freshness.py
+++ b/libs/core/src/sapphire_core/freshness.py
@@ -10,12 +10,17 @@
 - after a disruption, the copy counts as current only once a watch or a read has
   been answered;
 - each revision that the VM hears of from elsewhere is compared with its own.
+
+A store that comes back from an older copy begins a new era: its revisions are
+newer than all those of the era before, whatever their numbers.
 """
 
 from __future__ import annotations
 
 import math
 
+from sapphire_core.storerevision import NO_REVISION, StoreRevision
+
 # Shortest wait of a watch. With the delay before a failed watch is asked again
 # it is short enough for feeds to go on after a single failure.
 MIN_WATCH_S = 0.25
@@ -30,21 +35,21 @@
     """State of the copy; times are seconds of one monotonic clock."""
 
     def __init__(self) -> None:
-        self._revision: int | None = None
-        self._newest_revision = 0
+        self._revision: StoreRevision | None = None
+        self._newest_revision = NO_REVISION
         self._behind_since: float | None = None
         self._disrupted_at = math.inf
         self._is_confirmed = False
         self._current_at = -math.inf
 
     @property
-    def revision(self) -> int | None:
+    def revision(self) -> StoreRevision | None:
         """Revision up to which all changes were applied; None before any."""
         return self._revision
 
     @property
-    def newest_revision(self) -> int:
-        """Newest revision that the store is known to have; 0 before any."""
+    def newest_revision(self) -> StoreRevision:
+        """Newest revision that the store is known to have."""
         return self._newest_revision
 
     def age_s(self, now: float) -> float:
@@ -82,14 +87,14 @@
         if self._is_confirmed and self._behind_since is None:
             self._current_at = now
 
-    def record_applied(self, revision: int) -> None:
+    def record_applied(self, revision: StoreRevision) -> None:
         """Records that changes were applied and that more may be waiting."""
         self._revision = revision
         if revision >= self._newest_revision:
             self._newest_revision = revision
             self._behind_since = None
 
-    def record_current(self, revision: int, as_of: float) -> None:
+    def record_current(self, revision: StoreRevision, as_of: float) -> None:
         """Records that all changes were applied that existed at a time.
 
         Args:
@@ -100,15 +105,15 @@
         self._is_confirmed = True
         self._current_at = max(self._current_at, as_of)
 
-    def record_store_revision(self, revision: int) -> None:
+    def record_store_revision(self, revision: StoreRevision) -> None:
         """Records a revision that the store itself has just returned.
 
         It replaces a greater one that was heard of from elsewhere, but not that
         of changes that were applied.
         """
-        self._newest_revision = max(revision, self._revision or 0)
+        self._newest_revision = max(revision, self._revision or NO_REVISION)
 
-    def learn_revision(self, revision: int, now: float) -> None:
+    def learn_revision(self, revision: StoreRevision, now: float) -> None:
         """Records that the store has reached a revision.
 
         Sources are writes of this VM and other VMs.
--- a/libs/core/tests/test_freshness.py
+++ b/libs/core/tests/test_freshness.py
@@ -11,14 +11,20 @@
     MIN_WATCH_S,
     Freshness,
 )
+from sapphire_core.storerevision import StoreRevision
+
+
+def at(number, era=1):
+    """Returns a revision of the store."""
+    return StoreRevision(era, number)
 
 
 def started(now=100.0, revision=5):
     """Returns a state after the first full read."""
     freshness = Freshness()
     freshness.record_disruption(now)
-    freshness.record_store_revision(revision)
-    freshness.record_current(revision, now)
+    freshness.record_store_revision(at(revision))
+    freshness.record_current(at(revision), now)
     return freshness
 
 
@@ -46,37 +52,37 @@
     freshness.record_disruption(111.0)
     freshness.record_contact(112.0)
     assert freshness.age_s(112.0) == 2.0
-    freshness.record_current(5, 113.0)
+    freshness.record_current(at(5), 113.0)
     freshness.record_contact(114.0)
     assert freshness.age_s(114.0) == 0
 
 
 def test_copy_ages_while_changes_are_missing():
     freshness = started(100.0)
-    freshness.learn_revision(7, 101.0)
+    freshness.learn_revision(at(7), 101.0)
     freshness.record_contact(105.0)
     assert freshness.age_s(105.0) == 5.0
-    freshness.record_applied(7)
+    freshness.record_applied(at(7))
     freshness.record_contact(106.0)
     assert freshness.age_s(106.0) == 0
 
 
 def test_missing_changes_become_overdue():
     freshness = started(100.0)
-    freshness.learn_revision(7, 101.0)
-    freshness.learn_revision(8, 101.5)
+    freshness.learn_revision(at(7), 101.0)
+    freshness.learn_revision(at(8), 101.5)
     assert not freshness.is_overdue(101.0 + CATCH_UP_S - 0.01)
     assert freshness.is_overdue(101.0 + CATCH_UP_S)
-    freshness.record_applied(7)
+    freshness.record_applied(at(7))
     assert freshness.is_overdue(101.0 + CATCH_UP_S)
-    freshness.record_applied(8)
+    freshness.record_applied(at(8))
     assert not freshness.is_overdue(200.0)
 
 
 def test_changes_are_not_overdue_right_after_a_disruption():
     """After an outage, the watch gets time to bring the changes."""
     freshness = started(100.0)
-    freshness.learn_revision(7, 101.0)
+    freshness.learn_revision(at(7), 101.0)
     freshness.record_disruption(110.0)
     assert not freshness.is_overdue(110.0 + CATCH_UP_S - 0.01)
     assert freshness.is_overdue(110.0 + CATCH_UP_S)
@@ -85,23 +91,23 @@
 def test_store_overrules_a_revision_heard_of_elsewhere():
     """A wrong revision does not make a VM read the store for ever."""
     freshness = started(100.0)
-    freshness.learn_revision(1_000_000, 101.0)
-    freshness.record_store_revision(6)
-    freshness.record_current(6, 102.0)
+    freshness.learn_revision(at(1_000_000), 101.0)
+    freshness.record_store_revision(at(6))
+    freshness.record_current(at(6), 102.0)
     assert not freshness.is_overdue(200.0)
 
 
 def test_late_answer_does_not_make_the_copy_older():
     freshness = started(100.0)
-    freshness.record_current(6, 105.0)
-    freshness.record_current(6, 104.0)
+    freshness.record_current(at(6), 105.0)
+    freshness.record_current(at(6), 104.0)
     assert freshness.age_s(105.0) == 0
 
 
 def test_older_answer_of_the_store_does_not_make_known_changes_news():
     """Guards against endless reads after an answer that lags behind."""
     freshness = started(100.0, revision=8)
-    freshness.record_store_revision(6)
-    assert freshness.newest_revision == 8
-    freshness.learn_revision(7, 101.0)
+    freshness.record_store_revision(at(6))
+    assert freshness.newest_revision == at(8)
+    freshness.learn_revision(at(7), 101.0)
     assert not freshness.is_overdue(200.0)
--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -22,6 +22,7 @@
 from sapphire_core.crashsuspects import CrashVerdict
 from sapphire_core.fanout import Failure
 from sapphire_core.hedging import HedgeDelay
+from sapphire_core.storerevision import NO_REVISION
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.calls import CallResult
@@ -200,7 +201,7 @@
 
     async def _handle_calls(self, request: DelegationRequest) -> Response:
         now = trio.current_time()
-        self._freshness.learn_revision(request.revision, now)
+        self._freshness.learn_revision(request.store_revision, now)
         coordinator_age_s = request.data_age_ms / MS_PER_S
         limit_s = max(MAX_DATA_AGE_S, coordinator_age_s + DATA_AGE_TOLERANCE_S)
         if self._freshness.age_s(now) > limit_s:
@@ -232,7 +233,9 @@
         await calls.wait(min(first_response_s, hedge_delay.delay_s))
         continuation_id = next(self._continuation_ids)
         response = calls.take(continuation_id, is_merged=True)
-        response.revision = self._freshness.revision or 0
+        revision = self._freshness.revision or NO_REVISION
+        response.revision = revision.number
+        response.era = revision.era
         if response.running:
             self._unfinished[continuation_id] = calls
         return _encoded(response)
--- a/libs/gateway/src/sapphire_gateway/delegated_parts.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_parts.py
@@ -18,6 +18,7 @@
 import trio
 from sapphire_core.fanout import Failure
 from sapphire_core.leafset import LeafEntry
+from sapphire_core.storerevision import NO_REVISION
 
 from sapphire_gateway.calls import CallResult
 from sapphire_gateway.delegation_messages import (
@@ -156,6 +157,7 @@
         assert job.route.gather is not None
         first_response_at = self._deferred_until - FIRST_RESPONSE_MARGIN_S
         final_response_at = job.policy.answer_at - FINAL_RESPONSE_MARGIN_S
+        revision = self._fleet.view.freshness.revision or NO_REVISION
         return DelegationRequest(
             route=job.route.name,
             request_head=job.request_head,
@@ -168,15 +170,16 @@
             first_response_ms=max(0.0, first_response_at - now) * MS_PER_S,
             final_response_ms=max(0.0, final_response_at - now) * MS_PER_S,
             top=job.route.gather.top,
-            revision=self._fleet.view.freshness.revision or 0,
+            revision=revision.number,
             data_age_ms=self._fleet.view.freshness.age_s(now) * MS_PER_S,
+            era=revision.era,
         )
 
     def _handle_response(
         self, delegation: Delegation, response: HelperResponse
     ) -> None:
         self._fleet.view.freshness.learn_revision(
-            response.revision, trio.current_time()
+            response.store_revision, trio.current_time()
         )
         self._deferred_parts.difference_update(delegation.request.parts)
         if response.is_suspected:
--- a/libs/gateway/src/sapphire_gateway/delegation_messages.py
+++ b/libs/gateway/src/sapphire_gateway/delegation_messages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import msgspec
+from sapphire_core.storerevision import StoreRevision
 
 CALLS_PATH = "/calls"
 REMAINDER_PATH = "/rest"
@@ -30,9 +31,10 @@
         final_response_ms: Time until the helper's last response.
         top: Number of greatest records to return, of each part or of all
             merged ones.
-        revision: Revision of the coordinator's copy of the store; 0 if it has
-            none.
+        revision: Number of the revision of the coordinator's copy of the store;
+            0 if it has none.
         data_age_ms: Time since that copy was known to be current.
+        era: Era of that revision.
     """
 
     route: str
@@ -49,6 +51,12 @@
     revision: int = 0
     # VMs of an earlier version leave it out.
     data_age_ms: float = 0.0
+    era: int = 0
+
+    @property
+    def store_revision(self) -> StoreRevision:
+        """Revision of the coordinator's copy of the store."""
+        return StoreRevision(self.era, self.revision)
 
 
 class RemainderRequest(msgspec.Struct, array_like=True):
@@ -111,9 +119,11 @@
         running: Parts that are still running.
         merged: Greatest records of all parts in `done`, if they were merged;
             the parts then have no records of their own.
-        revision: Revision of the helper's copy of the store; 0 if it has none.
+        revision: Number of the revision of the helper's copy of the store; 0 if
+            it has none.
         is_suspected: Whether the helper made no calls because the request may
             crash leaves.
+        era: Era of that revision.
     """
 
     continuation_id: int
@@ -123,3 +133,10 @@
     merged: bytes = b""
     revision: int = 0
     is_suspected: bool = False
+    # VMs of an earlier version leave it out.
+    era: int = 0
+
+    @property
+    def store_revision(self) -> StoreRevision:
+        """Revision of the helper's copy of the store."""
+        return StoreRevision(self.era, self.revision)
--- a/libs/gateway/src/sapphire_gateway/feed.py
+++ b/libs/gateway/src/sapphire_gateway/feed.py
@@ -17,8 +17,9 @@
 import msgspec
 import trio
 from prometheus_client import Counter
+from sapphire_core.storerevision import StoreRevision
 
-from sapphire_gateway.decoding import DECODING_ERRORS, parse_count
+from sapphire_gateway.decoding import DECODING_ERRORS, parse_revision
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Request, Response
 from sapphire_gateway.store import (
@@ -61,12 +62,13 @@
     """Response of the VM that provides the feed.
 
     Attributes:
-        revision: The items contain all changes up to this revision.
+        revision: The items contain all changes up to this number.
         age_s: Seconds since that VM's copy was last known to be current.
         is_full_state: The items list all existing keys instead of a delta.
         is_compressed: The items are compressed with zlib.
         items: Encoded list of items. A delta is in the order of the changes;
             a full state is in no particular order.
+        era: Era of the revision.
     """
 
     revision: int
@@ -74,6 +76,8 @@
     is_full_state: bool
     is_compressed: bool
     items: bytes
+    # VMs of an earlier version leave it out.
+    era: int = 0
 
 
 _RESPONSE = msgspec.msgpack.Decoder(FeedResponse)
@@ -88,11 +92,11 @@
         self._changes: collections.deque[Item] = collections.deque()
         self._retained_bytes = 0
         self._complete_after = 0
-        self._revision: int | None = None
+        self._revision: StoreRevision | None = None
         self._changed = trio.Event()
 
     @property
-    def revision(self) -> int | None:
+    def revision(self) -> StoreRevision | None:
         """Revision of the copy; None before the first batch."""
         return self._revision
 
@@ -102,7 +106,7 @@
             self._items.clear()
             self._changes.clear()
             self._retained_bytes = 0
-            self._complete_after = batch.revision
+            self._complete_after = batch.revision.number
         for change in batch.changes:
             item = Item(change.key, change.revision, change.value)
             if item.value is None:
@@ -123,18 +127,26 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    def since(self, revision: int | None) -> tuple[bool, list[Item]]:
+    def since(self, revision: StoreRevision | None) -> tuple[bool, list[Item]]:
         """Returns the changes after a revision, or the full state.
 
         Returns:
             Whether the items are the full state, which is the case if the
-            revision is None or older than the history; and the items.
+            revision is None, older than the history or of another era; and the
+            items.
         """
-        if revision is None or revision < self._complete_after:
+        if revision is None or not self._has_changes_after(revision):
             return True, list(self._items.values())
-        return False, [i for i in self._changes if i.revision > revision]
+        after = revision.number
+        return False, [i for i in self._changes if i.revision > after]
 
-    async def wait_for_newer(self, revision: int | None) -> None:
+    def _has_changes_after(self, revision: StoreRevision) -> bool:
+        """Returns whether the history goes back to a revision."""
+        if self._revision is None or revision.era != self._revision.era:
+            return False
+        return revision.number >= self._complete_after
+
+    async def wait_for_newer(self, revision: StoreRevision | None) -> None:
         """Waits until the copy is newer than a revision."""
         while self._revision is None or (
             revision is not None and self._revision <= revision
@@ -178,7 +190,7 @@
         self,
         mirror: Mirror,
         age_s: Callable[[], float],
-        learn_revision: Callable[[int], None],
+        learn_revision: Callable[[StoreRevision], None],
     ) -> None:
         """Creates a server.
 
@@ -193,15 +205,15 @@
         self._learn_revision = learn_revision
         # Encoded items of the current revision by the revision asked for;
         # many VMs ask for the same one.
-        self._encoded: dict[int | None, _EncodedItems] = {}
-        self._encoded_revision: int | None = None
+        self._encoded: dict[StoreRevision | None, _EncodedItems] = {}
+        self._encoded_revision: StoreRevision | None = None
 
     async def handle(self, request: Request) -> Response:
         """Waits for changes after the requested revision and returns them."""
         url = urllib.parse.urlsplit(request.target.decode("latin-1"))
         query = urllib.parse.parse_qs(url.query)
         after_text = query.get("after", [""])[0]
-        after = parse_count(after_text)
+        after = parse_revision(after_text, query.get("era", ["0"])[0])
         if url.path != PATH or (after is None and after_text):
             return Response(404, [])
         if after is not None:
@@ -218,16 +230,19 @@
             return Response(503, [])
         encoded = self._encoded_after(after, revision)
         response = FeedResponse(
-            revision,
+            revision.number,
             age_s,
             encoded.is_full_state,
             encoded.is_compressed,
             encoded.items,
+            revision.era,
         )
         headers = [(b"Content-Type", b"application/msgpack")]
         return Response(OK, headers, msgspec.msgpack.encode(response))
 
-    def _encoded_after(self, after: int | None, revision: int) -> _EncodedItems:
+    def _encoded_after(
+        self, after: StoreRevision | None, revision: StoreRevision
+    ) -> _EncodedItems:
         if self._encoded_revision != revision:
             self._encoded.clear()
             self._encoded_revision = revision
@@ -265,14 +280,16 @@
         """Closes the open connections; `changes` would open a new one."""
         self._http.reconnect("feed closed")
 
-    async def changes(self, after: int | None) -> Batch:
+    async def changes(self, after: StoreRevision | None) -> Batch:
         """Waits up to LONG_POLL_S for changes after a revision.
 
         Raises:
             StoreUnavailableError: The VM did not respond, or its data are too
                 old.
         """
-        target = PATH if after is None else f"{PATH}?after={after}"
+        target = PATH
+        if after is not None:
+            target = f"{PATH}?after={after.number}&era={after.era}"
         reply = await self._http.request(
             "GET", target, LONG_POLL_S + RESPONSE_GRACE_S
         )
@@ -289,10 +306,11 @@
                 f"feed at {self._http.address} sent a response that cannot be"
                 f" decoded: {error}."
             ) from error
-        if after is not None and response.revision < after:
+        revision = StoreRevision(response.era, response.revision)
+        if after is not None and revision < after:
             raise StoreUnavailableError(
-                f"feed at {self._http.address} has revision"
-                f" {response.revision}, older than {after}."
+                f"feed at {self._http.address} has revision {revision}, older"
+                f" than {after}."
             )
         changes = [
             Change(item.key, item.revision, update, item.value)
@@ -301,7 +319,7 @@
         ]
         return Batch(
             tuple(changes),
-            response.revision,
+            revision,
             is_full_state=response.is_full_state,
             age_s=response.age_s,
         )
--- a/libs/gateway/src/sapphire_gateway/feedselector.py
+++ b/libs/gateway/src/sapphire_gateway/feedselector.py
@@ -8,6 +8,7 @@
 import trio
 from sapphire_core.errors import SapphireError
 from sapphire_core.members import Member
+from sapphire_core.storerevision import StoreRevision
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.store import Batch
@@ -24,7 +25,7 @@
 class Feed(Protocol):
     """Client of another VM that relays the changes of the store."""
 
-    async def changes(self, after: int | None) -> Batch:
+    async def changes(self, after: StoreRevision | None) -> Batch:
         """Waits up to LONG_POLL_S for changes after a revision.
 
         Returns the full state if the revision is None, or if the other VM no
--- a/libs/gateway/src/sapphire_gateway/ownentry.py
+++ b/libs/gateway/src/sapphire_gateway/ownentry.py
@@ -8,10 +8,12 @@
 import trio
 from sapphire_core.crashsuspects import CrashRecord
 from sapphire_core.members import Member
+from sapphire_core.storerevision import NO_REVISION, StoreRevision
 
 from sapphire_gateway import telemetry
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.store import (
+    Lease,
     LeaseGoneError,
     Store,
     StoreUnavailableError,
@@ -53,10 +55,10 @@
         self._view = view
         self._member = member
         self._contact = contact
-        self._lease: int | None = None
+        self._lease: Lease | None = None
         self._is_written = False
         # Revision of the last write.
-        self._revision = 0
+        self._revision = NO_REVISION
         self._renew_now = trio.Event()
 
     @property
@@ -84,7 +86,7 @@
         if self._view.is_own_entry_missing and not self._member.leaving:
             self._write_soon()
 
-    def is_lost(self, members: Container[str], revision: int) -> bool:
+    def is_lost(self, members: Container[str], revision: StoreRevision) -> bool:
         """Returns whether a full state lacks the entry, though it was written.
 
         Args:
@@ -107,8 +109,8 @@
             try:
                 await self._renew()
                 self._contact.record_response()
-            except LeaseGoneError:
-                telemetry.event("lease_gone", lease=self._lease)
+            except LeaseGoneError as error:
+                telemetry.event("lease_gone", error=str(error))
                 self._lease = None
                 self._is_written = False
                 continue
@@ -131,7 +133,7 @@
             # several renewal intervals.
             await self._write(self._lease)
 
-    async def _write(self, lease: int) -> None:
+    async def _write(self, lease: Lease) -> None:
         member = self._member
         self._revision = await self._store.put_member(member, lease)
         self._view.freshness.learn_revision(self._revision, trio.current_time())
--- a/libs/gateway/src/sapphire_gateway/revisionexchange.py
+++ b/libs/gateway/src/sapphire_gateway/revisionexchange.py
@@ -14,9 +14,10 @@
 import trio
 from sapphire_core.freshness import Freshness
 from sapphire_core.members import Member, select_revision_peers
+from sapphire_core.storerevision import NO_REVISION
 
 from sapphire_gateway import telemetry
-from sapphire_gateway.decoding import parse_count
+from sapphire_gateway.decoding import parse_revision
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Request, Response
@@ -40,11 +41,14 @@
         """Learns the revision of the VM that asks, and answers with its own."""
         url = urllib.parse.urlsplit(request.target.decode("latin-1"))
         query = urllib.parse.parse_qs(url.query)
-        known = parse_count(query.get("known", [""])[0])
+        known = parse_revision(
+            query.get("known", [""])[0], query.get("era", ["0"])[0]
+        )
         if known is None:
             return Response(400, [])
         self._freshness.learn_revision(known, trio.current_time())
-        return Response(OK, [], b"%d" % (self._freshness.revision or 0))
+        revision = self._freshness.revision or NO_REVISION
+        return Response(OK, [], b"%d %d" % (revision.number, revision.era))
 
 
 class RevisionExchange:
@@ -86,13 +90,14 @@
             client = HttpClient(peer.peer_address, SMALL_REPLY_LIMITS, traffic)
             client.start(self._nursery)
             self._clients[peer.peer_address] = client
-        target = f"{PATH}?known={freshness.revision or 0}"
+        own = freshness.revision or NO_REVISION
+        target = f"{PATH}?known={own.number}&era={own.era}"
         try:
             reply = await client.request("GET", target, TIMEOUT_S)
         except StoreUnavailableError:
             telemetry.REVISION_EXCHANGES.labels("failed").inc()
             return
-        revision = parse_count(reply.body)
+        revision = parse_revision(*_split_answer(reply.body))
         if reply.status != OK or revision is None:
             telemetry.REVISION_EXCHANGES.labels("rejected").inc()
             return
@@ -103,3 +108,9 @@
         used = {peer.peer_address for peer in peers}
         for address in self._clients.keys() - used:
             self._clients.pop(address).reconnect("no longer a peer")
+
+
+def _split_answer(body: bytes) -> tuple[bytes, bytes]:
+    """Returns number and era; VMs of an earlier version state no era."""
+    number, _, era = body.strip().partition(b" ")
+    return number, era or b"0"
--- a/libs/gateway/src/sapphire_gateway/store.py
+++ b/libs/gateway/src/sapphire_gateway/store.py
@@ -9,6 +9,7 @@
 import trio
 from sapphire_core.errors import SapphireError
 from sapphire_core.members import Member
+from sapphire_core.storerevision import StoreRevision
 
 from sapphire_gateway.fleet_view import Update
 
@@ -28,19 +29,33 @@
 
 
 class LeaseGoneError(SapphireError):
-    """A lease has expired or was revoked."""
+    """A lease has expired, was revoked, or belongs to an earlier era."""
 
     kind = "lease_gone"
     default_remedy = "Open a new lease."
 
 
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A lease of the store.
+
+    Attributes:
+        number: The store's number of the lease.
+        era: Era in which it was opened. A store that comes back from a copy may
+            give the number to another VM, so the lease ends with its era.
+    """
+
+    number: int
+    era: int
+
+
 @dataclass(frozen=True, slots=True)
 class Change:
     """A key that was written or removed.
 
     Attributes:
         key: The key.
-        revision: Revision of the change.
+        revision: Number of the change, in the era of its batch.
         update: Decoded value, or removal.
         value: Stored value; None if the key was removed.
     """
@@ -66,7 +81,7 @@
     """
 
     changes: tuple[Change, ...]
-    revision: int
+    revision: StoreRevision
     is_truncated: bool = False
     is_full_state: bool = False
     age_s: float = 0.0
@@ -91,31 +106,31 @@
     async def read_members(self) -> list[Change]:
         """Reads the members' entries; the result may be seconds out of date."""
 
-    async def watch_all(self, after: int, wait_s: float) -> Batch:
+    async def watch_all(self, after: StoreRevision, wait_s: float) -> Batch:
         """Waits for changes after a revision.
 
         Raises:
-            HistoryGoneError: The changes are no longer available, or the store
-                skipped some.
+            HistoryGoneError: The changes are no longer available, the store
+                skipped some, or the revision is of an earlier era.
         """
 
-    async def open_lease(self, ttl_s: float) -> int:
-        """Opens a lease and returns its id."""
+    async def open_lease(self, ttl_s: float) -> Lease:
+        """Opens a lease."""
 
-    async def renew_lease(self, lease: int) -> None:
+    async def renew_lease(self, lease: Lease) -> None:
         """Renews a lease.
 
         Raises:
-            LeaseGoneError: The lease has expired.
+            LeaseGoneError: The lease has expired or is of an earlier era.
         """
 
-    async def put_member(self, member: Member, lease: int) -> int:
+    async def put_member(self, member: Member, lease: Lease) -> StoreRevision:
         """Writes this VM's entry, which the store removes with the lease.
 
         Returns the revision of the write.
 
         Raises:
-            LeaseGoneError: The lease has expired.
+            LeaseGoneError: The lease has expired or is of an earlier era.
         """
 
     def reconnect(self, reason: str) -> None:
--- a/libs/gateway/src/sapphire_gateway/storecontact.py
+++ b/libs/gateway/src/sapphire_gateway/storecontact.py
@@ -61,7 +61,9 @@
             return
         self._is_reachable = True
         self._recovered.set()
-        telemetry.event("store_regained", revision=self._freshness.revision)
+        telemetry.event(
+            "store_regained", revision=str(self._freshness.revision)
+        )
         self.on_regained()
 
 
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -15,6 +15,7 @@
 import trio
 from sapphire_core.freshness import MAX_WATCH_S
 from sapphire_core.members import Member
+from sapphire_core.storerevision import StoreRevision
 
 from sapphire_gateway import supervision, telemetry
 from sapphire_gateway.feed import LONG_POLL_S, Mirror
@@ -226,12 +227,19 @@
         # iteration chooses a feed again.
         return await self._read_store(LONG_POLL_S)
 
-    async def _watch_store(self, after: int, wait_s: float) -> Batch | None:
+    async def _watch_store(
+        self, after: StoreRevision, wait_s: float
+    ) -> Batch | None:
         """Watches the store; logs the start and the answer.
 
         Returns None if the watch was abandoned.
         """
-        telemetry.event("watch", after=after, wait_s=round(wait_s, 2))
+        telemetry.event(
+            "watch",
+            after=after.number,
+            era=after.era,
+            wait_s=round(wait_s, 2),
+        )
         began = trio.current_time()
         with trio.CancelScope() as self._watch_scope:
             batch = await self._store.watch_all(after, wait_s)
@@ -239,14 +247,16 @@
             return None
         telemetry.event(
             "watch_answered",
-            after=after,
-            revision=batch.revision,
+            after=after.number,
+            revision=batch.revision.number,
+            era=batch.revision.era,
             changes=len(batch.changes),
             waited_s=round(trio.current_time() - began, 3),
         )
         return batch
 
     def _apply_batch(self, batch: Batch) -> None:
+        self._log_return(batch)
         self.mirror.apply(batch)
         if batch.is_full_state:
             self._apply_full_state(batch)
@@ -257,10 +267,26 @@
         else:
             as_of = trio.current_time() - batch.age_s
             self._freshness.record_current(batch.revision, as_of)
-        telemetry.REVISION.set(batch.revision)
+        telemetry.REVISION.set(batch.revision.number)
+        telemetry.STORE_ERA.set(batch.revision.era)
         self.own_entry.restore_if_missing()
         self._on_change()
 
+    def _log_return(self, batch: Batch) -> None:
+        """Logs and counts if the batch is the first of a new era."""
+        before = self._freshness.revision
+        after = batch.revision
+        if before is None or after.era == before.era:
+            return
+        telemetry.STORE_RETURNS.inc()
+        telemetry.event(
+            "store_returned",
+            era_before=before.era,
+            revision_before=before.number,
+            era=after.era,
+            revision=after.number,
+        )
+
     def _apply_full_state(self, batch: Batch) -> None:
         """Applies the full state, which was read from the store or a feed.
 
@@ -287,7 +313,8 @@
             self._view.is_own_entry_missing = True
         telemetry.event(
             "read_all",
-            revision=batch.revision,
+            revision=batch.revision.number,
+            era=batch.revision.era,
             leaves=len(leaves),
             members=len(members),
             # Leaves only.
@@ -303,7 +330,7 @@
             except Exception as error:
                 # The changes behind it, and later ones, must still be applied.
                 supervision.record_failure("change of the store", error)
-        self._view.revision = batch.revision
+        self._view.revision = batch.revision.number
 
     async def _check_progress(self) -> None:
         """Asks the store for all keys if known changes do not arrive."""
@@ -317,8 +344,8 @@
             source = self._feeds.source
             telemetry.event(
                 "changes_overdue",
-                revision=self._freshness.revision,
-                newest_revision=self._freshness.newest_revision,
+                revision=str(self._freshness.revision),
+                newest_revision=str(self._freshness.newest_revision),
                 source=source.name if source else "store",
             )
             self._freshness.record_disruption(now)
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -124,8 +124,9 @@
 )
 REJECTED_MESSAGES = Counter(
     "sapphirecross_messages_rejected_total",
-    "Messages that are malformed or exceed a limit: request, reply, or"
-    " statement (a header in which a leaf asks for something).",
+    "Messages that are malformed or exceed a limit: request, reply, statement"
+    " (a header in which a leaf asks for something), or store_era (the era that"
+    " the store states).",
     ["kind"],
     registry=REGISTRY,
 )
@@ -205,6 +206,17 @@
     "Revision of the platform's store up to which changes were applied.",
     registry=REGISTRY,
 )
+STORE_ERA = Gauge(
+    "sapphirecross_store_era",
+    "Era of the copy of the platform's store; it rises when the store comes"
+    " back from an older copy of itself.",
+    registry=REGISTRY,
+)
+STORE_RETURNS = Counter(
+    "sapphirecross_store_returns_total",
+    "Returns of the store from an older copy that this VM has read.",
+    registry=REGISTRY,
+)
 REVISION_EXCHANGES = Counter(
     "sapphirecross_revision_exchanges_total",
     "Revisions exchanged with other VMs, by result: ok, rejected or failed.",
@@ -307,8 +319,8 @@
     """Counts and logs a message of a peer that cannot be used.
 
     Args:
-        kind: "request", "reply", or "statement" for a header in which a leaf
-            asks for something.
+        kind: "request", "reply", "statement" for a header in which a leaf asks
+            for something, or "store_era" for the era that the store states.
         error: What is wrong with the message.
         peer: Address of the peer.
     """
--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -8,6 +8,7 @@
 import trio.testing
 from sapphire_core.leafset import LeafEntry, LeafState
 from sapphire_core.members import Member
+from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.feed import (
     LONG_POLL_S,
     RESPONSE_GRACE_S,
@@ -27,6 +28,7 @@
     Batch,
     Change,
     HistoryGoneError,
+    Lease,
     LeaseGoneError,
     StoreUnavailableError,
 )
@@ -51,7 +53,9 @@
     def __init__(self) -> None:
         self.changes_by_key = {}
         self.history = []
+        # Number of the last change; `position` has the era, too.
         self.revision = 1
+        self.era = 1
         self.oldest_revision = 0
         self.is_down = False
         self.is_silent = False
@@ -61,6 +65,8 @@
         # Time at which a call last succeeded or a watch was accepted.
         self.answered_at = 0.0
         self.changed = trio.Event()
+        # Names of the VMs of run_fleet whose calls fail.
+        self.turned_away = set()
         self._hides_changes = False
         self._reset_count = 0
 
@@ -85,6 +91,34 @@
             if change.key == key and change.value == value
         )
 
+    @property
+    def position(self):
+        """The store's revision."""
+        return StoreRevision(self.era, self.revision)
+
+    def copy(self):
+        """Returns a copy of the present state."""
+        return (
+            dict(self.changes_by_key),
+            list(self.history),
+            dict(self.leases),
+            self.revision,
+        )
+
+    def come_back(self, state):
+        """Replaces the state by an older copy, in a new era.
+
+        The leases in the copy run from now.
+        """
+        changes_by_key, history, leases, revision = state
+        self.changes_by_key = dict(changes_by_key)
+        self.history = list(history)
+        expiry = trio.current_time() + LEASE_TTL_S
+        self.leases = dict.fromkeys(leases, expiry)
+        self.revision = revision
+        self.era += 1
+        self.reset_watches()
+
     def forget_history(self):
         """Discards the history, so that watches of older revisions fail."""
         self.oldest_revision = self.revision
@@ -134,7 +168,7 @@
         await trio.sleep(self.read_delay_s)
         return Batch(
             tuple(self.changes_by_key.values()),
-            self.revision,
+            self.position,
             is_full_state=True,
         )
 
@@ -147,6 +181,9 @@
         ]
 
     async def watch_all(self, after, wait_s):
+        if after.era != self.era:
+            raise HistoryGoneError("the store is in another era.")
+        era, after = after.era, after.number
         await self._called("watch")
         resets = self._reset_count
         with trio.move_on_after(wait_s) as wait:
@@ -158,34 +195,77 @@
                     raise StoreUnavailableError("reset.")
         if self.is_silent:
             await trio.sleep_forever()
+        if era != self.era:
+            raise HistoryGoneError("the store is in another era.")
         if wait.cancelled_caught:
-            return Batch((), after)
+            return Batch((), StoreRevision(era, after))
         if after < self.oldest_revision:
             raise HistoryGoneError("gone.")
         changes = tuple(c for c in self.history if c.revision > after)
         if len(changes) <= MAX_WATCH_CHANGES:
-            return Batch(changes, self.revision)
+            return Batch(changes, self.position)
         changes = changes[:MAX_WATCH_CHANGES]
-        return Batch(changes, changes[-1].revision, is_truncated=True)
+        last = StoreRevision(era, changes[-1].revision)
+        return Batch(changes, last, is_truncated=True)
 
     async def open_lease(self, ttl_s):
         await self._called("lease")
         number = len(self.leases) + 1
         self.leases[number] = trio.current_time() + ttl_s
-        return number
+        return Lease(number, self.era)
 
     async def renew_lease(self, lease):
         await self._called("renew")
-        if self.leases[lease] < trio.current_time():
-            raise LeaseGoneError("gone.")
-        self.leases[lease] = trio.current_time() + LEASE_TTL_S
+        self._check_lease(lease)
+        self.leases[lease.number] = trio.current_time() + LEASE_TTL_S
 
     async def put_member(self, member, lease):
         await self._called("put")
-        if self.leases[lease] < trio.current_time():
-            raise LeaseGoneError("gone.")
+        self._check_lease(lease)
         self.write(f"members/{member.name}", MemberUpdate(member))
-        return self.revision
+        return self.position
+
+    def _check_lease(self, lease):
+        expires_at = self.leases.get(lease.number, 0.0)
+        if lease.era != self.era or expires_at < trio.current_time():
+            raise LeaseGoneError("gone.")
+
+
+class StoreOfVm:
+    """The store as one VM sees it."""
+
+    def __init__(self, store, name) -> None:
+        self._store = store
+        self._name = name
+
+    def decode(self, key, value):
+        return self._store.decode(key, value)
+
+    def reconnect(self, reason):
+        self._store.reconnect(reason)
+
+    async def _call(self, method, *args: object):
+        if self._name not in self._store.turned_away:
+            return await method(*args)
+        raise StoreUnavailableError("turned away.")
+
+    async def read_all(self):
+        return await self._call(self._store.read_all)
+
+    async def read_members(self):
+        return await self._call(self._store.read_members)
+
+    async def watch_all(self, after, wait_s):
+        return await self._call(self._store.watch_all, after, wait_s)
+
+    async def open_lease(self, ttl_s):
+        return await self._call(self._store.open_lease, ttl_s)
+
+    async def renew_lease(self, lease):
+        return await self._call(self._store.renew_lease, lease)
+
+    async def put_member(self, member, lease):
+        return await self._call(self._store.put_member, member, lease)
 
 
 class FakeFeed:
@@ -209,20 +289,20 @@
         if self._address in FakeFeed.silent_addresses:
             await trio.sleep(LONG_POLL_S + RESPONSE_GRACE_S)
             raise StoreUnavailableError("silent.")
-        if after is None:
+        if after is None or after.era < self._store.era:
             return Batch(
                 tuple(self._store.changes_by_key.values()),
-                self._store.revision,
+                self._store.position,
                 is_full_state=True,
                 age_s=FakeFeed.age_s,
             )
         with trio.move_on_after(LONG_POLL_S):
-            while self._store.revision <= after:
+            while self._store.position <= after:
                 await self._store.changed.wait()
-        if self._store.revision < after:
+        if self._store.position < after:
             raise StoreUnavailableError("behind.")
-        changes = [c for c in self._store.history if c.revision > after]
-        return Batch(tuple(changes), self._store.revision, age_s=FakeFeed.age_s)
+        changes = [c for c in self._store.history if c.revision > after.number]
+        return Batch(tuple(changes), self._store.position, age_s=FakeFeed.age_s)
 
 
 def run_sync(test, feeds=(), feed_store=None, on_change=lambda view: None):
@@ -330,7 +410,7 @@
 
     view = FleetView(name)
     sync = Sync(
-        store,
+        StoreOfVm(store, name),
         view,
         Member(name, f"{name}:80", "z1"),
         lambda: None,
--- a/libs/gateway/tests/test_crashes.py
+++ b/libs/gateway/tests/test_crashes.py
@@ -24,6 +24,7 @@
     CrashVerdict,
 )
 from sapphire_core.members import Member
+from sapphire_core.storerevision import NO_REVISION
 from sapphire_gateway import delegation_messages
 from sapphire_gateway.crashes import CrashTracker, request_fingerprint
 from sapphire_gateway.delegated_calls import HelperServer
@@ -564,7 +565,7 @@
         now = trio.current_time()
         crashes = harness.view.crashes
         crashes.record_crash("a", CrashedLeaf("s", "i-0@1"), False, now)
-        harness.view.freshness.record_current(1, now)
+        harness.view.freshness.record_current(NO_REVISION, now)
         request = DelegationRequest(
             "search", b"GET /a/x HTTP/1.1\r\n", b"", b"r1", "a", ["s"],
             300.0, 300.0, 100.0, 200.0, 4,
--- a/libs/gateway/tests/test_delegated_calls.py
+++ b/libs/gateway/tests/test_delegated_calls.py
@@ -7,6 +7,7 @@
 from gateway_harness import HEADER_NAMES, reply, search_route
 from sapphire_core.members import Member
 from sapphire_core.retrybudget import RetryBudgetPolicy
+from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.callers import CallerServer
 from sapphire_gateway.delegated_calls import MAX_DATA_AGE_S, HelperServer
 from sapphire_gateway.delegated_parts import MAX_HEDGE_DEFERRAL_SHARE
@@ -17,7 +18,7 @@
 
 REMOTE_DOMAIN = "z2"
 # Revision of the helper's copy of the store.
-HELPER_REVISION = 7
+HELPER_REVISION = StoreRevision(2, 7)
 # Letters of each shard's records.
 SHARDS = {"s": "ae", "t": "bf", "u": "cg", "v": "dh"}
 
@@ -329,13 +330,14 @@
         delegation = DelegationHarness(harness)
         await delegation.start()
         freshness = harness.view.freshness
-        freshness.record_current(HELPER_REVISION - 2, trio.current_time())
+        freshness.record_current(StoreRevision(1, 99), trio.current_time())
         check_complete(await harness.request())
         assert freshness.newest_revision == HELPER_REVISION
-        freshness.record_current(HELPER_REVISION + 2, trio.current_time())
+        newer = StoreRevision(3, 1)
+        freshness.record_current(newer, trio.current_time())
         check_complete(await harness.request(request_id="r2"))
         known = delegation.helper_view.freshness.newest_revision
-        assert known == HELPER_REVISION + 2
+        assert known == newer
 
     run_with_harness(test)
 
--- a/libs/gateway/tests/test_feed.py
+++ b/libs/gateway/tests/test_feed.py
@@ -9,6 +9,7 @@
 import trio
 from gateway_harness import serve_peer
 from sapphire_core.members import Member
+from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.feed import (
     MAX_DATA_AGE_S,
     MAX_RETAINED_BYTES,
@@ -30,19 +31,24 @@
     return MemberUpdate(Member(key, value.decode(), "z1"))
 
 
+def at(number, era=1):
+    """Returns a revision of the store."""
+    return StoreRevision(era, number)
+
+
 def change(key, revision, value=b"v"):
     return Change(key, revision, decode(key, value), value)
 
 
 def full_state(*changes: Change, revision=10):
-    return Batch(tuple(changes), revision, is_full_state=True)
+    return Batch(tuple(changes), at(revision), is_full_state=True)
 
 
 def test_only_later_changes_are_returned():
     mirror = Mirror()
     mirror.apply(full_state(change("a", 3), change("b", 7)))
-    mirror.apply(Batch((change("c", 11), change("a", 12, None)), 12))
-    is_full_state, items = mirror.since(11)
+    mirror.apply(Batch((change("c", 11), change("a", 12, None)), at(12)))
+    is_full_state, items = mirror.since(at(11))
     assert not is_full_state
     assert [(i.key, i.revision, i.value) for i in items] == [("a", 12, None)]
 
@@ -50,7 +56,7 @@
 def test_first_request_gets_all_existing_keys():
     mirror = Mirror()
     mirror.apply(full_state(change("a", 3), change("b", 7)))
-    mirror.apply(Batch((change("a", 12, None),), 12))
+    mirror.apply(Batch((change("a", 12, None),), at(12)))
     is_full_state, items = mirror.since(None)
     assert is_full_state
     assert [item.key for item in items] == ["b"]
@@ -61,10 +67,10 @@
     mirror = Mirror()
     mirror.apply(full_state(change("a", 3)))
     for revision in range(11, 11 + MAX_RETAINED_CHANGES + 5):
-        mirror.apply(Batch((change("b", revision),), revision))
-    assert mirror.since(10)[0]
-    assert mirror.since(12)[0]
-    assert not mirror.since(11 + MAX_RETAINED_CHANGES)[0]
+        mirror.apply(Batch((change("b", revision),), at(revision)))
+    assert mirror.since(at(10))[0]
+    assert mirror.since(at(12))[0]
+    assert not mirror.since(at(11 + MAX_RETAINED_CHANGES))[0]
 
 
 def test_history_is_limited_in_bytes():
@@ -73,9 +79,9 @@
     mirror.apply(full_state())
     large = b"v" * (MAX_RETAINED_BYTES // 4)
     for revision in range(11, 21):
-        mirror.apply(Batch((change("a", revision, large),), revision))
-    assert mirror.since(12)[0]
-    is_full_state, items = mirror.since(17)
+        mirror.apply(Batch((change("a", revision, large),), at(revision)))
+    assert mirror.since(at(12))[0]
+    is_full_state, items = mirror.since(at(17))
     assert not is_full_state
     assert [item.revision for item in items] == [18, 19, 20]
 
@@ -114,7 +120,7 @@
 
     async def _later(mirror):
         await trio.sleep(0.05)
-        mirror.apply(Batch((change("c", 11),), 11))
+        mirror.apply(Batch((change("c", 11),), at(11)))
 
     run_with_mirror(test)
 
@@ -122,9 +128,9 @@
 def test_poll_without_changes_returns_an_empty_batch():
     async def test(mirror, client):
         mirror.apply(full_state(change("a", 3)))
-        batch = await client.changes(10)
+        batch = await client.changes(at(10))
         assert batch.changes == ()
-        assert batch.revision == 10
+        assert batch.revision == at(10)
         assert batch.age_s == pytest.approx(0.1)
 
     run_with_mirror(test)
@@ -136,7 +142,7 @@
     async def test(mirror, client):
         mirror.apply(full_state(change("a", 3)))
         with pytest.raises(StoreUnavailableError):
-            await client.changes(15)
+            await client.changes(at(15))
 
     run_with_mirror(test)
 
@@ -148,7 +154,7 @@
     async def test(mirror, client):
         mirror.apply(full_state(change("a", 3)))
         with pytest.raises(StoreUnavailableError):
-            await client.changes(3)
+            await client.changes(at(3))
 
     run_with_mirror(test, lambda: age_s)
 
@@ -204,11 +210,11 @@
 
     async def main():
         server = FeedServer(mirror, lambda: 0.0, learned.append)
-        request = Request(b"GET", b"/changes?after=11", [], b"", True)
+        request = Request(b"GET", b"/changes?after=11&era=1", [], b"", True)
         return await server.handle(request)
 
     assert trio.run(main).status == 503
-    assert learned == [11]
+    assert learned == [at(11)]
 
 
 def test_client_refuses_older_data():
@@ -222,7 +228,7 @@
         async with trio.open_nursery() as nursery:
             address = await serve_peer(nursery, outdated)
             with pytest.raises(StoreUnavailableError, match="older than 10"):
-                await FeedClient(address, nursery, decode).changes(10)
+                await FeedClient(address, nursery, decode).changes(at(10))
             nursery.cancel_scope.cancel()
 
     trio.run(main)
--- a/libs/gateway/tests/test_revisionexchange.py
+++ b/libs/gateway/tests/test_revisionexchange.py
@@ -7,6 +7,7 @@
 from gateway_harness import HEADER_NAMES, serve_peer
 from sapphire_core.members import Member
 from sapphire_core.retrybudget import RetryBudgetPolicy
+from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.messages import Request, Response
@@ -48,6 +49,11 @@
     trio.run(main)
 
 
+def at(number, era=1):
+    """Returns a revision of the store."""
+    return StoreRevision(era, number)
+
+
 def server_handler(view):
     """Returns the handler of a VM that takes part in the exchange."""
     server = RevisionServer(view.freshness)
@@ -64,11 +70,11 @@
 
     async def test(view, peer_view):
         now = trio.current_time()
-        view.freshness.record_current(own, now)
-        peer_view.freshness.record_current(others, now)
+        view.freshness.record_current(at(own), now)
+        peer_view.freshness.record_current(at(others), now)
         await trio.sleep(EXCHANGE_INTERVAL_S + 0.3)
-        assert view.freshness.newest_revision == 9
-        assert peer_view.freshness.newest_revision == 9
+        assert view.freshness.newest_revision == at(9)
+        assert peer_view.freshness.newest_revision == at(9)
 
     run_exchange(test, server_handler)
 
@@ -87,9 +93,9 @@
     """A broken peer ends neither the exchange nor the process."""
 
     async def test(view, peer_view):
-        view.freshness.record_current(5, trio.current_time())
+        view.freshness.record_current(at(5), trio.current_time())
         await trio.sleep(EXCHANGE_INTERVAL_S + 0.3)
-        assert view.freshness.newest_revision == 5
+        assert view.freshness.newest_revision == at(5)
 
     async def answer(request, caller):
         return response
--- a/libs/gateway/tests/test_stale_watch.py
+++ b/libs/gateway/tests/test_stale_watch.py
@@ -157,7 +157,7 @@
         await trio.sleep(30)
         store.hide_changes_from_watches()
         store.write("op/evacuate/z2", EvacuationUpdate("z2", True))
-        view.freshness.learn_revision(store.revision, trio.current_time())
+        view.freshness.learn_revision(store.position, trio.current_time())
         await trio.sleep(APPLY_LIMIT_S)
         assert view.registry.evacuated == {"z2"}
 
@@ -182,7 +182,7 @@
     async def test(store, view, sync):
         feed_store.revision = store.revision
         store.write("op/evacuate/z2", EvacuationUpdate("z2", True))
-        view.freshness.learn_revision(store.revision, trio.current_time())
+        view.freshness.learn_revision(store.position, trio.current_time())
         await trio.sleep(APPLY_LIMIT_S)
         assert view.registry.evacuated == {"z2"}
 
@@ -269,11 +269,11 @@
     async def test(store, view, sync):
         store.write("op/evacuate/z2", EvacuationUpdate("z2", True))
         await trio.sleep(1)
-        current = store.revision
+        current = store.position
         store.changes_by_key.pop("op/evacuate/z2")
-        store.revision = current - 1
+        store.revision = current.number - 1
         store.forget_history()
-        store.oldest_revision = current + 1
+        store.oldest_revision = current.number + 1
         store.reset_watches()
         await trio.sleep(3)
         assert view.registry.evacuated == {"z2"}
@@ -349,7 +349,7 @@
         for number in range(20):
             store.write(f"servers/i-{number}", LeafUpdate(LEAF))
             await trio.sleep(1.0)
-            assert views[2].freshness.revision == store.revision
+            assert views[2].freshness.revision == store.position
         ages = [view.freshness.age_s(trio.current_time()) for view in views]
         assert max(ages) < MAX_DATA_AGE_S + 1
 
--- a/tests/adapter/test_fuzz_values.py
+++ b/tests/adapter/test_fuzz_values.py
@@ -20,13 +20,14 @@
 from sample_values import CONFIG, LEAF, ROUTE
 from sapphire_core.errors import SapphireError
 from sapphire_core.members import Member
+from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.delegated_calls import HelperServer
 from sapphire_gateway.feed import FeedClient
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.fleet_view import FleetView, apply_update
 from sapphire_gateway.messages import Reply, Request
 from sapphire_gateway.revisionexchange import RevisionServer
-from sapphire_gateway.store import StoreUnavailableError
+from sapphire_gateway.store import Lease, StoreUnavailableError
 
 KEYS = st.sampled_from(
     ["servers/i-1", "op/config", "op/evacuate/z1", "members/vm2", "other", ""]
@@ -137,12 +138,14 @@
     ),
 )
 STORE_CALLS = [
-    lambda store: store.watch_all(5, 1.0),
+    lambda store: store.watch_all(StoreRevision(0, 5), 1.0),
     lambda store: store.read_all(),
     lambda store: store.read_members(),
     lambda store: store.open_lease(4.0),
-    lambda store: store.renew_lease(3),
-    lambda store: store.put_member(Member("vm1", "10.0.0.1:80", "z1"), 3),
+    lambda store: store.renew_lease(Lease(3, 0)),
+    lambda store: store.put_member(
+        Member("vm1", "10.0.0.1:80", "z1"), Lease(3, 0)
+    ),
 ]
 
 
@@ -189,7 +192,7 @@
 def test_any_answer_of_a_feed_is_decoded_or_an_outage(body):
     feed = _StubbedFeed(Reply(200, [], body, keeps_alive=True))
     with contextlib.suppress(StoreUnavailableError):
-        trio.run(feed.changes, 3)
+        trio.run(feed.changes, StoreRevision(1, 3))
 
 
 @fuzz
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -16,17 +16,28 @@
 
 import pytest
 import trio
+import trio.testing
 from adapter.store import StoreClient
 from gateway_harness import Leaf as ScriptedServer
 from sapphire_core.members import Member
+from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.fleet_view import EvacuationUpdate
 from sapphire_gateway.store import (
     HistoryGoneError,
+    Lease,
     LeaseGoneError,
     StoreUnavailableError,
 )
 
 MEMBER = Member("vm1", "10.0.0.1:80", "z1")
+# The era of a store that states none.
+ERA = 0
+LEASE = Lease(7, ERA)
+
+
+def at(number, era=ERA):
+    """Returns a revision of the store."""
+    return StoreRevision(era, number)
 
 
 def response(fields, status="200 OK"):
@@ -85,7 +96,7 @@
         return response({**page, "HasMore": True})
 
     batch, requests = run_call(script, lambda c: c.read_all())
-    assert batch.revision == 5
+    assert batch.revision == at(5)
     # The key op/evacuate/a takes failure domain "a" out of service.
     assert [c.update for c in batch.changes] == [
         EvacuationUpdate("a", is_out=True),
@@ -106,16 +117,17 @@
         assert b"after=5&WaitMs=1000" in request
         return response({"events": events, "CurrentRev": 8})
 
-    batch, _ = run_call(script, lambda c: c.watch_all(5, 1.0))
+    batch, _ = run_call(script, lambda c: c.watch_all(at(5), 1.0))
     assert [c.update.is_out for c in batch.changes] == [True, False]
-    assert batch.revision == 8
+    assert batch.revision == at(8)
 
 
 def test_discarded_history_is_distinguished_from_outage():
     """Status 410: the store has discarded the changes after revision 5."""
     with pytest.raises(HistoryGoneError):
         run_call(
-            lambda r: response({}, "410 Gone"), lambda c: c.watch_all(5, 1.0)
+            lambda r: response({}, "410 Gone"),
+            lambda c: c.watch_all(at(5), 1.0),
         )
 
 
@@ -127,7 +139,7 @@
     with pytest.raises(HistoryGoneError, match="skipped"):
         run_call(
             lambda r: response({"events": [], "CurrentRev": 7}),
-            lambda c: c.watch_all(5, 1.0),
+            lambda c: c.watch_all(at(5), 1.0),
         )
 
 
@@ -138,8 +150,8 @@
         events = [item("op/evacuate/a", 6)]
         return response({"events": events, "CurrentRev": 9})
 
-    batch, _ = run_call(script, lambda c: c.watch_all(5, 1.0))
-    assert batch.revision == 6
+    batch, _ = run_call(script, lambda c: c.watch_all(at(5), 1.0))
+    assert batch.revision == at(6)
     assert batch.is_truncated
 
 
@@ -163,8 +175,8 @@
 
 def test_unknown_lease_is_reported_as_gone():
     for call in (
-        lambda c: c.renew_lease(7),
-        lambda c: c.put_member(MEMBER, 7),
+        lambda c: c.renew_lease(LEASE),
+        lambda c: c.put_member(MEMBER, LEASE),
     ):
         with pytest.raises(LeaseGoneError):
             run_call(lambda r: response({}, "404 Not Found"), call)
@@ -172,7 +184,8 @@
 
 def test_member_record_is_written_with_lease():
     _, requests = run_call(
-        lambda r: response({"Revision": 3}), lambda c: c.put_member(MEMBER, 7)
+        lambda r: response({"Revision": 3}),
+        lambda c: c.put_member(MEMBER, LEASE),
     )
     body = json.loads(requests[0].partition(b"\r\n\r\n")[2])
     assert body["Puts"][0]["Key"] == "members/vm1"
@@ -190,4 +203,123 @@
         return await client.open_lease(4.0)
 
     lease, _ = run_call(lambda r: next(responses), call)
-    assert lease == 4
+    assert lease == Lease(4, ERA)
+
+
+def era_response(era, fields, status="200 OK"):
+    """Returns a response that states an era, or none."""
+    head, _, body = response(fields, status).partition(b"\r\n\r\n")
+    if era is not None:
+        head += f"\r\nStore-Era: {era}".encode()
+    return head + b"\r\n\r\n" + body
+
+
+LEASE_FIELDS = {"Lease": 4, "TtlMs": 4000}
+
+
+@pytest.mark.parametrize(
+    "odd", [None, "", "x", "-3", "1", "0", "9" * 30, "99999999", "2.0", "\xb2"]
+)
+def test_unusable_era_changes_nothing(odd):
+    """Guards against a VM that gives up the store, or the era that it knows."""
+    eras = iter(["7", odd, "7", odd, odd])
+
+    async def call(client):
+        return [await client.open_lease(4.0) for _ in range(5)]
+
+    leases, _ = run_call(lambda r: era_response(next(eras), LEASE_FIELDS), call)
+    assert leases == [Lease(4, 7)] * 5
+
+
+def test_lease_of_an_earlier_era_is_gone_whatever_the_store_answers():
+    """Guards against renewals of a number that another VM has been given."""
+    eras = iter(["1", "2"])
+
+    async def call(client):
+        lease = await client.open_lease(4.0)
+        with pytest.raises(LeaseGoneError, match="came back"):
+            await client.renew_lease(lease)
+        # Known by now, so the store isn't asked.
+        with pytest.raises(LeaseGoneError, match="came back"):
+            await client.put_member(MEMBER, lease)
+
+    _, requests = run_call(
+        lambda r: era_response(next(eras), LEASE_FIELDS), call
+    )
+    assert len(requests) == 2
+
+
+def test_entry_under_a_lease_of_an_earlier_era_counts_as_lost():
+    """Guards against an entry that ends with another VM's lease."""
+    eras = iter(["1", "2"])
+
+    async def call(client):
+        lease = await client.open_lease(4.0)
+        with pytest.raises(LeaseGoneError, match="came back"):
+            await client.put_member(MEMBER, lease)
+
+    run_call(
+        lambda r: era_response(
+            next(eras), {"Lease": 4, "TtlMs": 4000, "Revision": 9}
+        ),
+        call,
+    )
+
+
+@pytest.mark.parametrize("status", ["200 OK", "410 Gone", "503 Busy"])
+def test_watch_answered_in_another_era_has_no_history(status):
+    """Guards against changes of a new era that are taken for the next ones."""
+    events = [item("op/evacuate/a", 6)]
+
+    async def call(client):
+        await client.open_lease(4.0)
+        await client.watch_all(at(5, era=1), 1.0)
+
+    eras = iter(["1", "2"])
+    with pytest.raises(HistoryGoneError, match="not in its history"):
+        run_call(
+            lambda r: era_response(
+                next(eras),
+                {**LEASE_FIELDS, "events": events, "CurrentRev": 6},
+                status if b"kv-watch" in r else "200 OK",
+            ),
+            call,
+        )
+
+
+def test_pages_of_different_eras_are_not_joined():
+    """Guards against a full state of which a part no longer exists."""
+    eras = iter(["1", "2"])
+
+    def script(request):
+        page = {"items": [item("op/evacuate/a", 3)], "CurrentRev": 5}
+        return era_response(next(eras), {**page, "HasMore": True})
+
+    with pytest.raises(StoreUnavailableError, match="between two pages"):
+        run_call(script, lambda c: c.read_all())
+
+
+def test_return_ends_calls_that_wait_on_other_connections():
+    """Guards against a watch that waits at a store that no longer exists.
+
+    Whether its connection has failed does not matter.
+    """
+    eras = iter(["1", "2"])
+
+    def script(request):
+        if b"kv-watch" in request:
+            return None
+        return era_response(next(eras), LEASE_FIELDS)
+
+    async def call(client):
+        await client.open_lease(4.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, client)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            await client.open_lease(4.0)
+
+    async def watch(client):
+        with trio.fail_after(5), pytest.raises(StoreUnavailableError):
+            await client.watch_all(at(5, era=1), 25.0)
+
+    run_call(script, call)
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -87,6 +87,12 @@
         prefix = f"/v{self.version}/"
         route = SoakRoute(prefix, "GET", (UNSHARDED_SERVICE,), "idempotent")
         self.version_routes[self.version] = route
+        self.rewrite_configuration()
+        self.acknowledged_at[self.version] = trio.current_time()
+
+    def rewrite_configuration(self) -> None:
+        """Writes the present version once more, as after a loss."""
+        route = self.version_routes[self.version]
         routes = (*PERMANENT_ROUTES, route)
         services = (*SHARDS, UNSHARDED_SERVICE)
         self._store.write(
@@ -100,7 +106,6 @@
                 "Limits": {"IdleTimeoutMs": 20_000},
             },
         )
-        self.acknowledged_at[self.version] = trio.current_time()
 
     def evacuate(self, domain: str) -> bool:
         """Takes a failure domain out of service.
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -8,9 +8,10 @@
 
 import base64
 import collections
-import itertools
+import copy
 import json
 import urllib.parse
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -27,6 +28,7 @@
 # of gateways are rejected.
 OPERATOR_PREFIX = "op/"
 LEAF_PREFIX = "servers/"
+FIRST_LEASE_ID = 7001
 
 
 @dataclass
@@ -74,6 +76,18 @@
     keys: set[str] = field(default_factory=set)
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """State of the store at one moment, from which it can come back."""
+
+    items: dict[str, Item]
+    history: list[Item]
+    leases: dict[int, Lease]
+    next_lease_id: int
+    compacted_revision: int
+    revision: int
+
+
 def _json_response(fields: Any, status: int = 200) -> Response:
     headers = [(b"Content-Type", b"application/json")]
     return Response(status, headers, json.dumps(fields).encode())
@@ -86,13 +100,16 @@
         self._items: dict[str, Item] = {}
         self._history: collections.deque[Item] = collections.deque()
         self._leases: dict[int, Lease] = {}
-        self._lease_ids = itertools.count(7001)
+        self._next_lease_id = FIRST_LEASE_ID
         self._compacted_revision = 0
         self._changed = trio.Event()
         # Watches that wait; each is a scope whose cancellation resets it.
         self._waiting_watches: set[trio.CancelScope] = set()
         self._hides_changes = False
         self.revision = 1
+        self.era = 1
+        # Header value that replaces the era; None for no header.
+        self.stated_era: Callable[[], str | None] = lambda: str(self.era)
         self.is_overloaded = False
         # While set, kv-txn requests are applied, but their replies are never
         # sent.
@@ -140,6 +157,34 @@
         self._compacted_revision = self.revision
         self._hides_changes = False
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the present state."""
+        return StoreCopy(
+            dict(self._items),
+            list(self._history),
+            copy.deepcopy(self._leases),
+            self._next_lease_id,
+            self._compacted_revision,
+            self.revision,
+        )
+
+    def come_back(self, state: StoreCopy) -> None:
+        """Replaces the state by an older copy, in a new era.
+
+        The copy's leases run from now. Revisions and lease numbers that were
+        given out since the copy will be given out again.
+        """
+        self._items = dict(state.items)
+        self._history = collections.deque(state.history)
+        self._leases = copy.deepcopy(state.leases)
+        for lease in self._leases.values():
+            lease.expires_at = trio.current_time() + lease.ttl_s
+        self._next_lease_id = state.next_lease_id
+        self._compacted_revision = state.compacted_revision
+        self.revision = state.revision
+        self.era += 1
+        self.reset_watches()
+
     async def run(self) -> None:
         """Removes expired leases and their keys until cancelled."""
         while True:
@@ -151,6 +196,13 @@
 
     async def answer(self, request: Request, caller: Caller) -> Response:
         """Handles a request of a gateway, as the handler of a CallerServer."""
+        response = await self._answer(request)
+        stated_era = self.stated_era()
+        if stated_era is not None:
+            response.headers.append((b"Store-Era", stated_era.encode()))
+        return response
+
+    async def _answer(self, request: Request) -> Response:
         if self.is_overloaded:
             return Response(503, [])
         url = urllib.parse.urlsplit(request.target.decode())
@@ -195,7 +247,7 @@
             try:
                 with trio.move_on_after(int(query["WaitMs"]) / 1000):
                     while self._hides_changes or (
-                        self.revision <= after_revision
+                        self.revision == after_revision
                         and after_revision >= self._compacted_revision
                     ):
                         await self._changed.wait()
@@ -205,7 +257,7 @@
             return Response(503, [])
         if self._hides_changes:
             return _json_response({"events": [], "CurrentRev": after_revision})
-        if after_revision < self._compacted_revision:
+        if not self._compacted_revision <= after_revision <= self.revision:
             return Response(410, [])
         events = [
             item for item in self._history if item.revision > after_revision
@@ -217,7 +269,8 @@
         )
 
     def _grant_lease(self, fields: dict[str, Any]) -> Response:
-        lease_id = next(self._lease_ids)
+        lease_id = self._next_lease_id
+        self._next_lease_id += 1
         ttl_s = fields["TtlMs"] / 1000
         self._leases[lease_id] = Lease(ttl_s, trio.current_time() + ttl_s)
         return _json_response({"Lease": lease_id, "TtlMs": fields["TtlMs"]})
--- /dev/null
+++ b/tests/test_store_return.py
@@ -0,0 +1,59 @@
+"""Real gateway processes and a store that comes back from an older copy.
+
+What was written since the copy is lost, leases too, and revisions and lease
+numbers are given out again.
+"""
+
+from __future__ import annotations
+
+import pathlib
+
+import trio
+from sapphire_gateway.httpclient import HttpClient
+from soak.runner import running_environment, wait_until_ready
+
+# Versions that the operator writes after the copy was made.
+LOST_VERSIONS = 20
+# Time after the return within which the gateways are in touch again.
+CALM_S = 4.0
+# Time within which an acknowledged change has to be in force.
+APPLY_LIMIT_S = 3.0
+METRICS_PORT = 9464
+
+
+def test_changes_after_the_return_are_applied(tmp_path):
+    """Guards against VMs that keep what they knew before the return.
+
+    The store's revision stays below the one that they had read.
+    """
+    trio.run(_check_changes, tmp_path)
+
+
+async def _check_changes(folder: pathlib.Path):
+    async with running_environment(1, folder, 2) as (environment, nursery):
+        await wait_until_ready(environment, nursery)
+        store, operator = environment.store, environment.operator
+        state = store.copy()
+        for _ in range(LOST_VERSIONS):
+            operator.change_configuration()
+            await trio.sleep(0.1)
+        known = store.revision
+        store.come_back(state)
+        operator.rewrite_configuration()
+        await trio.sleep(CALM_S)
+        operator.change_configuration()
+        operator.evacuate("za")
+        await trio.sleep(APPLY_LIMIT_S)
+        assert store.revision < known
+        version = operator.version
+        line = f"sapphirecross_config_version {version}.0".encode()
+        for gateway in environment.gateways:
+            assert line in await _metrics(nursery, gateway), gateway.name
+            assert gateway.log_lines("gateway:domain_out"), gateway.name
+        nursery.cancel_scope.cancel()
+
+
+async def _metrics(nursery: trio.Nursery, gateway) -> bytes:
+    client = HttpClient(f"{gateway.host}:{METRICS_PORT}")
+    client.start(nursery)
+    return (await client.request("GET", "/metrics", 2.0)).body
