Evacuations and the configuration are held when the copy lacks them

What callers would see: requests reach a domain that operators have taken out, from the store's return until the evacuation is written again, and VMs that start then serve the copy's older configuration.

Cause: a full state without a key counted as the key's removal.

Ruled out: ending only at the operator's next write. An evacuation that was taken back while the store was away is never written again.

--- a/libs/gateway/src/sapphire_gateway/feed.py
+++ b/libs/gateway/src/sapphire_gateway/feed.py
@@ -11,7 +11,7 @@
 import collections
 import urllib.parse
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -93,6 +93,7 @@
         self._retained_bytes = 0
         self._complete_after = 0
         self._revision: StoreRevision | None = None
+        self._version = 0
         self._changed = trio.Event()
 
     @property
@@ -100,8 +101,20 @@
         """Revision of the copy; None before the first batch."""
         return self._revision
 
+    @property
+    def version(self) -> int:
+        """Number that changes with the content."""
+        return self._version
+
+    def drop(self, keys: Iterable[str]) -> None:
+        """Removes keys that the store lacks; VMs that ask are not told."""
+        self._version += 1
+        for key in keys:
+            self._items.pop(key, None)
+
     def apply(self, batch: Batch) -> None:
         """Applies a batch that was read from the store or from a feed."""
+        self._version += 1
         if batch.is_full_state:
             self._items.clear()
             self._changes.clear()
@@ -203,10 +216,10 @@
         self._mirror = mirror
         self._age_s = age_s
         self._learn_revision = learn_revision
-        # Encoded items of the current revision by the revision asked for;
-        # many VMs ask for the same one.
+        # Encoded items of the mirror's present version by the revision asked
+        # for; many VMs ask for the same one.
         self._encoded: dict[StoreRevision | None, _EncodedItems] = {}
-        self._encoded_revision: StoreRevision | None = None
+        self._encoded_version: int | None = None
 
     async def handle(self, request: Request) -> Response:
         """Waits for changes after the requested revision and returns them."""
@@ -228,7 +241,7 @@
         if after is not None and revision < after:
             # The VM that asks has newer data.
             return Response(503, [])
-        encoded = self._encoded_after(after, revision)
+        encoded = self._encoded_after(after)
         response = FeedResponse(
             revision.number,
             age_s,
@@ -240,12 +253,10 @@
         headers = [(b"Content-Type", b"application/msgpack")]
         return Response(OK, headers, msgspec.msgpack.encode(response))
 
-    def _encoded_after(
-        self, after: StoreRevision | None, revision: StoreRevision
-    ) -> _EncodedItems:
-        if self._encoded_revision != revision:
+    def _encoded_after(self, after: StoreRevision | None) -> _EncodedItems:
+        if self._encoded_version != self._mirror.version:
             self._encoded.clear()
-            self._encoded_revision = revision
+            self._encoded_version = self._mirror.version
         encoded = self._encoded.get(after)
         if encoded is None:
             encoded = self._encoded[after] = _encode_items(
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -32,6 +32,7 @@
     apply_update,
 )
 from sapphire_gateway.ownentry import OwnEntry
+from sapphire_gateway.reconciliation import Reconciler
 from sapphire_gateway.store import (
     Batch,
     HistoryGoneError,
@@ -55,6 +56,8 @@
 READ_ALL_INTERVAL_S = 0.25
 # Interval between checks whether changes are overdue.
 PROGRESS_CHECK_INTERVAL_S = 0.25
+# Keys that one log line names at most.
+MAX_LOGGED_KEYS = 20
 
 
 class Sync:
@@ -101,6 +104,7 @@
         self._must_ask_store = False
         self._last_read_all_at = -math.inf
         self.mirror = Mirror()
+        self._reconciler = Reconciler()
         # Scope of the current iteration of the loop that reads changes, and of
         # the part of it in which a watch waits for the store.
         self._read_scope = trio.CancelScope()
@@ -125,6 +129,7 @@
                 ("reading changes", self._read_changes),
                 ("own entry", self.own_entry.run),
                 ("check of the progress", self._check_progress),
+                ("held writes", self._end_held_writes),
             ):
                 nursery.start_soon(supervision.run_always, task, run)
 
@@ -257,6 +262,7 @@
 
     def _apply_batch(self, batch: Batch) -> None:
         self._log_return(batch)
+        batch = self._reconciler.reconcile(batch, trio.current_time())
         self.mirror.apply(batch)
         if batch.is_full_state:
             self._apply_full_state(batch)
@@ -288,7 +294,7 @@
         )
 
     def _apply_full_state(self, batch: Batch) -> None:
-        """Applies the full state, which was read from the store or a feed.
+        """Applies the full state, completed by the writes that are held.
 
         Leaves and members that it does not contain are recorded as missing;
         evacuations that it does not contain end.
@@ -319,7 +325,9 @@
             members=len(members),
             # Leaves only.
             vanished=len(before - leaves),
+            held=self._reconciler.held_count,
         )
+        telemetry.HELD_WRITES.set(self._reconciler.held_count)
 
     def _apply_changes(self, batch: Batch) -> None:
         now = trio.current_time()
@@ -332,6 +340,25 @@
                 supervision.record_failure("change of the store", error)
         self._view.revision = batch.revision.number
 
+    async def _end_held_writes(self) -> None:
+        """Removes what the store has lacked since its return for too long."""
+        while True:
+            await trio.sleep(PROGRESS_CHECK_INTERVAL_S)
+            expired = self._reconciler.take_expired(trio.current_time())
+            if not expired:
+                continue
+            telemetry.event("held_writes_ended", keys=expired[:MAX_LOGGED_KEYS])
+            telemetry.HELD_WRITES.set(self._reconciler.held_count)
+            self.mirror.drop(expired)
+            for key in expired:
+                self._apply_removal(key)
+            self._on_change()
+
+    def _apply_removal(self, key: str) -> None:
+        update = self._store.decode(key, None)
+        if update is not None:
+            apply_update(update, self._view, trio.current_time())
+
     async def _check_progress(self) -> None:
         """Asks the store for all keys if known changes do not arrive."""
         while True:
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -217,6 +217,12 @@
     "Returns of the store from an older copy that this VM has read.",
     registry=REGISTRY,
 )
+HELD_WRITES = Gauge(
+    "sapphirecross_held_writes",
+    "Writes that count although the platform's store, back from an older copy,"
+    " lacks them.",
+    registry=REGISTRY,
+)
 REVISION_EXCHANGES = Counter(
     "sapphirecross_revision_exchanges_total",
     "Revisions exchanged with other VMs, by result: ok, rejected or failed.",
--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -47,12 +47,26 @@
     return isinstance(update, LeafRemoval | MemberRemoval)
 
 
+def _removal_of(key):
+    """Returns the update for the removal of a key."""
+    folder, _, name = key.rpartition("/")
+    if folder == "op/evacuate":
+        return EvacuationUpdate(name, False)
+    if folder == "members":
+        return MemberRemoval(name)
+    if folder == "servers":
+        return LeafRemoval(name, "removed")
+    return None
+
+
 class FakeStore:
     """In-memory store with fault injection."""
 
     def __init__(self) -> None:
         self.changes_by_key = {}
         self.history = []
+        # All writes, also those that were lost.
+        self.written = []
         # Number of the last change; `position` has the era, too.
         self.revision = 1
         self.era = 1
@@ -73,21 +87,26 @@
     def write(self, key, update):
         """Writes a key, or removes it if the update is a removal."""
         self.revision += 1
-        value = None if _is_removal(update) else b"%d" % self.revision
+        value = None
+        if not _is_removal(update):
+            value = b"%d of %d" % (self.revision, self.era)
         change = Change(key, self.revision, update, value)
         if _is_removal(update):
             self.changes_by_key.pop(key, None)
         else:
             self.changes_by_key[key] = change
         self.history.append(change)
+        self.written.append(change)
         if not self._hides_changes:
             self._notify()
 
     def decode(self, key, value):
         """Returns the update of a value, or of the removal of a key."""
+        if value is None:
+            return _removal_of(key)
         return next(
             change.update
-            for change in reversed(self.history)
+            for change in reversed(self.written)
             if change.key == key and change.value == value
         )
 
--- a/libs/gateway/tests/test_store_return.py
+++ b/libs/gateway/tests/test_store_return.py
@@ -10,12 +10,21 @@
 import trio
 from sapphire_core.members import Member
 from sapphire_core.routing import ClientLimits, Configuration
+from sapphire_gateway.feed import FeedServer
 from sapphire_gateway.fleet_view import (
     ConfigurationUpdate,
     EvacuationUpdate,
     LeafUpdate,
 )
-from sync_harness import LEAF, OWN_ENTRY, FakeStore, run_fleet, run_sync
+from sapphire_gateway.reconciliation import EVACUATION_HOLD_S, Reconciler
+from sync_harness import (
+    LEAF,
+    OWN_ENTRY,
+    DirectFeed,
+    FakeStore,
+    run_fleet,
+    run_sync,
+)
 
 # Time within which a change has to be applied once the store is back.
 APPLY_LIMIT_S = 3.0
@@ -189,3 +198,106 @@
         assert OWN_KEY in store.changes_by_key
 
     run_sync(test)
+
+
+def evacuate(store, domain, is_out=True):
+    """Takes a failure domain out of service, or returns it to service."""
+    store.write(f"op/evacuate/{domain}", EvacuationUpdate(domain, is_out))
+
+
+@pytest.mark.parametrize("written_again_after_s", [0.0, 0.5, 20.0])
+def test_evacuation_lost_with_the_copy_stays_in_force(written_again_after_s):
+    """Guards against requests to a domain whose evacuation is written late."""
+
+    async def test(store, views):
+        state = store.copy()
+        evacuate(store, "z2")
+        await trio.sleep(2)
+        store.come_back(state)
+        for _ in range(int(written_again_after_s / 0.1)):
+            await trio.sleep(0.1)
+            assert all(v.registry.evacuated == {"z2"} for v in views)
+        evacuate(store, "z2")
+        # Longer than it is held if it isn't written again.
+        await trio.sleep(EVACUATION_HOLD_S + 5)
+        assert all(v.registry.evacuated == {"z2"} for v in views)
+        evacuate(store, "z2", is_out=False)
+        await trio.sleep(APPLY_LIMIT_S)
+        assert not any(v.registry.evacuated for v in views)
+
+    run_fleet(test)
+
+
+def test_evacuation_that_is_never_written_again_ends():
+    """Guards against a domain that is out until the VMs restart."""
+
+    async def test(store, views):
+        state = store.copy()
+        evacuate(store, "z2")
+        await trio.sleep(2)
+        store.come_back(state)
+        await trio.sleep(EVACUATION_HOLD_S + 5)
+        assert not any(v.registry.evacuated for v in views)
+
+    run_fleet(test)
+
+
+def test_held_evacuation_outlives_lost_history():
+    """Guards against a second full read that ends it."""
+
+    async def test(store, view, sync):
+        state = store.copy()
+        evacuate(store, "z2")
+        await trio.sleep(1)
+        store.come_back(state)
+        await trio.sleep(1)
+        store.write("servers/i-1", LeafUpdate(LEAF))
+        store.forget_history()
+        sync.resync("test")
+        await trio.sleep(5)
+        assert view.registry.evacuated == {"z2"}
+
+    run_sync(test)
+
+
+def test_vm_that_starts_after_the_return_hears_of_held_writes():
+    """Guards against a new VM that knows only what the copy has."""
+
+    async def test(store, view, sync):
+        write_version(store, 1)
+        state = store.copy()
+        write_version(store, 2)
+        evacuate(store, "z2")
+        await trio.sleep(1)
+        store.come_back(state)
+        await trio.sleep(1)
+        server = FeedServer(sync.mirror, lambda: 0.0, lambda revision: None)
+        batch = await DirectFeed(server, store.decode).changes(None)
+        reconciler = Reconciler()
+        batch = reconciler.reconcile(batch, 0.0)
+        found = {change.key: change.update for change in batch.changes}
+        assert found["op/config"].configuration.version == 2
+        assert found["op/evacuate/z2"].is_out
+        # It does not hold them for ever either.
+        assert reconciler.take_expired(EVACUATION_HOLD_S) == ["op/evacuate/z2"]
+
+    run_sync(test)
+
+
+@pytest.mark.parametrize("is_fed", [False, True])
+def test_older_configuration_of_the_copy_is_not_passed_on(is_fed):
+    """Guards against VMs that start with it while others have a newer one."""
+
+    async def test(store, view, sync):
+        write_version(store, 1)
+        state = store.copy()
+        write_version(store, 2)
+        await trio.sleep(2)
+        store.come_back(state)
+        await trio.sleep(2)
+        assert version_of(view) == 2
+        items = {i.key: i for i in sync.mirror.since(None)[1]}
+        update = store.decode("op/config", items["op/config"].value)
+        assert update.configuration.version == 2
+
+    run_sync(test, feeds=(FEED,) if is_fed else ())
