A full read does not restart the warm-up of leaves

What callers would see: after lost history or a return of the store, each leaf that started during traffic counts as cold for its whole warm-up again, and gets as few requests as a leaf that has just started.

Cause: `LeafRegistry` took the warm-up that is left from each entry that it was given, also from one that it had already.

Evidence: test_entry_that_is_read_again_does_not_restart_the_warm_up fails with the former line and passes now.

--- a/libs/core/src/sapphire_core/leafset.py
+++ b/libs/core/src/sapphire_core/leafset.py
@@ -262,10 +262,12 @@
     def _update(
         self, known: RegisteredLeaf, entry: LeafEntry, now: float
     ) -> None:
+        # A write that is read again says nothing about the warm-up.
+        if entry != known.entry:
+            known.cold_until = now + entry.warmup_left_s
         known.entry = entry
         known.misdirected = False
         known.has_entry = True
-        known.cold_until = now + entry.warmup_left_s
         if entry.state is LeafState.READY and not known.has_said_leaving:
             known.leaving_since = None
         elif known.leaving_since is None:
--- a/libs/core/tests/test_leafset.py
+++ b/libs/core/tests/test_leafset.py
@@ -108,6 +108,17 @@
     assert not registry.get("i-1").is_cold(13.0)
 
 
+def test_entry_that_is_read_again_does_not_restart_the_warm_up():
+    """Guards against warm leaves that count as cold after each full read."""
+    registry = LeafRegistry()
+    cold = dataclasses.replace(ENTRY, warmup_left_s=3.0, sequence=6)
+    registry.put(cold, 10.0)
+    registry.put(cold, 20.0)
+    assert not registry.get("i-1").is_cold(20.0)
+    registry.put(dataclasses.replace(cold, sequence=7), 30.0)
+    assert registry.get("i-1").is_cold(32.9)
+
+
 def test_domains_are_counted_without_leaving_and_evacuated_leaves(registry):
     registry.record_missing("i-1", 0.0)
     assert registry.domain_counts(["s"]) == {"z1": 1}
