Entries of leaves and VMs that the copy lacks are held for some seconds

What callers would see: leaves that registered after the copy was made get no requests until they register again, and VMs leave the addresses while a large fleet writes its entries.

Cause: a full state without a key counted as the key's removal.

Change: leaves are held for 2 s and members for 3 s; what the store itself lists still decides whether a VM writes its own entry again. An older entry of a leaf in the copy does not replace the known one for feeds.

--- a/libs/core/src/sapphire_core/leafset.py
+++ b/libs/core/src/sapphire_core/leafset.py
@@ -145,7 +145,7 @@
     def put(self, entry: LeafEntry, now: float) -> bool:
         """Adds or updates an entry; returns False if a newer one is known."""
         known = self._leaves.get(entry.leaf_id)
-        if known is not None and _is_older(entry, known.entry):
+        if known is not None and is_older(entry, known.entry):
             return False
         if known is not None and known.entry.incarnation == entry.incarnation:
             self._update(known, entry, now)
@@ -281,7 +281,8 @@
             del self._by_service[leaf.entry.service]
 
 
-def _is_older(entry: LeafEntry, known: LeafEntry) -> bool:
+def is_older(entry: LeafEntry, known: LeafEntry) -> bool:
+    """Returns whether an entry was written before another of the same leaf."""
     if entry.born_ms != known.born_ms:
         return entry.born_ms < known.born_ms
     return entry.sequence < known.sequence
--- a/libs/gateway/src/sapphire_gateway/reconciliation.py
+++ b/libs/gateway/src/sapphire_gateway/reconciliation.py
@@ -12,9 +12,13 @@
 import functools
 import math
 
+from sapphire_core.leafset import is_older
+
 from sapphire_gateway.fleet_view import (
     ConfigurationUpdate,
     EvacuationUpdate,
+    LeafUpdate,
+    MemberUpdate,
     Update,
 )
 from sapphire_gateway.store import Batch, Change
@@ -25,6 +29,11 @@
 # early sends requests to a domain that operators have taken out; ending it too
 # late only costs the domain's capacity.
 EVACUATION_HOLD_S = 60.0
+# A leaf that lives and reaches the store is back in it about two seconds after
+# the store's return.
+LEAF_HOLD_S = 2.0
+# A VM renews its lease within 1.8 s, finds it lost, and writes its entry again.
+MEMBER_HOLD_S = 3.0
 
 
 @functools.singledispatch
@@ -44,6 +53,16 @@
     return EVACUATION_HOLD_S
 
 
+@hold_s.register
+def _(update: LeafUpdate) -> float:
+    return LEAF_HOLD_S
+
+
+@hold_s.register
+def _(update: MemberUpdate) -> float:
+    return MEMBER_HOLD_S
+
+
 @functools.singledispatch
 def supersedes(update: Update, listed: Update) -> bool:
     """Returns whether an update is known to be newer than a listed one."""
@@ -57,6 +76,13 @@
     return update.configuration.version > listed.configuration.version
 
 
+@supersedes.register
+def _(update: LeafUpdate, listed: Update) -> bool:
+    if not isinstance(listed, LeafUpdate):
+        return False
+    return is_older(listed.entry, update.entry)
+
+
 class Reconciler:
     """The last write of each key, and those that are held.
 
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -32,7 +32,7 @@
     apply_update,
 )
 from sapphire_gateway.ownentry import OwnEntry
-from sapphire_gateway.reconciliation import Reconciler
+from sapphire_gateway.reconciliation import HELD, Reconciler
 from sapphire_gateway.store import (
     Batch,
     HistoryGoneError,
@@ -315,7 +315,7 @@
         self._view.registry.retain(leaves, now)
         self._view.members.retain(members, now)
         self._view.registry.set_evacuated(evacuated_domains)
-        if self.own_entry.is_lost(members, batch.revision):
+        if self.own_entry.is_lost(_listed_members(batch), batch.revision):
             self._view.is_own_entry_missing = True
         telemetry.event(
             "read_all",
@@ -398,3 +398,12 @@
             await self._contact.wait_until_regained(FIRST_READ_RETRY_INTERVAL_S)
         else:
             await self._contact.wait_until_regained(READ_RETRY_INTERVAL_S)
+
+
+def _listed_members(batch: Batch) -> set[str]:
+    """Returns the names of the members that the store itself has."""
+    return {
+        change.update.member.name
+        for change in batch.changes
+        if isinstance(change.update, MemberUpdate) and change.revision != HELD
+    }
--- a/libs/gateway/tests/test_store_return.py
+++ b/libs/gateway/tests/test_store_return.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 import trio
+from sapphire_core.leafset import LAST_RESORT_S, LeafState
 from sapphire_core.members import Member
 from sapphire_core.routing import ClientLimits, Configuration
 from sapphire_gateway.feed import FeedServer
@@ -15,8 +18,14 @@
     ConfigurationUpdate,
     EvacuationUpdate,
     LeafUpdate,
+    MemberUpdate,
+)
+from sapphire_gateway.reconciliation import (
+    EVACUATION_HOLD_S,
+    LEAF_HOLD_S,
+    MEMBER_HOLD_S,
+    Reconciler,
 )
-from sapphire_gateway.reconciliation import EVACUATION_HOLD_S, Reconciler
 from sync_harness import (
     LEAF,
     OWN_ENTRY,
@@ -301,3 +310,125 @@
         assert update.configuration.version == 2
 
     run_sync(test, feeds=(FEED,) if is_fed else ())
+
+
+def usable(view):
+    """Returns the ids of the leaves that requests may use, but for the last."""
+    now = trio.current_time()
+    return {
+        leaf.entry.leaf_id
+        for leaf in view.registry.candidates("s", now)
+        if leaf.leaving_since is None
+    }
+
+
+def write_leaf(store, number, **fields: object):
+    """Writes the entry of a leaf."""
+    leaf_id = f"i-{number}"
+    entry = dataclasses.replace(
+        LEAF, leaf_id=leaf_id, address=f"10.0.1.{number}:80", **fields
+    )
+    store.write(f"servers/{leaf_id}", LeafUpdate(entry))
+
+
+@pytest.mark.parametrize("order", [(1, 2, 3), (3, 2, 1)])
+def test_leaves_that_the_copy_lacks_stay_in_use(order):
+    """Guards against a gap of entries that counts as a mass departure."""
+
+    async def test(store, views):
+        state = store.copy()
+        for number in order:
+            write_leaf(store, number)
+        await trio.sleep(3)
+        everyone = usable(views[0])
+        assert len(everyone) == 3
+        store.come_back(state)
+        for _ in range(18):
+            await trio.sleep(0.1)
+            assert [usable(view) for view in views] == [everyone] * 3
+        for number in reversed(order):
+            write_leaf(store, number)
+        for _ in range(100):
+            await trio.sleep(0.1)
+            assert [usable(view) for view in views] == [everyone] * 3
+
+    run_fleet(test)
+
+
+def test_leaf_that_does_not_register_again_is_gone():
+    """Guards against requests to a leaf that ended while the store was away."""
+
+    async def test(store, views):
+        state = store.copy()
+        write_leaf(store, 1)
+        write_leaf(store, 2)
+        await trio.sleep(3)
+        store.come_back(state)
+        write_leaf(store, 2)
+        await trio.sleep(LEAF_HOLD_S + 2.0)
+        assert [usable(view) for view in views] == [{"i-2"}] * 3
+        await trio.sleep(LAST_RESORT_S)
+        now = trio.current_time()
+        for view in views:
+            left = view.registry.candidates("s", now)
+            assert [leaf.entry.leaf_id for leaf in left] == ["i-2"]
+
+    run_fleet(test)
+
+
+def test_draining_leaf_is_not_ready_again_in_the_copy():
+    """Guards against requests to a leaf that leaves, until it writes again."""
+
+    async def test(store, views):
+        write_leaf(store, 1)
+        write_leaf(store, 2)
+        state = store.copy()
+        await trio.sleep(1)
+        write_leaf(store, 1, state=LeafState.DRAINING, sequence=2)
+        await trio.sleep(2)
+        store.come_back(state)
+        for _ in range(100):
+            await trio.sleep(0.1)
+            assert [usable(view) for view in views] == [{"i-2"}] * 3
+
+    run_fleet(test)
+
+
+def test_vm_whose_entry_the_copy_lacks_stays_in_the_fleet():
+    """Guards against callers, shares and feeds that move at each return.
+
+    The store takes some seconds to accept the entries of a large fleet.
+    """
+
+    async def test(store, views):
+        await trio.sleep(5)
+        everyone = ["vm1", "vm2", "vm3"]
+        assert [v.members.names(trio.current_time()) for v in views] == [
+            everyone
+        ] * 3
+        # At several moments between two renewals.
+        for _ in range(8):
+            store.come_back(({}, [], {}, 0))
+            store.turned_away.add("vm3")
+            for step in range(53):
+                await trio.sleep(0.1)
+                if step == 20:
+                    store.turned_away.clear()
+                now = trio.current_time()
+                assert [v.members.names(now) for v in views] == [everyone] * 3
+
+    run_fleet(test)
+
+
+def test_vm_that_ended_while_the_store_was_away_leaves_the_fleet():
+    """Guards against callers that are sent to it for long."""
+
+    async def test(store, views):
+        store.write("members/vm9", MemberUpdate(Member("vm9", "a:1", "z1")))
+        await trio.sleep(3)
+        store.come_back(({}, [], {}, 0))
+        await trio.sleep(MEMBER_HOLD_S + 3.0)
+        now = trio.current_time()
+        assert all("vm9" not in v.members.names(now) for v in views)
+
+    run_fleet(test)
