Entries that had ended are doubted when the copy has them

What callers would see: requests go to leaves, and callers to VMs, that were gone before the store returned from the copy, until the store removes them again; a VM that is being stopped is in the addresses again.

Cause: the knowledge that an entry had ended was dropped with the entry.

Change: `Reconciler` remembers the last writes of removed keys and doubts these very writes, and older entries of members, for 6 s.

Ruled out: doubting evacuations, too. In the new era an evacuation may get the number of one that was taken back, and would not be heeded.

--- a/libs/gateway/src/sapphire_gateway/feed.py
+++ b/libs/gateway/src/sapphire_gateway/feed.py
@@ -112,6 +112,13 @@
         for key in keys:
             self._items.pop(key, None)
 
+    def put(self, changes: Iterable[Change]) -> None:
+        """Replaces the values of keys; VMs that ask are not told."""
+        self._version += 1
+        for change in changes:
+            item = Item(change.key, change.revision, change.value)
+            self._items[item.key] = item
+
     def apply(self, batch: Batch) -> None:
         """Applies a batch that was read from the store or from a feed."""
         self._version += 1
--- a/libs/gateway/src/sapphire_gateway/reconciliation.py
+++ b/libs/gateway/src/sapphire_gateway/reconciliation.py
@@ -4,6 +4,10 @@
 write it again, each in its own time. Until then a key that is missing is not a
 removal: its last write is held, and passed on to the VMs that read this VM's
 feed.
+
+The copy also has what was removed or replaced since. A write of a leaf or a VM
+that this VM has seen removed or replaced is doubted: it counts only once its
+writer would have ended it again.
 """
 
 from __future__ import annotations
@@ -11,6 +15,7 @@
 import dataclasses
 import functools
 import math
+from dataclasses import dataclass
 
 from sapphire_core.leafset import is_older
 
@@ -34,6 +39,17 @@
 LEAF_HOLD_S = 2.0
 # A VM renews its lease within 1.8 s, finds it lost, and writes its entry again.
 MEMBER_HOLD_S = 3.0
+# A leaf that is gone is removed from the store after three heartbeats of
+# silence, a VM when its lease ends.
+DOUBT_S = 6.0
+# Removed writes that are remembered; a copy is some seconds old.
+MAX_REMOVED = 4096
+
+
+@dataclass(frozen=True, slots=True)
+class _Doubted:
+    change: Change
+    until: float
 
 
 @functools.singledispatch
@@ -95,6 +111,10 @@
         self._known: dict[str, Change] = {}
         # Keys that the store lacks, with the time up to which they are held.
         self._held_until: dict[str, float] = {}
+        # Last writes of keys that were removed, the newest last.
+        self._removed: dict[str, Change] = {}
+        # Writes in the copy that are not believed yet.
+        self._doubted: dict[str, _Doubted] = {}
 
     @property
     def held_count(self) -> int:
@@ -112,9 +132,25 @@
             self._known.clear()
         self._era = batch.revision.era
         for change in batch.changes:
-            self._record(change)
+            if not self._is_doubted(change):
+                self._record(change)
         return batch
 
+    def believed(self, batch: Batch) -> Batch:
+        """Returns a reconciled batch without the writes that are doubted.
+
+        Other VMs have their own reasons to doubt, so that feeds include them.
+        """
+        changes = [c for c in batch.changes if not self._is_doubted(c)]
+        return dataclasses.replace(batch, changes=tuple(changes))
+
+    def take_believable(self, now: float) -> list[Change]:
+        """Removes and returns the writes that have been doubted long enough."""
+        ended = [d.change for d in self._doubted.values() if d.until <= now]
+        for change in ended:
+            self._record(change)
+        return ended
+
     def take_expired(self, now: float) -> list[str]:
         """Removes and returns the keys that have been held long enough."""
         expired = [key for key, end in self._held_until.items() if end <= now]
@@ -123,13 +159,23 @@
             del self._known[key]
         return expired
 
+    def _is_doubted(self, change: Change) -> bool:
+        doubted = self._doubted.get(change.key)
+        return doubted is not None and doubted.change == change
+
     def _record(self, change: Change) -> None:
-        if change.value is None:
-            self._known.pop(change.key, None)
-        else:
-            self._known[change.key] = change
         if change.revision != HELD:
             self._held_until.pop(change.key, None)
+            self._doubted.pop(change.key, None)
+        if change.value is not None:
+            self._known[change.key] = change
+            return
+        known = self._known.pop(change.key, None)
+        if known is not None:
+            self._removed.pop(change.key, None)
+            self._removed[change.key] = known
+            if len(self._removed) > MAX_REMOVED:
+                del self._removed[next(iter(self._removed))]
 
     def _complete(self, batch: Batch, now: float) -> Batch:
         """Returns a full state with the writes that are held."""
@@ -141,9 +187,11 @@
         candidates = {**candidates, **self._known}
         held: dict[str, Change] = {}
         held_until: dict[str, float] = {}
+        self._doubt(listed, is_return, now)
         for key, known in candidates.items():
             if key in listed:
-                if supersedes(known.update, listed[key].update):
+                is_doubted = self._is_doubted(listed[key])
+                if is_doubted or supersedes(known.update, listed[key].update):
                     held[key] = dataclasses.replace(known, revision=HELD)
                 continue
             end = self._held_until.get(key, -math.inf)
@@ -155,3 +203,30 @@
         self._held_until = held_until
         changes = [c for key, c in listed.items() if key not in held]
         return dataclasses.replace(batch, changes=(*changes, *held.values()))
+
+    def _doubt(
+        self, listed: dict[str, Change], is_return: bool, now: float
+    ) -> None:
+        """Finds the listed writes that this VM has seen removed or replaced."""
+        doubted = {
+            c.key: self._doubted[c.key]
+            for c in listed.values()
+            if self._is_doubted(c)
+        }
+        if is_return:
+            for key, change in listed.items():
+                if self._is_outdated(change):
+                    doubted[key] = _Doubted(change, now + DOUBT_S)
+        self._doubted = doubted
+
+    def _is_outdated(self, change: Change) -> bool:
+        """Returns whether a write in a copy has ended, as far as is known."""
+        if not isinstance(change.update, LeafUpdate | MemberUpdate):
+            return False
+        known = self._known.get(change.key)
+        if known is None:
+            return self._removed.get(change.key) == change
+        # The order of a leaf's entries is known without their numbers.
+        is_member = isinstance(change.update, MemberUpdate)
+        is_same = known.update == change.update
+        return is_member and not is_same and known.revision > change.revision
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -129,7 +129,7 @@
                 ("reading changes", self._read_changes),
                 ("own entry", self.own_entry.run),
                 ("check of the progress", self._check_progress),
-                ("held writes", self._end_held_writes),
+                ("writes of a copy", self._settle_writes),
             ):
                 nursery.start_soon(supervision.run_always, task, run)
 
@@ -264,6 +264,7 @@
         self._log_return(batch)
         batch = self._reconciler.reconcile(batch, trio.current_time())
         self.mirror.apply(batch)
+        batch = self._reconciler.believed(batch)
         if batch.is_full_state:
             self._apply_full_state(batch)
         else:
@@ -340,18 +341,27 @@
                 supervision.record_failure("change of the store", error)
         self._view.revision = batch.revision.number
 
-    async def _end_held_writes(self) -> None:
-        """Removes what the store has lacked since its return for too long."""
+    async def _settle_writes(self) -> None:
+        """Ends what is held or doubted after a return of the store."""
         while True:
             await trio.sleep(PROGRESS_CHECK_INTERVAL_S)
-            expired = self._reconciler.take_expired(trio.current_time())
-            if not expired:
+            now = trio.current_time()
+            expired = self._reconciler.take_expired(now)
+            believable = self._reconciler.take_believable(now)
+            if not expired and not believable:
                 continue
-            telemetry.event("held_writes_ended", keys=expired[:MAX_LOGGED_KEYS])
+            telemetry.event(
+                "copy_settled",
+                removed=expired[:MAX_LOGGED_KEYS],
+                believed=[c.key for c in believable[:MAX_LOGGED_KEYS]],
+            )
             telemetry.HELD_WRITES.set(self._reconciler.held_count)
             self.mirror.drop(expired)
+            self.mirror.put(believable)
             for key in expired:
                 self._apply_removal(key)
+            for change in believable:
+                apply_update(change.update, self._view, now)
             self._on_change()
 
     def _apply_removal(self, key: str) -> None:
--- a/libs/gateway/tests/test_store_return.py
+++ b/libs/gateway/tests/test_store_return.py
@@ -21,6 +21,7 @@
     MemberUpdate,
 )
 from sapphire_gateway.reconciliation import (
+    DOUBT_S,
     EVACUATION_HOLD_S,
     LEAF_HOLD_S,
     MEMBER_HOLD_S,
@@ -432,3 +433,94 @@
         assert all("vm9" not in v.members.names(now) for v in views)
 
     run_fleet(test)
+
+
+def remove(store, key):
+    """Removes a key, as an entry that has lapsed."""
+    store.write(key, store.decode(key, None))
+
+
+@pytest.mark.parametrize("is_removed_again", [True, False])
+def test_leaf_that_is_gone_is_not_used_while_the_copy_has_it(is_removed_again):
+    """Guards against requests to leaves that left before the store did."""
+
+    async def test(store, views):
+        write_leaf(store, 1)
+        write_leaf(store, 2)
+        await trio.sleep(1)
+        state = store.copy()
+        remove(store, "servers/i-1")
+        await trio.sleep(5)
+        store.come_back(state)
+        for _ in range(int(DOUBT_S / 0.1) - 1):
+            await trio.sleep(0.1)
+            assert [usable(view) for view in views] == [{"i-2"}] * 3
+        if is_removed_again:
+            remove(store, "servers/i-1")
+        # It lives if nobody has removed it by then.
+        await trio.sleep(2)
+        left = {"i-2"} if is_removed_again else {"i-1", "i-2"}
+        assert [usable(view) for view in views] == [left] * 3
+
+    run_fleet(test)
+
+
+def test_leaf_that_registers_again_is_not_doubted():
+    """Guards against a leaf that is left out although it has said it lives."""
+
+    async def test(store, views):
+        write_leaf(store, 1)
+        write_leaf(store, 2)
+        await trio.sleep(1)
+        state = store.copy()
+        remove(store, "servers/i-1")
+        await trio.sleep(5)
+        store.come_back(state)
+        write_leaf(store, 1, sequence=2)
+        await trio.sleep(2)
+        assert [usable(view) for view in views] == [{"i-1", "i-2"}] * 3
+
+    run_fleet(test)
+
+
+def test_vm_that_ended_is_not_advertised_while_the_copy_has_it():
+    """Guards against callers that are sent to VMs lost before the return."""
+    entry = Member("vm9", "10.0.0.9:80", "z1")
+
+    async def test(store, views):
+        store.write("members/vm9", MemberUpdate(entry))
+        await trio.sleep(2)
+        state = store.copy()
+        remove(store, "members/vm9")
+        await trio.sleep(5)
+        store.come_back(state)
+        for _ in range(45):
+            await trio.sleep(0.1)
+            now = trio.current_time()
+            assert all("vm9" not in v.members.names(now) for v in views)
+        remove(store, "members/vm9")
+        await trio.sleep(5)
+        now = trio.current_time()
+        assert all("vm9" not in v.members.names(now) for v in views)
+
+    run_fleet(test)
+
+
+def test_vm_that_is_leaving_is_not_advertised_again():
+    """Guards against callers that are sent to a VM that is being stopped."""
+
+    async def test(store, views):
+        entry = Member("vm9", "10.0.0.9:80", "z1")
+        store.write("members/vm9", MemberUpdate(entry))
+        await trio.sleep(2)
+        state = store.copy()
+        entry = dataclasses.replace(entry, leaving=True)
+        store.write("members/vm9", MemberUpdate(entry))
+        await trio.sleep(2)
+        store.come_back(state)
+        for _ in range(45):
+            await trio.sleep(0.1)
+            now = trio.current_time()
+            assert all("vm9" not in v.members.names(now) for v in views)
+
+    run_fleet(test)
