A leaving VM writes its entry again when its lease was lost in a return

What callers would see: they are sent to a VM that is being stopped, as the copy has its entry from before.

Cause: a lease of an earlier era was taken for an expired one, after which a leaving VM needs no entry.

Change: `LeaseLostError`.

Evidence: test_leaving_vm_says_so_again_after_the_return fails without it.

--- a/libs/gateway/src/sapphire_gateway/ownentry.py
+++ b/libs/gateway/src/sapphire_gateway/ownentry.py
@@ -15,6 +15,7 @@
 from sapphire_gateway.store import (
     Lease,
     LeaseGoneError,
+    LeaseLostError,
     Store,
     StoreUnavailableError,
 )
@@ -57,6 +58,8 @@
         self._contact = contact
         self._lease: Lease | None = None
         self._is_written = False
+        # Whether the store may have an older entry of this VM.
+        self._may_be_outdated = False
         # Revision of the last write.
         self._revision = NO_REVISION
         self._renew_now = trio.Event()
@@ -113,6 +116,7 @@
                 telemetry.event("lease_gone", error=str(error))
                 self._lease = None
                 self._is_written = False
+                self._may_be_outdated = isinstance(error, LeaseLostError)
                 continue
             except StoreUnavailableError as error:
                 self._contact.record_failure("renewal", error)
@@ -122,7 +126,8 @@
 
     async def _renew(self) -> None:
         if self._lease is None:
-            if self._member.leaving:
+            # Without an entry, nothing has to be taken back.
+            if self._member.leaving and not self._may_be_outdated:
                 return
             self._lease = await self._store.open_lease(LEASE_TTL_S)
         elif self._is_written:
@@ -140,6 +145,7 @@
         # If the entry was replaced during the write, the next iteration writes
         # it again.
         self._is_written = member is self._member
+        self._may_be_outdated = False
         self._view.is_own_entry_missing = False
 
     def _replace(self, member: Member) -> None:
--- a/libs/gateway/src/sapphire_gateway/store.py
+++ b/libs/gateway/src/sapphire_gateway/store.py
@@ -29,12 +29,16 @@
 
 
 class LeaseGoneError(SapphireError):
-    """A lease has expired, was revoked, or belongs to an earlier era."""
+    """A lease has expired or was revoked."""
 
     kind = "lease_gone"
     default_remedy = "Open a new lease."
 
 
+class LeaseLostError(LeaseGoneError):
+    """A lease belongs to an earlier era, and what it kept alive is unknown."""
+
+
 @dataclass(frozen=True, slots=True)
 class Lease:
     """A lease of the store.
@@ -121,7 +125,8 @@
         """Renews a lease.
 
         Raises:
-            LeaseGoneError: The lease has expired or is of an earlier era.
+            LeaseGoneError: The lease has expired.
+            LeaseLostError: It is of an earlier era.
         """
 
     async def put_member(self, member: Member, lease: Lease) -> StoreRevision:
@@ -130,7 +135,8 @@
         Returns the revision of the write.
 
         Raises:
-            LeaseGoneError: The lease has expired or is of an earlier era.
+            LeaseGoneError: The lease has expired.
+            LeaseLostError: It is of an earlier era.
         """
 
     def reconnect(self, reason: str) -> None:
--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -30,6 +30,7 @@
     HistoryGoneError,
     Lease,
     LeaseGoneError,
+    LeaseLostError,
     StoreUnavailableError,
 )
 from sapphire_gateway.sync import Sync
@@ -246,7 +247,9 @@
 
     def _check_lease(self, lease):
         expires_at = self.leases.get(lease.number, 0.0)
-        if lease.era != self.era or expires_at < trio.current_time():
+        if lease.era != self.era:
+            raise LeaseLostError("of an earlier era.")
+        if expires_at < trio.current_time():
             raise LeaseGoneError("gone.")
 
 
--- a/libs/gateway/tests/test_store_return.py
+++ b/libs/gateway/tests/test_store_return.py
@@ -524,3 +524,20 @@
             assert all("vm9" not in v.members.names(now) for v in views)
 
     run_fleet(test)
+
+
+def test_leaving_vm_says_so_again_after_the_return():
+    """Guards against an entry in the copy that says that the VM stays."""
+
+    async def test(store, view, sync):
+        await trio.sleep(5)
+        state = store.copy()
+        sync.own_entry.publish_leaving()
+        await trio.sleep(1)
+        assert store.changes_by_key[OWN_KEY].update.member.leaving
+        store.come_back(state)
+        assert not store.changes_by_key[OWN_KEY].update.member.leaving
+        await trio.sleep(2)
+        assert store.changes_by_key[OWN_KEY].update.member.leaving
+
+    run_sync(test)
