Soak and fleet test: the store returns from copies, beside other faults

The copy is 0.5 to 6 s old, the store away for 0 to 2 s, up to three times in a row; operator and leaves write again at once or late, in any order.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -45,6 +45,13 @@
 # shortest and longest time between the reset of the watches and its end.
 HIDDEN_CHANGES_S = 1.0
 ACCEPTING_RANGE_S = (0.02, 0.3)
+# The store comes back from copies of this age, is away for so long each time,
+# and so often in a row.
+COPY_AGE_RANGE_S = (0.5, 6.0)
+AWAY_TIMES_S = (0.0, 0.3, 2.0)
+RETURN_COUNTS = (1, 1, 2, 3)
+# Time within which all that the copy lacks is written again.
+WRITTEN_AGAIN_S = 1.8
 # Probability with which each open connection is silenced.
 SILENCED_SHARE = 0.5
 # Factor by which a slow leaf's work takes longer.
@@ -237,6 +244,48 @@
     await _inject_store_fault(environment, set_active)
 
 
+async def _return_store_from_copy(environment: Environment) -> None:
+    """Makes the store come back from a copy, once or several times in a row.
+
+    All gateways count as disturbed until the operator and the leaves have
+    written again what the copy lacks, each after a time of its own.
+    """
+    rng, store = environment.rng, environment.store
+    for _ in range(rng.choice(RETURN_COUNTS)):
+        state = store.copy()
+        await trio.sleep(rng.uniform(*COPY_AGE_RANGE_S))
+        away_s = rng.choice(AWAY_TIMES_S)
+        environment.record_disturbance_of_all(away_s)
+        mode = rng.choice([Mode.STALL, Mode.RESET])
+        for proxy in environment.store_proxies.values():
+            proxy.set_mode(mode)
+        await trio.sleep(away_s)
+        store.come_back(state)
+        for proxy in environment.store_proxies.values():
+            proxy.set_mode(Mode.FORWARD)
+    environment.record_disturbance_of_all(WRITTEN_AGAIN_S)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_remove_ended_leaves, environment)
+        for writer in (environment.operator, *environment.leaves):
+            delay_s = rng.choice([0.0, rng.uniform(0.0, WRITTEN_AGAIN_S)])
+            nursery.start_soon(_write_again, writer, delay_s)
+    environment.record_disturbance_of_all()
+
+
+async def _write_again(writer: Operator | Leaf, delay_s: float) -> None:
+    await trio.sleep(delay_s)
+    writer.write_again()
+
+
+async def _remove_ended_leaves(environment: Environment) -> None:
+    """Removes the entries of leaves that have ended, as by their silence."""
+    await trio.sleep(WRITTEN_AGAIN_S)
+    alive = {f"servers/{leaf.leaf_id}" for leaf in environment.leaves}
+    for key in environment.store.keys("servers/"):
+        if key not in alive:
+            environment.store.remove(key)
+
+
 async def _compact_store_history(environment: Environment) -> None:
     """Discards the store's history of changes.
 
@@ -571,4 +620,5 @@
     "crash_fetch_from_many_hosts": _repeat_crash_fetch_from_many_hosts,
     "failure_domain_cut": _cut_failure_domain,
     "leaf_replies_endless": _send_endless_replies,
+    "store_returns": _return_store_from_copy,
 }
--- a/tests/soak/leaves.py
+++ b/tests/soak/leaves.py
@@ -151,6 +151,8 @@
         # Called when a request crashes the leaf.
         self.on_crash: Callable[[], None] = lambda: None
         self.leaf_id = ""
+        # Whether the leaf has an entry in the store.
+        self.is_registered = False
         self.restart()
 
     def restart(self) -> None:
@@ -167,6 +169,7 @@
         self._sequence = 0
         self.says_leaving = False
         self.state = "ready"
+        self.is_registered = True
         self.register()
 
     def register(self) -> None:
@@ -187,6 +190,11 @@
             },
         )
 
+    def write_again(self) -> None:
+        """Registers again after a loss, unless the entry was removed."""
+        if self.is_registered:
+            self.register()
+
     def drain(self) -> None:
         """Announces that the leaf is draining; it still executes requests."""
         self.state = "draining"
@@ -194,6 +202,7 @@
 
     def deregister(self) -> None:
         """Removes the entry from the store; requests are still executed."""
+        self.is_registered = False
         self._store.remove(f"servers/{self.leaf_id}")
 
     async def answer(self, request: Request, caller: Caller) -> Response:
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -13,6 +13,7 @@
 from soak.store import Store
 
 HOST = "soak.example"
+EVACUATION_PREFIX = "op/evacuate/"
 # Services that hold one shard each; a search goes to all of them.
 SHARDS = ("s0", "s1", "s2", "s3", "s4", "s5")
 # Service of all other routes.
@@ -107,6 +108,15 @@
             },
         )
 
+    def write_again(self) -> None:
+        """Writes what is in force, as after a loss; ends what is not."""
+        self.rewrite_configuration()
+        for key in self._store.keys(EVACUATION_PREFIX):
+            if key.removeprefix(EVACUATION_PREFIX) not in self._evacuated:
+                self._store.remove(key)
+        for domain in self._evacuated:
+            self._store.write(EVACUATION_PREFIX + domain, {})
+
     def evacuate(self, domain: str) -> bool:
         """Takes a failure domain out of service.
 
@@ -116,13 +126,13 @@
         if domain in self._evacuated:
             return False
         self._evacuated.add(domain)
-        self._store.write(f"op/evacuate/{domain}", {})
+        self._store.write(EVACUATION_PREFIX + domain, {})
         return True
 
     def end_evacuation(self, domain: str) -> None:
         """Puts a failure domain back into service."""
         self._evacuated.discard(domain)
-        self._store.remove(f"op/evacuate/{domain}")
+        self._store.remove(EVACUATION_PREFIX + domain)
 
     def routes_to_request(self) -> list[SoakRoute]:
         """Returns the routes that callers choose from with equal probability.
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -129,6 +129,10 @@
             self._apply(Item(key, None, self.revision + 1, 0))
         return self.revision
 
+    def keys(self, prefix: str) -> list[str]:
+        """Returns the keys that begin with a prefix."""
+        return [key for key in self._items if key.startswith(prefix)]
+
     def compact_history(self) -> None:
         """Discards all changes that are kept for watches.
 
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -8,9 +8,10 @@
 
 import pathlib
 
+import pytest
 import trio
 from sapphire_gateway.httpclient import HttpClient
-from soak.runner import running_environment, wait_until_ready
+from soak.runner import run_seed, running_environment, wait_until_ready
 
 # Versions that the operator writes after the copy was made.
 LOST_VERSIONS = 20
@@ -19,6 +20,16 @@
 # Time within which an acknowledged change has to be in force.
 APPLY_LIMIT_S = 3.0
 METRICS_PORT = 9464
+# Faults that come together with returns of the store.
+COMPANY = (
+    "store_returns",
+    "configuration",
+    "evacuation",
+    "leaf_drains",
+    "kill",
+    "cut_from_store",
+)
+FAULT_PHASE_S = 8.0
 
 
 def test_changes_after_the_return_are_applied(tmp_path):
@@ -29,6 +40,14 @@
     trio.run(_check_changes, tmp_path)
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_guarantees_hold_beside_returns(seed):
+    """Guards against what VMs believe wrongly while all is written again."""
+    result = run_seed(seed, FAULT_PHASE_S, fault_names=COMPANY)
+    assert result.violations == [], result.faults
+    assert result.served > 0
+
+
 async def _check_changes(folder: pathlib.Path):
     async with running_environment(1, folder, 2) as (environment, nursery):
         await wait_until_ready(environment, nursery)
