A VM that starts after a return hears what others hold

It reads the store itself, and what the others hold is in none of its answers.

Change: a VM asks up to three others after its start for the writes that they hold, until one has answered from the era that it has read; the answer is empty in the usual case. Held writes that are newer than the copy's, or that it lacks, are held by it, too.

--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -18,6 +18,7 @@
 
 from sapphire_gateway import (
     crashexchange,
+    feed,
     limitends,
     revisionexchange,
     supervision,
@@ -145,7 +146,7 @@
         """Answers a request.
 
         POST requests tell of crashes or of limits, or ask for calls to leaves;
-        all others ask for the revision or for changes.
+        all others ask for the revision, for held writes or for changes.
         """
         if request.target.startswith(crashexchange.NEWS_PATH.encode()):
             return self._crashes.handle(request)
@@ -155,6 +156,8 @@
             return await self._helper.handle(request)
         if request.target.startswith(revisionexchange.PATH.encode()):
             return self._revisions.handle(request)
+        if request.target == feed.HELD_PATH.encode():
+            return self._feed.handle_held()
         return await self._feed.handle(request)
 
 
--- a/libs/gateway/src/sapphire_gateway/feed.py
+++ b/libs/gateway/src/sapphire_gateway/feed.py
@@ -23,6 +23,7 @@
 from sapphire_gateway.httpclient import HttpClient
 from sapphire_gateway.messages import Request, Response
 from sapphire_gateway.store import (
+    HELD,
     Batch,
     Change,
     Decode,
@@ -30,6 +31,7 @@
 )
 
 PATH = "/changes"
+HELD_PATH = "/held"
 # Maximum time that a request waits for a change.
 LONG_POLL_S = 0.8
 # Extra time for the response before the feed counts as failed.
@@ -160,6 +162,10 @@
         after = revision.number
         return False, [i for i in self._changes if i.revision > after]
 
+    def held(self) -> list[Item]:
+        """Returns the writes that are held, which the store lacks."""
+        return [i for i in self._items.values() if i.revision == HELD]
+
     def _has_changes_after(self, revision: StoreRevision) -> bool:
         """Returns whether the history goes back to a revision."""
         if self._revision is None or revision.era != self._revision.era:
@@ -190,6 +196,21 @@
     )
 
 
+def _respond(
+    revision: StoreRevision, age_s: float, encoded: _EncodedItems
+) -> Response:
+    response = FeedResponse(
+        revision.number,
+        age_s,
+        encoded.is_full_state,
+        encoded.is_compressed,
+        encoded.items,
+        revision.era,
+    )
+    headers = [(b"Content-Type", b"application/msgpack")]
+    return Response(OK, headers, msgspec.msgpack.encode(response))
+
+
 def _decode_items(response: FeedResponse) -> list[Item]:
     """Decompresses and decodes the items of a response.
 
@@ -228,6 +249,15 @@
         self._encoded: dict[StoreRevision | None, _EncodedItems] = {}
         self._encoded_version: int | None = None
 
+    def handle_held(self) -> Response:
+        """Returns the writes that are held, for a VM that has just started."""
+        revision = self._mirror.revision
+        age_s = self._age_s()
+        if revision is None or age_s >= MAX_DATA_AGE_S:
+            return Response(503, [])
+        encoded = _encode_items(False, self._mirror.held())
+        return _respond(revision, age_s, encoded)
+
     async def handle(self, request: Request) -> Response:
         """Waits for changes after the requested revision and returns them."""
         url = urllib.parse.urlsplit(request.target.decode("latin-1"))
@@ -248,17 +278,7 @@
         if after is not None and revision < after:
             # The VM that asks has newer data.
             return Response(503, [])
-        encoded = self._encoded_after(after)
-        response = FeedResponse(
-            revision.number,
-            age_s,
-            encoded.is_full_state,
-            encoded.is_compressed,
-            encoded.items,
-            revision.era,
-        )
-        headers = [(b"Content-Type", b"application/msgpack")]
-        return Response(OK, headers, msgspec.msgpack.encode(response))
+        return _respond(revision, age_s, self._encoded_after(after))
 
     def _encoded_after(self, after: StoreRevision | None) -> _EncodedItems:
         if self._encoded_version != self._mirror.version:
@@ -308,9 +328,25 @@
         target = PATH
         if after is not None:
             target = f"{PATH}?after={after.number}&era={after.era}"
-        reply = await self._http.request(
-            "GET", target, LONG_POLL_S + RESPONSE_GRACE_S
-        )
+        batch = await self._ask(target, LONG_POLL_S + RESPONSE_GRACE_S)
+        if after is not None and batch.revision < after:
+            raise StoreUnavailableError(
+                f"feed at {self._http.address} has revision {batch.revision},"
+                f" older than {after}."
+            )
+        return batch
+
+    async def held(self) -> Batch:
+        """Returns the writes that the VM holds, as a delta.
+
+        Raises:
+            StoreUnavailableError: The VM did not respond, or its data are too
+                old.
+        """
+        return await self._ask(HELD_PATH, RESPONSE_GRACE_S)
+
+    async def _ask(self, target: str, timeout_s: float) -> Batch:
+        reply = await self._http.request("GET", target, timeout_s)
         if reply.status != OK:
             raise StoreUnavailableError(
                 f"feed at {self._http.address} answered {reply.status},"
@@ -324,12 +360,6 @@
                 f"feed at {self._http.address} sent a response that cannot be"
                 f" decoded: {error}."
             ) from error
-        revision = StoreRevision(response.era, response.revision)
-        if after is not None and revision < after:
-            raise StoreUnavailableError(
-                f"feed at {self._http.address} has revision {revision}, older"
-                f" than {after}."
-            )
         changes = [
             Change(item.key, item.revision, update, item.value)
             for item in items
@@ -337,7 +367,7 @@
         ]
         return Batch(
             tuple(changes),
-            revision,
+            StoreRevision(response.era, response.revision),
             is_full_state=response.is_full_state,
             age_s=response.age_s,
         )
--- a/libs/gateway/src/sapphire_gateway/feedselector.py
+++ b/libs/gateway/src/sapphire_gateway/feedselector.py
@@ -36,6 +36,14 @@
                 old.
         """
 
+    async def held(self) -> Batch:
+        """Returns the writes that the VM holds.
+
+        Raises:
+            StoreUnavailableError: The VM did not respond, or its data are too
+                old.
+        """
+
     def close(self) -> None:
         """Closes the connections."""
 
--- a/libs/gateway/src/sapphire_gateway/reconciliation.py
+++ b/libs/gateway/src/sapphire_gateway/reconciliation.py
@@ -15,6 +15,7 @@
 import dataclasses
 import functools
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from sapphire_core.leafset import is_older
@@ -26,10 +27,8 @@
     MemberUpdate,
     Update,
 )
-from sapphire_gateway.store import Batch, Change
+from sapphire_gateway.store import HELD, Batch, Change
 
-# Stands for the revision of a held write, which the store does not have.
-HELD = 0
 # Time for which an evacuation that the copy lacks stays in force. Ending it too
 # early sends requests to a domain that operators have taken out; ending it too
 # late only costs the domain's capacity.
@@ -136,6 +135,22 @@
                 self._record(change)
         return batch
 
+    def hear(self, changes: Iterable[Change], now: float) -> list[Change]:
+        """Holds what another VM holds, and returns what is to be applied.
+
+        A VM that started after the return has seen only the copy.
+        """
+        heard = [c for c in changes if c.revision == HELD and self._lacks(c)]
+        for change in heard:
+            if change.key not in self._known:
+                self._held_until[change.key] = now + hold_s(change.update)
+            self._known[change.key] = change
+        return heard
+
+    def _lacks(self, change: Change) -> bool:
+        known = self._known.get(change.key)
+        return known is None or supersedes(change.update, known.update)
+
     def believed(self, batch: Batch) -> Batch:
         """Returns a reconciled batch without the writes that are doubted.
 
--- a/libs/gateway/src/sapphire_gateway/store.py
+++ b/libs/gateway/src/sapphire_gateway/store.py
@@ -53,13 +53,18 @@
     era: int
 
 
+# Stands for the revision of a write that is held, because the store lacks it
+# since it has come back from an older copy.
+HELD = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Change:
     """A key that was written or removed.
 
     Attributes:
         key: The key.
-        revision: Number of the change, in the era of its batch.
+        revision: Number of the change, in the era of its batch; or HELD.
         update: Decoded value, or removal.
         value: Stored value; None if the key was removed.
     """
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -14,7 +14,7 @@
 
 import trio
 from sapphire_core.freshness import MAX_WATCH_S
-from sapphire_core.members import Member
+from sapphire_core.members import Member, select_revision_peers
 from sapphire_core.storerevision import StoreRevision
 
 from sapphire_gateway import supervision, telemetry
@@ -32,9 +32,11 @@
     apply_update,
 )
 from sapphire_gateway.ownentry import OwnEntry
-from sapphire_gateway.reconciliation import HELD, Reconciler
+from sapphire_gateway.reconciliation import Reconciler
 from sapphire_gateway.store import (
+    HELD,
     Batch,
+    Change,
     HistoryGoneError,
     Store,
     StoreUnavailableError,
@@ -56,6 +58,9 @@
 READ_ALL_INTERVAL_S = 0.25
 # Interval between checks whether changes are overdue.
 PROGRESS_CHECK_INTERVAL_S = 0.25
+# Other VMs are asked so often after the start for the writes that they hold.
+HELD_QUESTIONS = 4
+HELD_QUESTION_INTERVAL_S = 0.5
 # Keys that one log line names at most.
 MAX_LOGGED_KEYS = 20
 
@@ -93,6 +98,7 @@
         self._view = view
         self._freshness = view.freshness
         self._on_change = on_change
+        self._connect_feed = connect_feed
         self._feeds = FeedSelector(select_change_source, connect_feed)
         self._contact = StoreContact(view.freshness)
         self._contact.on_regained = self._restart_watch
@@ -130,6 +136,7 @@
                 ("own entry", self.own_entry.run),
                 ("check of the progress", self._check_progress),
                 ("writes of a copy", self._settle_writes),
+                ("held writes", self._ask_for_held_writes),
             ):
                 nursery.start_soon(supervision.run_always, task, run)
 
@@ -341,6 +348,48 @@
                 supervision.record_failure("change of the store", error)
         self._view.revision = batch.revision.number
 
+    async def _ask_for_held_writes(self) -> None:
+        """Asks other VMs what the store lacks since it came back from a copy.
+
+        A VM that has just started knows only what the store has. Another one
+        that has not read the new era yet holds nothing, and is asked again.
+        """
+        for _ in range(HELD_QUESTIONS):
+            await trio.sleep(HELD_QUESTION_INTERVAL_S)
+            own = self.own_entry.member
+            live = self._view.members.live(trio.current_time())
+            for peer in select_revision_peers(own, [own, *live]):
+                if await self._hear_held_writes(peer):
+                    await trio.sleep_forever()
+        await trio.sleep_forever()
+
+    async def _hear_held_writes(self, peer: Member) -> bool:
+        """Returns whether a VM has told what it holds in the present era."""
+        feed = self._connect_feed(peer)
+        try:
+            batch = await feed.held()
+        except StoreUnavailableError:
+            # Another VM is asked, or this one again.
+            return False
+        finally:
+            feed.close()
+        revision = self._freshness.revision
+        if revision is None or batch.revision.era != revision.era:
+            return False
+        heard = self._reconciler.hear(batch.changes, trio.current_time())
+        if heard:
+            keys = [c.key for c in heard[:MAX_LOGGED_KEYS]]
+            telemetry.event("held_writes_heard", member=peer.name, keys=keys)
+            self.mirror.put(heard)
+            self._apply_outside_batch(heard)
+        return True
+
+    def _apply_outside_batch(self, changes: list[Change]) -> None:
+        for change in changes:
+            apply_update(change.update, self._view, trio.current_time())
+        telemetry.HELD_WRITES.set(self._reconciler.held_count)
+        self._on_change()
+
     async def _settle_writes(self) -> None:
         """Ends what is held or doubted after a return of the store."""
         while True:
@@ -355,14 +404,11 @@
                 removed=expired[:MAX_LOGGED_KEYS],
                 believed=[c.key for c in believable[:MAX_LOGGED_KEYS]],
             )
-            telemetry.HELD_WRITES.set(self._reconciler.held_count)
             self.mirror.drop(expired)
             self.mirror.put(believable)
             for key in expired:
                 self._apply_removal(key)
-            for change in believable:
-                apply_update(change.update, self._view, now)
-            self._on_change()
+            self._apply_outside_batch(believable)
 
     def _apply_removal(self, key: str) -> None:
         update = self._store.decode(key, None)
--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -10,6 +10,7 @@
 from sapphire_core.members import Member
 from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.feed import (
+    HELD_PATH,
     LONG_POLL_S,
     RESPONSE_GRACE_S,
     FeedClient,
@@ -305,6 +306,10 @@
     def close(self):
         """Does nothing."""
 
+    async def held(self):
+        """Holds nothing."""
+        return Batch((), self._store.position)
+
     async def changes(self, after):
         """Returns changes like a feed, or times out if it is silent."""
         FakeFeed.polled_addresses.append(self._address)
@@ -380,7 +385,10 @@
         """Passes a request to the server, as HttpClient does over TCP."""
         request = Request(method.encode(), target.encode(), [], b"", True)
         with trio.move_on_after(timeout_s):
-            response = await self._server.handle(request)
+            if target == HELD_PATH:
+                response = self._server.handle_held()
+            else:
+                response = await self._server.handle(request)
             return Reply(response.status, [], response.body, True)
         raise StoreUnavailableError("no answer in time.")
 
--- a/libs/gateway/tests/test_store_return.py
+++ b/libs/gateway/tests/test_store_return.py
@@ -17,6 +17,7 @@
 from sapphire_gateway.fleet_view import (
     ConfigurationUpdate,
     EvacuationUpdate,
+    FleetView,
     LeafUpdate,
     MemberUpdate,
 )
@@ -27,6 +28,7 @@
     MEMBER_HOLD_S,
     Reconciler,
 )
+from sapphire_gateway.sync import Sync
 from sync_harness import (
     LEAF,
     OWN_ENTRY,
@@ -541,3 +543,50 @@
         assert store.changes_by_key[OWN_KEY].update.member.leaving
 
     run_sync(test)
+
+
+@pytest.mark.parametrize("written_again_after_s", [0.0, 3.0])
+def test_watcher_that_starts_after_the_return_asks_for_held_writes(
+    written_again_after_s,
+):
+    """Guards against a new VM that goes by the copy's configuration (soak 506).
+
+    It reads the store itself, which has only the copy.
+    """
+
+    async def test(store, view, sync):
+        peer = Member("vm5", "10.0.0.5:80", "z1", peer_address="vm5")
+        store.write("members/vm5", MemberUpdate(peer))
+        write_version(store, 1)
+        state = store.copy()
+        write_version(store, 2)
+        evacuate(store, "z2")
+        await trio.sleep(1)
+        store.come_back(state)
+        await trio.sleep(0.5)
+        server = FeedServer(sync.mirror, lambda: 0.0, lambda revision: None)
+        late_view = FleetView("vm6")
+        late = Sync(
+            store,
+            late_view,
+            Member("vm6", "10.0.0.6:80", "z1"),
+            lambda: None,
+            lambda own_entry, avoided: None,
+            lambda member: DirectFeed(server, store.decode),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(late.run)
+            await trio.sleep(1)
+            for _ in range(int(written_again_after_s / 0.1)):
+                await trio.sleep(0.1)
+                assert version_of(late_view) == 2
+                assert late_view.registry.evacuated == {"z2"}
+            evacuate(store, "z2")
+            evacuate(store, "z2", is_out=False)
+            write_version(store, 3)
+            await trio.sleep(APPLY_LIMIT_S)
+            assert version_of(late_view) == 3
+            assert not late_view.registry.evacuated
+            nursery.cancel_scope.cancel()
+
+    run_sync(test)
