Held evacuations end no service; fed VMs read their feeds after a return

Cause: a held evacuation was taken for one that the operator wants, without doubt.

Change: an evacuation whose removal is known is not held; held ones do not count where they would leave no domain with leaves in service. The hold of 60 s stays: ending it too early breaks a promise, too late costs capacity.

--- a/libs/core/src/sapphire_core/leafset.py
+++ b/libs/core/src/sapphire_core/leafset.py
@@ -109,6 +109,8 @@
     def __init__(self) -> None:
         self._leaves: dict[str, RegisteredLeaf] = {}
         self._by_service: dict[str, list[RegisteredLeaf]] = {}
+        self._stated: frozenset[str] = frozenset()
+        self._doubtful: frozenset[str] = frozenset()
         self._evacuated: frozenset[str] = frozenset()
         # Incarnations that have said they are leaving, with the time. A leaf's
         # entry may vanish and return in an outage of the store.
@@ -134,9 +136,31 @@
         """Failure domains whose leaves must not get requests."""
         return self._evacuated
 
+    @property
+    def stated_evacuations(self) -> frozenset[str]:
+        """Failure domains taken out of service, doubtful or not."""
+        return self._stated
+
     def set_evacuated(self, domains: Iterable[str]) -> None:
         """Replaces the set of failure domains taken out of service."""
-        self._evacuated = frozenset(domains)
+        self._stated = frozenset(domains)
+        self._choose_evacuated()
+
+    def set_doubtful(self, domains: Iterable[str]) -> None:
+        """Replaces the set of those that may have been taken back since.
+
+        They count unless no leaf were left in service.
+        """
+        self._doubtful = frozenset(domains)
+        self._choose_evacuated()
+
+    def _choose_evacuated(self) -> None:
+        self._evacuated = self._stated
+        if not self._doubtful & self._stated:
+            return
+        with_leaves = {leaf.entry.domain for leaf in self._leaves.values()}
+        if with_leaves and with_leaves <= self._stated:
+            self._evacuated = self._stated - self._doubtful
 
     def get(self, leaf_id: str) -> RegisteredLeaf | None:
         """Returns a leaf by its identity."""
--- a/libs/core/tests/test_leafset.py
+++ b/libs/core/tests/test_leafset.py
@@ -154,3 +154,24 @@
     """A domain whose leaves are gone must not attract callers."""
     registry.misdirected("i-1")
     assert registry.domain_counts(["s"]) == {"z1": 1}
+
+
+def test_doubtful_evacuations_do_not_take_out_all_domains():
+    """Guards against an outage by evacuations that were taken back (soak 503).
+
+    The store lacks them since it has come back from an older copy.
+    """
+    registry = LeafRegistry()
+    for domain in ("za", "zb"):
+        leaf_id = f"i-{domain}"
+        registry.put(
+            dataclasses.replace(ENTRY, leaf_id=leaf_id, domain=domain), 0.0
+        )
+    registry.set_evacuated({"za"})
+    registry.set_doubtful({"za"})
+    assert registry.evacuated == {"za"}
+    registry.set_evacuated({"za", "zb"})
+    assert registry.evacuated == {"zb"}
+    assert registry.stated_evacuations == {"za", "zb"}
+    registry.set_doubtful(())
+    assert registry.evacuated == {"za", "zb"}
--- a/libs/gateway/src/sapphire_gateway/feedselector.py
+++ b/libs/gateway/src/sapphire_gateway/feedselector.py
@@ -89,6 +89,11 @@
         self._source = chosen
         return self._feed
 
+    def forgive(self, own_entry: Member) -> bool:
+        """Forgets which feeds have failed; returns whether one may be used."""
+        self._avoided_until.clear()
+        return self._select(own_entry, ()) is not None
+
     def drop(self, error: SapphireError) -> None:
         """Gives up the current feed, which is avoided for some time."""
         assert self._source is not None
--- a/libs/gateway/src/sapphire_gateway/fleet_view.py
+++ b/libs/gateway/src/sapphire_gateway/fleet_view.py
@@ -182,7 +182,7 @@
 
 @apply_update.register
 def _(update: EvacuationUpdate, view: FleetView, now: float) -> None:
-    domains = set(view.registry.evacuated)
+    domains = set(view.registry.stated_evacuations)
     if update.is_out:
         domains.add(update.domain)
     else:
--- a/libs/gateway/src/sapphire_gateway/reconciliation.py
+++ b/libs/gateway/src/sapphire_gateway/reconciliation.py
@@ -31,7 +31,7 @@
 
 # Time for which an evacuation that the copy lacks stays in force. Ending it too
 # early sends requests to a domain that operators have taken out; ending it too
-# late only costs the domain's capacity.
+# late costs the capacity of a domain that they have taken back meanwhile.
 EVACUATION_HOLD_S = 60.0
 # A leaf that lives and reaches the store is back in it about two seconds after
 # the store's return.
@@ -120,6 +120,12 @@
         """Number of keys that the store lacks and that count all the same."""
         return len(self._held_until)
 
+    @property
+    def held_evacuations(self) -> set[str]:
+        """Failure domains whose evacuation the store lacks."""
+        updates = [self._known[key].update for key in self._held_until]
+        return {u.domain for u in updates if isinstance(u, EvacuationUpdate)}
+
     def reconcile(self, batch: Batch, now: float) -> Batch:
         """Returns the batch as it has to be applied.
 
@@ -210,6 +216,9 @@
                     held[key] = dataclasses.replace(known, revision=HELD)
                 continue
             end = self._held_until.get(key, -math.inf)
+            if known == self._removed.get(key):
+                # It had been taken back, and was in an earlier copy.
+                continue
             if is_return or (key in told and key not in self._known):
                 end = now + hold_s(known.update)
             if end > now:
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -56,6 +56,9 @@
 READ_RETRY_INTERVAL_S = 2.0
 # Shortest interval between two reads of all keys.
 READ_ALL_INTERVAL_S = 0.25
+# Time in which the VMs that watch the store read all keys again, before the
+# others ask them for all keys.
+FEED_RECOVERY_S = 0.5
 # Interval between checks whether changes are overdue.
 PROGRESS_CHECK_INTERVAL_S = 0.25
 # Other VMs are asked so often after the start for the writes that they hold.
@@ -157,6 +160,9 @@
                     telemetry.event("history_gone", error=str(error))
                     self._must_read_all = True
                     self._freshness.record_disruption(trio.current_time())
+                    if self._feeds.forgive(self.own_entry.member):
+                        # A feed is cheaper than all keys from the store.
+                        await trio.sleep(FEED_RECOVERY_S)
                 except StoreUnavailableError as error:
                     was_reachable = self._contact.is_reachable
                     self._contact.record_failure("watch", error)
@@ -281,6 +287,7 @@
         else:
             as_of = trio.current_time() - batch.age_s
             self._freshness.record_current(batch.revision, as_of)
+        self._show_held_writes()
         telemetry.REVISION.set(batch.revision.number)
         telemetry.STORE_ERA.set(batch.revision.era)
         self.own_entry.restore_if_missing()
@@ -335,7 +342,6 @@
             vanished=len(before - leaves),
             held=self._reconciler.held_count,
         )
-        telemetry.HELD_WRITES.set(self._reconciler.held_count)
 
     def _apply_changes(self, batch: Batch) -> None:
         now = trio.current_time()
@@ -387,9 +393,13 @@
     def _apply_outside_batch(self, changes: list[Change]) -> None:
         for change in changes:
             apply_update(change.update, self._view, trio.current_time())
-        telemetry.HELD_WRITES.set(self._reconciler.held_count)
+        self._show_held_writes()
         self._on_change()
 
+    def _show_held_writes(self) -> None:
+        telemetry.HELD_WRITES.set(self._reconciler.held_count)
+        self._view.registry.set_doubtful(self._reconciler.held_evacuations)
+
     async def _settle_writes(self) -> None:
         """Ends what is held or doubted after a return of the store."""
         while True:
--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 from sapphire_core.leafset import LeafEntry, LeafState
-from sapphire_core.members import Member
+from sapphire_core.members import MAX_WATCHERS, Member
 from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.feed import (
     HELD_PATH,
@@ -24,7 +24,7 @@
     MemberUpdate,
 )
 from sapphire_gateway.messages import Reply, Request
-from sapphire_gateway.ownentry import LEASE_TTL_S
+from sapphire_gateway.ownentry import LEASE_TTL_S, RENEW_INTERVAL_S
 from sapphire_gateway.store import (
     Batch,
     Change,
@@ -78,6 +78,7 @@
         self.read_delay_s = 0.0
         self.leases = {}
         self.calls = []
+        self.call_times = []
         # Time at which a call last succeeded or a watch was accepted.
         self.answered_at = 0.0
         self.changed = trio.Event()
@@ -177,6 +178,7 @@
 
     async def _called(self, name):
         self.calls.append(name)
+        self.call_times.append((trio.current_time(), name))
         await trio.sleep(0.004)
         if self.is_silent:
             await trio.sleep(1.5)
@@ -416,6 +418,30 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+def run_large_fleet(count, test):
+    """Runs a test with many VMs, of which the first ones watch the store."""
+
+    async def main():
+        store = FakeStore()
+        watchers = []
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                sources = []
+                if number >= MAX_WATCHERS:
+                    sources = [watchers[number % MAX_WATCHERS]]
+                sync = _fleet_sync(store, f"vm{number}", sources)
+                if number < MAX_WATCHERS:
+                    watchers.append(sync)
+                nursery.start_soon(sync.run)
+                # The VMs' renewals are spread.
+                await trio.sleep(RENEW_INTERVAL_S / count)
+            await trio.sleep(60)
+            await test(store)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def _fleet_sync(store, name, sources):
     """Returns the Sync of a VM that may read the feeds of other VMs."""
 
--- a/libs/gateway/tests/test_store_return.py
+++ b/libs/gateway/tests/test_store_return.py
@@ -590,3 +590,44 @@
             nursery.cancel_scope.cancel()
 
     run_sync(test)
+
+
+def test_evacuation_that_was_taken_back_is_not_held():
+    """Guards against an evacuation that only an earlier copy has (soak 503)."""
+
+    async def test(store, views):
+        without = store.copy()
+        evacuate(store, "z2")
+        await trio.sleep(1)
+        with_evacuation = store.copy()
+        evacuate(store, "z2", is_out=False)
+        await trio.sleep(1)
+        store.come_back(with_evacuation)
+        await trio.sleep(1)
+        store.come_back(without)
+        await trio.sleep(2)
+        assert not any(view.registry.evacuated for view in views)
+
+    run_fleet(test)
+
+
+def test_held_evacuations_do_not_end_all_service():
+    """Guards against an outage by evacuations that were taken back (soak 503).
+
+    Nobody writes them again, so that only time ends them.
+    """
+
+    async def test(store, views):
+        write_leaf(store, 1, domain="z1")
+        write_leaf(store, 2, domain="z2")
+        await trio.sleep(1)
+        state = store.copy()
+        evacuate(store, "z1")
+        evacuate(store, "z2")
+        await trio.sleep(1)
+        assert not any(usable(view) for view in views)
+        store.come_back(state)
+        await trio.sleep(1)
+        assert all(usable(view) for view in views)
+
+    run_fleet(test)
