--- a/libs/core/src/sapphire_core/members.py
+++ b/libs/core/src/sapphire_core/members.py
@@ -235,7 +235,10 @@
 
 
 def select_change_source(
-    vm: Member, watchers: list[Member], avoided: Container[str]
+    vm: Member,
+    watchers: list[Member],
+    avoided: Container[str],
+    can_watch: bool = True,
 ) -> Member | None:
     """Returns the member from which a VM should read changes to the store.
 
@@ -247,17 +250,21 @@
         watchers: Members that read the store themselves.
         avoided: Names of members that are not chosen, because they did not
             answer a request for changes.
+        can_watch: Whether the store answers the VM. It may turn single VMs
+            away, and a watcher then reads from another one.
 
     Returns:
         A member, in the same failure domain if possible; VMs are spread about
         evenly over the members. None if the VM should ask the store.
     """
-    if any(member.name == vm.name for member in watchers):
+    if can_watch and any(member.name == vm.name for member in watchers):
         return None
     usable = {
         member.name: member
         for member in watchers
-        if member.peer_address and member.name not in avoided
+        if member.peer_address
+        and member.name not in avoided
+        and member.name != vm.name
     }
     local = [name for name, m in usable.items() if m.domain == vm.domain]
     names = local or list(usable)
--- a/libs/core/tests/test_members.py
+++ b/libs/core/tests/test_members.py
@@ -205,6 +205,14 @@
     assert select_change_source(Member("x", "", "a"), [], ()) is None
 
 
+def test_watcher_that_the_store_turns_away_reads_from_another():
+    """Guards against a VM that learns nothing although others know."""
+    serving = _change_sources("a", 2)
+    source = select_change_source(serving[0], serving, (), can_watch=False)
+    assert source == serving[1]
+    assert select_change_source(serving[0], serving[:1], (), False) is None
+
+
 def test_change_sources_are_spread():
     serving = _change_sources("a", 4)
     chosen = {
--- a/libs/gateway/src/sapphire_gateway/daemon.py
+++ b/libs/gateway/src/sapphire_gateway/daemon.py
@@ -296,8 +296,8 @@
             self._view,
             self_member,
             self._on_view_changed,
-            lambda self_member, avoided: fleet.change_source(
-                self_member, avoided, trio.current_time()
+            lambda self_member, avoided, can_watch: fleet.change_source(
+                self_member, avoided, can_watch, trio.current_time()
             ),
             lambda source: FeedClient(
                 source.peer_address,
--- a/libs/gateway/src/sapphire_gateway/feedselector.py
+++ b/libs/gateway/src/sapphire_gateway/feedselector.py
@@ -18,8 +18,8 @@
 
 
 # Returns the VM to read changes from, or None for the store. Arguments are this
-# VM's entry and the names of VMs to avoid.
-SelectChangeSource = Callable[[Member, Container[str]], Member | None]
+# VM's entry, the names of VMs to avoid, and whether the store answers this VM.
+SelectChangeSource = Callable[[Member, Container[str], bool], Member | None]
 
 
 class Feed(Protocol):
@@ -72,15 +72,20 @@
         """The VM whose feed is used; None if the store is read."""
         return self._source
 
-    def choose(self, own_entry: Member) -> Feed | None:
-        """Chooses again, and returns the feed to use or None for the store."""
+    def choose(self, own_entry: Member, can_watch: bool) -> Feed | None:
+        """Chooses again, and returns the feed to use or None for the store.
+
+        Args:
+            own_entry: This VM's entry.
+            can_watch: Whether the store answers this VM.
+        """
         now = trio.current_time()
         self._avoided_until = {
             name: until
             for name, until in self._avoided_until.items()
             if now < until
         }
-        chosen = self._select(own_entry, self._avoided_until)
+        chosen = self._select(own_entry, self._avoided_until, can_watch)
         if not _is_same(self._source, chosen):
             self._close()
             if chosen is not None:
@@ -92,7 +97,7 @@
     def forgive(self, own_entry: Member) -> bool:
         """Forgets which feeds have failed; returns whether one may be used."""
         self._avoided_until.clear()
-        return self._select(own_entry, ()) is not None
+        return self._select(own_entry, (), True) is not None
 
     def drop(self, error: SapphireError) -> None:
         """Gives up the current feed, which is avoided for some time."""
--- a/libs/gateway/src/sapphire_gateway/fleet.py
+++ b/libs/gateway/src/sapphire_gateway/fleet.py
@@ -181,7 +181,11 @@
         return self.view.registry.domain_counts(services)
 
     def change_source(
-        self, own_entry: Member, avoided: Container[str], now: float
+        self,
+        own_entry: Member,
+        avoided: Container[str],
+        can_watch: bool,
+        now: float,
     ) -> Member | None:
         """Returns the member to read changes from; None for the store.
 
@@ -189,13 +193,14 @@
             own_entry: This VM's entry. It counts as live even if the view does
                 not contain it, for example before it was first written.
             avoided: Names of members to avoid.
+            can_watch: Whether the store answers this VM.
             now: Current time in seconds.
         """
         live = self.view.members.live(now)
         if all(member.name != own_entry.name for member in live):
             live.append(own_entry)
         watchers = select_watchers(self._serving_among(live))
-        return select_change_source(own_entry, watchers, avoided)
+        return select_change_source(own_entry, watchers, avoided, can_watch)
 
     def members_for_caller(
         self, caller_domain: str, now: float
--- a/libs/gateway/src/sapphire_gateway/sync.py
+++ b/libs/gateway/src/sapphire_gateway/sync.py
@@ -171,7 +171,14 @@
     async def _read_once(self) -> None:
         if self._freshness.revision is None:
             await self._read_members()
-        feed = self._feeds.choose(self.own_entry.member)
+        had_feed = self._feeds.source is not None
+        # A VM that the store turns away asks another one that reads it.
+        feed = self._feeds.choose(
+            self.own_entry.member, self._contact.is_reachable
+        )
+        if had_feed and feed is None:
+            # Whether a watch of the store works has yet to be seen.
+            self._freshness.record_disruption(trio.current_time())
         self._contact.is_watching_store = feed is None
         if feed is not None and not self._must_ask_store:
             batch = await self._read_feed(feed)
--- a/libs/gateway/tests/sync_harness.py
+++ b/libs/gateway/tests/sync_harness.py
@@ -348,7 +348,7 @@
         store = FakeStore()
         view = FleetView("vm1")
 
-        def choose(own_entry, avoided):
+        def choose(own_entry, avoided, can_watch):
             left = [f for f in feeds if f.name not in avoided]
             return left[0] if left else None
 
@@ -407,8 +407,7 @@
         syncs = []
         async with trio.open_nursery() as nursery:
             for name in ("vm1", "vm2", "vm3"):
-                is_fed = name == "vm3"
-                sync = _fleet_sync(store, name, syncs if is_fed else [])
+                sync = _fleet_sync(store, name, list(syncs), name == "vm3")
                 syncs.append(sync)
                 nursery.start_soon(sync.run)
             await trio.sleep(30)
@@ -429,7 +428,7 @@
                 sources = []
                 if number >= MAX_WATCHERS:
                     sources = [watchers[number % MAX_WATCHERS]]
-                sync = _fleet_sync(store, f"vm{number}", sources)
+                sync = _fleet_sync(store, f"vm{number}", sources, bool(sources))
                 if number < MAX_WATCHERS:
                     watchers.append(sync)
                 nursery.start_soon(sync.run)
@@ -442,8 +441,11 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-def _fleet_sync(store, name, sources):
-    """Returns the Sync of a VM that may read the feeds of other VMs."""
+def _fleet_sync(store, name, sources, is_fed):
+    """Returns the Sync of a VM that may read the feeds of other VMs.
+
+    A VM that is not fed does so only while the store does not answer it.
+    """
 
     def learn(source):
         return lambda revision: source.view.freshness.learn_revision(
@@ -460,7 +462,9 @@
         Member(feed, f"{feed}:80", "z1", peer_address=feed) for feed in feeds
     ]
 
-    def choose(own_entry, avoided):
+    def choose(own_entry, avoided, can_watch):
+        if can_watch and not is_fed:
+            return None
         left = [m for m in members if m.name not in avoided]
         return left[0] if left else None
 
--- a/libs/gateway/tests/test_store_return.py
+++ b/libs/gateway/tests/test_store_return.py
@@ -571,7 +571,7 @@
             late_view,
             Member("vm6", "10.0.0.6:80", "z1"),
             lambda: None,
-            lambda own_entry, avoided: None,
+            lambda own_entry, avoided, can_watch: None,
             lambda member: DirectFeed(server, store.decode),
         )
         async with trio.open_nursery() as nursery:
--- a/libs/gateway/tests/test_sync.py
+++ b/libs/gateway/tests/test_sync.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import trio
 from sapphire_core.freshness import MAX_WATCH_S
 from sapphire_core.members import Member
@@ -11,7 +13,10 @@
     LeafUpdate,
     MemberRemoval,
 )
-from sync_harness import LEAF, FakeFeed, run_sync
+from sync_harness import LEAF, FakeFeed, run_fleet, run_sync
+
+# Time within which a change has to be applied.
+APPLY_LIMIT_S = 3.0
 
 
 def test_idle_minute_needs_few_calls_except_renewals():
@@ -211,3 +216,31 @@
 
     FakeFeed.silent_addresses = set()
     run_sync(test, feeds=(LOCAL_FEED, REMOTE_FEED))
+
+
+def test_watcher_that_the_store_turns_away_reads_a_feed():
+    """Guards against a VM that floods a leaf of which others know it is cold.
+
+    The store turns the VM away and serves all others.
+    """
+
+    async def test(store, views):
+        store.turned_away.add("vm2")
+        store.reset_watches()
+        await trio.sleep(2)
+        for version in range(1, 4):
+            cold = dataclasses.replace(LEAF, sequence=version)
+            cold = dataclasses.replace(cold, warmup_left_s=60.0)
+            store.write("servers/i-1", LeafUpdate(cold))
+            await trio.sleep(APPLY_LIMIT_S)
+            leaf = views[1].registry.get("i-1")
+            assert leaf.entry.sequence == version
+            assert leaf.is_cold(trio.current_time())
+        store.turned_away.clear()
+        await trio.sleep(5)
+        store.calls.clear()
+        await trio.sleep(60)
+        # Both watch the store again.
+        assert store.calls.count("watch") >= 2 * (60 // MAX_WATCH_S)
+
+    run_fleet(test)
