Soak: operator and leaves write again after each return, not the last only

Traced: all gateways were killed at 2.4 s, while the copy lacked version 3, and the stand-in of the operator wrote it again only after the last of up to three returns, more than ten seconds later. Nobody alive could know it. Checks and bounds are unchanged.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -247,28 +247,29 @@
 async def _return_store_from_copy(environment: Environment) -> None:
     """Makes the store come back from a copy, once or several times in a row.
 
-    All gateways count as disturbed until the operator and the leaves have
-    written again what the copy lacks, each after a time of its own.
+    After each return, the operator and the leaves write again what the copy
+    lacks, each after a time of its own; until then all gateways count as
+    disturbed.
     """
     rng, store = environment.rng, environment.store
-    for _ in range(rng.choice(RETURN_COUNTS)):
-        state = store.copy()
-        await trio.sleep(rng.uniform(*COPY_AGE_RANGE_S))
-        away_s = rng.choice(AWAY_TIMES_S)
-        environment.record_disturbance_of_all(away_s)
-        mode = rng.choice([Mode.STALL, Mode.RESET])
-        for proxy in environment.store_proxies.values():
-            proxy.set_mode(mode)
-        await trio.sleep(away_s)
-        store.come_back(state)
-        for proxy in environment.store_proxies.values():
-            proxy.set_mode(Mode.FORWARD)
-    environment.record_disturbance_of_all(WRITTEN_AGAIN_S)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_remove_ended_leaves, environment)
-        for writer in (environment.operator, *environment.leaves):
-            delay_s = rng.choice([0.0, rng.uniform(0.0, WRITTEN_AGAIN_S)])
-            nursery.start_soon(_write_again, writer, delay_s)
+        for _ in range(rng.choice(RETURN_COUNTS)):
+            state = store.copy()
+            await trio.sleep(rng.uniform(*COPY_AGE_RANGE_S))
+            away_s = rng.choice(AWAY_TIMES_S)
+            environment.record_disturbance_of_all(away_s)
+            mode = rng.choice([Mode.STALL, Mode.RESET])
+            for proxy in environment.store_proxies.values():
+                proxy.set_mode(mode)
+            await trio.sleep(away_s)
+            store.come_back(state)
+            for proxy in environment.store_proxies.values():
+                proxy.set_mode(Mode.FORWARD)
+            environment.record_disturbance_of_all(WRITTEN_AGAIN_S)
+            nursery.start_soon(_remove_ended_leaves, environment)
+            for writer in (environment.operator, *environment.leaves):
+                delay_s = rng.choice([0.0, rng.uniform(0.0, WRITTEN_AGAIN_S)])
+                nursery.start_soon(_write_again, writer, delay_s)
     environment.record_disturbance_of_all()
 
 
