What is held and doubted stays right over a second return

Cause, found by reading the change as a newcomer: what a feed holds counted less than an older write of this VM; and a held write lost its number, by which an older entry in a later copy is told.

Evidence: test_feed_that_holds_a_newer_write_is_believed fails on the code before and passes now. For the second cause there is no failing test: test_older_entry_is_doubted_in_a_second_copy_too passes on both, as the entry that was doubted once stays doubted.

--- a/libs/gateway/src/sapphire_gateway/reconciliation.py
+++ b/libs/gateway/src/sapphire_gateway/reconciliation.py
@@ -132,13 +132,19 @@
         The first full state of an era is completed by what was known before,
         and so are later ones as long as that is held.
         """
+        known_before: dict[str, Change] = {}
         if batch.is_full_state:
             batch = self._complete(batch, now)
-            self._known.clear()
+            known_before, self._known = self._known, {}
         self._era = batch.revision.era
         for change in batch.changes:
-            if not self._is_doubted(change):
-                self._record(change)
+            if self._is_doubted(change):
+                continue
+            self._record(change)
+            before = known_before.get(change.key)
+            if change.revision == HELD and before is not None:
+                # Its number tells whether a later copy has an older write.
+                self._known[change.key] = before
         return batch
 
     def hear(self, changes: Iterable[Change], now: float) -> list[Change]:
@@ -202,10 +208,13 @@
         """Returns a full state with the writes that are held."""
         is_return = self._era not in (None, batch.revision.era)
         listed = {c.key: c for c in batch.changes if c.revision != HELD}
-        # Held by the VM whose feed sent the batch.
-        candidates = {c.key: c for c in batch.changes if c.revision == HELD}
-        told = candidates.keys()
-        candidates = {**candidates, **self._known}
+        # Held by the VM whose feed sent the batch, and not known better.
+        told = {
+            c.key: c
+            for c in batch.changes
+            if c.revision == HELD and self._lacks(c)
+        }
+        candidates = {**self._known, **told}
         held: dict[str, Change] = {}
         held_until: dict[str, float] = {}
         self._doubt(listed, is_return, now)
@@ -219,7 +228,7 @@
             if known == self._removed.get(key):
                 # It had been taken back, and was in an earlier copy.
                 continue
-            if is_return or (key in told and key not in self._known):
+            if is_return or key in told:
                 end = now + hold_s(known.update)
             if end > now:
                 held[key] = dataclasses.replace(known, revision=HELD)
