--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -5,7 +5,7 @@
 import itertools
 import math
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from sapphire_core.fanout import Failure
@@ -22,6 +22,10 @@
 REFUSAL_STATUSES = frozenset({408, MISDIRECTED, 429, FULL})
 # A decimal number without sign or exponent, and of limited size.
 _DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,64})?")
+# Calls that may be repeated expire this long after the caller has disconnected,
+# so that short ones end without closing their connections. Calls that must not
+# be repeated keep their time limit.
+CANCEL_DELAY_S = 0.1
 _call_numbers = itertools.count(1)
 
 
@@ -97,6 +101,27 @@
             self.on_end(result)
 
 
+def end_waiting(calls: Iterable[Call]) -> None:
+    """Ends the calls that still wait for a connection to their leaf."""
+    for call in calls:
+        if not call.sent_at and not call.is_over:
+            call.complete(
+                CallResult(None, Failure.NOT_RUN, "given up", was_sent=False)
+            )
+
+
+def cancel_calls(calls: Collection[Call], now: float) -> None:
+    """Ends calls early whose caller has disconnected.
+
+    Calls that still wait for a connection end at once; calls that were sent
+    expire after CANCEL_DELAY_S.
+    """
+    for call in calls:
+        call.is_cancelled = True
+        call.expires_at = min(call.expires_at, now + CANCEL_DELAY_S)
+    end_waiting(calls)
+
+
 @dataclass(slots=True)
 class LoadReport:
     """Load reported by a leaf, in requests."""
--- a/libs/gateway/src/sapphire_gateway/delegated_calls.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_calls.py
@@ -25,16 +25,18 @@
 from sapphire_core.storerevision import NO_REVISION
 
 from sapphire_gateway import telemetry
-from sapphire_gateway.calls import CallResult
+from sapphire_gateway.calls import Call, CallResult, cancel_calls
 from sapphire_gateway.decoding import DECODING_ERRORS
 from sapphire_gateway.delegation_messages import (
     CALLS_PATH,
     CONTENT_TYPE,
+    END_PATH,
     MS_PER_S,
     OK,
     REMAINDER_PATH,
     CompletedPart,
     DelegationRequest,
+    EndRequest,
     FailedPart,
     HelperResponse,
     RemainderRequest,
@@ -58,11 +60,16 @@
 # Renewals confirm the copies of two VMs at different times.
 DATA_AGE_TOLERANCE_S = 1.5
 
+# Ids that are remembered after the calls of their requests were ended.
+MAX_ENDED_IDS = 1000
+
 _REQUEST_DECODERS: dict[
-    bytes, msgspec.msgpack.Decoder[DelegationRequest | RemainderRequest]
+    bytes,
+    msgspec.msgpack.Decoder[DelegationRequest | RemainderRequest | EndRequest],
 ] = {
     CALLS_PATH.encode(): msgspec.msgpack.Decoder(DelegationRequest),
     REMAINDER_PATH.encode(): msgspec.msgpack.Decoder(RemainderRequest),
+    END_PATH.encode(): msgspec.msgpack.Decoder(EndRequest),
 }
 
 
@@ -80,6 +87,7 @@
         self._began_at = trio.current_time()
         self._signature_header = fleet.header_names.signature.lower()
         self._running: dict[str, str] = {}
+        self._calls: list[Call] = []
         self._done: list[tuple[str, Reply]] = []
         self._failed: list[FailedPart] = []
         self._idle = trio.Event()
@@ -104,9 +112,19 @@
         if not chosen:
             self._idle.set()
         for part, choice in chosen:
-            caller.send(
+            call = caller.send(
                 choice, functools.partial(self._handle_result, part), now
             )
+            self._calls.append(call)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether a call is in progress."""
+        return bool(self._running)
+
+    def cancel(self) -> None:
+        """Ends the calls early, as the caller has left."""
+        cancel_calls(self._calls, trio.current_time())
 
     async def wait(self, seconds: float) -> None:
         """Waits until all calls have ended or the time has passed."""
@@ -184,6 +202,11 @@
         self._reply_times_by_route = ReplyTimesByRoute()
         self._unfinished: dict[int, _DelegatedCalls] = {}
         self._continuation_ids = itertools.count(1)
+        # Calls in progress by the id that their delegation request has.
+        self._calls_by_id: dict[str, _DelegatedCalls] = {}
+        # Ids of the last requests to end calls, the newest last. One may come
+        # before the request for the calls does, on another connection.
+        self._ended_ids: dict[str, None] = {}
 
     async def handle(self, request: Request) -> Response:
         """Handles a delegation request or a request for remaining parts."""
@@ -197,8 +220,20 @@
             return Response(400, [])
         if isinstance(decoded, DelegationRequest):
             return await self._handle_calls(decoded)
+        if isinstance(decoded, EndRequest):
+            return self._handle_end(decoded)
         return await self._handle_remainder(decoded)
 
+    def _handle_end(self, request: EndRequest) -> Response:
+        self._ended_ids[request.delegation_id] = None
+        if len(self._ended_ids) > MAX_ENDED_IDS:
+            del self._ended_ids[next(iter(self._ended_ids))]
+        calls = self._calls_by_id.pop(request.delegation_id, None)
+        if calls is not None:
+            telemetry.ENDED_DELEGATIONS.inc()
+            calls.cancel()
+        return Response(OK, [])
+
     async def _handle_calls(self, request: DelegationRequest) -> Response:
         now = trio.current_time()
         self._freshness.learn_revision(request.store_revision, now)
@@ -206,8 +241,12 @@
         limit_s = max(MAX_DATA_AGE_S, coordinator_age_s + DATA_AGE_TOLERANCE_S)
         if self._freshness.age_s(now) > limit_s:
             return Response(503, [])
+        if request.delegation_id and request.delegation_id in self._ended_ids:
+            return _encoded(_declined(request, "caller has left"))
         if self._is_suspected(request, now):
-            return _encoded(_declined(request))
+            declined = _declined(request, "may crash leaves")
+            declined.is_suspected = True
+            return _encoded(declined)
         self._discard_expired(now)
         target_s = request.target_ms / MS_PER_S
         reply_times = self._reply_times_by_route.get_or_create(
@@ -228,6 +267,8 @@
             top=request.top,
         )
         caller = LeafCaller(self._fleet, spec, reply_times, is_helper=True)
+        if request.delegation_id:
+            self._calls_by_id[request.delegation_id] = calls
         calls.start(request.parts, caller)
         first_response_s = request.first_response_ms / MS_PER_S
         await calls.wait(min(first_response_s, hedge_delay.delay_s))
@@ -278,15 +319,20 @@
         ]
         for continuation_id in expired:
             del self._unfinished[continuation_id]
+        self._calls_by_id = {
+            delegation_id: calls
+            for delegation_id, calls in self._calls_by_id.items()
+            if calls.is_running and calls.ends_at >= now
+        }
 
 
-def _declined(request: DelegationRequest) -> HelperResponse:
+def _declined(request: DelegationRequest, detail: str) -> HelperResponse:
     kind = Failure.NOT_RUN.value
     failed = [
-        FailedPart(part, "", kind, "may crash leaves", was_sent=False)
+        FailedPart(part, "", kind, detail, was_sent=False)
         for part in request.parts
     ]
-    return HelperResponse(0, [], failed, [], is_suspected=True)
+    return HelperResponse(0, [], failed, [])
 
 
 def _encoded(response: HelperResponse) -> Response:
--- a/libs/gateway/src/sapphire_gateway/delegated_parts.py
+++ b/libs/gateway/src/sapphire_gateway/delegated_parts.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+import itertools
+import secrets
 from collections.abc import Collection, Mapping
 from typing import Protocol
 
@@ -45,6 +47,11 @@
 # between domains, and the handling of many parts at both ends.
 FIRST_RESPONSE_MARGIN_S = 0.008
 
+_delegation_numbers = itertools.count(1)
+# Part of each delegation id: those of another process, or of this VM's process
+# before a restart, must differ.
+_PROCESS_ID = secrets.token_hex(8)
+
 
 class PartSink(Protocol):
     """The methods of RequestExecution that DelegatedParts calls.
@@ -102,6 +109,15 @@
             job.received_at + MAX_HEDGE_DEFERRAL_SHARE * job.route.target_s,
         )
         self.delegated_count = 0
+        self._delegations: list[Delegation] = []
+
+    def cancel(self) -> None:
+        """Ends the calls that helpers still make."""
+        if self._fleet.helpers is None:
+            return
+        for delegation in self._delegations:
+            if delegation.pending:
+                self._fleet.helpers.end(delegation)
 
     def delegate(
         self,
@@ -127,14 +143,14 @@
             for part in parts:
                 self._sink.record_delegation(part)
             request = self._delegation_request(parts, call_timeout_s, now)
-            helpers.start(
-                Delegation(
-                    helper,
-                    request,
-                    self._handle_response,
-                    self._handle_lost_helper,
-                )
+            delegation = Delegation(
+                helper,
+                request,
+                self._handle_response,
+                self._handle_lost_helper,
             )
+            self._delegations.append(delegation)
+            helpers.start(delegation)
 
     def is_hedge_deferred(self, part: str, now: float) -> bool:
         """Returns whether a part is not to be hedged yet.
@@ -173,6 +189,7 @@
             revision=revision.number,
             data_age_ms=self._fleet.view.freshness.age_s(now) * MS_PER_S,
             era=revision.era,
+            delegation_id=f"{_PROCESS_ID}-{next(_delegation_numbers)}",
         )
 
     def _handle_response(
--- a/libs/gateway/src/sapphire_gateway/delegation_messages.py
+++ b/libs/gateway/src/sapphire_gateway/delegation_messages.py
@@ -10,6 +10,7 @@
 
 CALLS_PATH = "/calls"
 REMAINDER_PATH = "/rest"
+END_PATH = "/end"
 CONTENT_TYPE = "application/msgpack"
 OK = 200
 MS_PER_S = 1000.0
@@ -35,6 +36,8 @@
             0 if it has none.
         data_age_ms: Time since that copy was known to be current.
         era: Era of that revision.
+        delegation_id: Names the request in an EndRequest; empty if there will
+            be none.
     """
 
     route: str
@@ -52,6 +55,7 @@
     # VMs of an earlier version leave it out.
     data_age_ms: float = 0.0
     era: int = 0
+    delegation_id: str = ""
 
     @property
     def store_revision(self) -> StoreRevision:
@@ -66,6 +70,12 @@
     wait_ms: float
 
 
+class EndRequest(msgspec.Struct, array_like=True):
+    """Ends the calls of a delegation request, as its caller has left."""
+
+    delegation_id: str
+
+
 class CompletedPart(msgspec.Struct, array_like=True):
     """A part whose leaf sent a successful reply.
 
--- a/libs/gateway/src/sapphire_gateway/execution.py
+++ b/libs/gateway/src/sapphire_gateway/execution.py
@@ -31,7 +31,12 @@
 from sapphire_core.repeatgate import RepeatGate, Repetition
 
 from sapphire_gateway import telemetry
-from sapphire_gateway.calls import Call, CallResult
+from sapphire_gateway.calls import (
+    Call,
+    CallResult,
+    cancel_calls,
+    end_waiting,
+)
 from sapphire_gateway.delegated_parts import DelegatedParts, remote_parts
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.job import Job, Outcome
@@ -50,10 +55,6 @@
 # A part is abandoned after more than this many calls that were never sent,
 # because the leaf was unreachable or the call was queued too long.
 MAX_UNSENT_CALLS = 3
-# Calls that may be repeated expire this long after the caller has disconnected,
-# so that short ones end without closing their connections. Calls that must not
-# be repeated keep their time limit.
-CANCEL_DELAY_S = 0.1
 # A search gives its leaves this multiple of its target latency to reply: later
 # replies are of no use, and each call occupies a slot of its leaf.
 CALL_TIMEOUT_FACTOR = 2.0
@@ -180,7 +181,7 @@
         if verdict is Verdict.GIVE_UP:
             # No leaf should start a request that has already failed, or whose
             # caller has disconnected.
-            self._end_waiting_calls()
+            end_waiting(self._calls)
         return outcome
 
     def _first_calls(self) -> list[str]:
@@ -421,31 +422,14 @@
     def _cancel_calls(self) -> None:
         """Ends the calls early after the caller has disconnected.
 
-        Calls that still wait for a connection end at once; calls that were sent
-        expire after CANCEL_DELAY_S. If the request must not be repeated, this
-        method does nothing, so that a submission that was sent takes effect
-        even if its caller has disconnected.
+        Those that helpers make end, too. If the request must not be repeated,
+        this method does nothing, so that a submission that was sent takes
+        effect even if its caller has disconnected.
         """
         if not self._job.policy.is_repeatable:
             return
-        limit = trio.current_time() + CANCEL_DELAY_S
-        for call in self._calls:
-            call.is_cancelled = True
-            call.expires_at = min(call.expires_at, limit)
-        self._end_waiting_calls()
-
-    def _end_waiting_calls(self) -> None:
-        """Ends the calls that still wait for a connection to their leaf."""
-        for call in self._calls:
-            if not call.sent_at and not call.is_over:
-                call.complete(
-                    CallResult(
-                        None,
-                        Failure.NOT_RUN,
-                        "given up",
-                        was_sent=False,
-                    )
-                )
+        cancel_calls(self._calls, trio.current_time())
+        self._delegated.cancel()
 
 
 def _is_leaf_lost(result: CallResult) -> bool:
--- a/libs/gateway/src/sapphire_gateway/helperpool.py
+++ b/libs/gateway/src/sapphire_gateway/helperpool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable, Collection, Mapping
 
 import msgspec
@@ -14,10 +15,12 @@
 from sapphire_gateway.delegation_messages import (
     CALLS_PATH,
     CONTENT_TYPE,
+    END_PATH,
     MS_PER_S,
     OK,
     REMAINDER_PATH,
     DelegationRequest,
+    EndRequest,
     HelperResponse,
     RemainderRequest,
 )
@@ -29,6 +32,8 @@
 RESPONSE_GRACE_S = 0.05
 # A helper that failed is not used again for this long.
 HELPER_RETRY_DELAY_S = 5.0
+# Time limit of the request that ends the calls of a helper.
+END_TIMEOUT_S = 0.5
 
 _RESPONSE = msgspec.msgpack.Decoder(HelperResponse)
 
@@ -82,6 +87,15 @@
             self._client(delegation.helper),
         )
 
+    def end(self, delegation: Delegation) -> None:
+        """Ends a delegation in the background, whose caller has left."""
+        self._nursery.start_soon(
+            supervision.run_once,
+            "end of a delegation",
+            delegation.end,
+            self._client(delegation.helper),
+        )
+
     def exclude(self, helper: Member, detail: str) -> None:
         """Excludes a failed helper from use, for HELPER_RETRY_DELAY_S."""
         self._avoided_until[helper.name] = (
@@ -129,9 +143,24 @@
         self.pending = set(request.parts)
         self._on_response = on_response
         self._on_lost = on_lost
+        self._running = trio.CancelScope()
 
     async def run(self, client: HttpClient) -> None:
         """Sends the request, then fetches remaining parts as they complete."""
+        with self._running:
+            await self._run(client)
+
+    async def end(self, client: HttpClient) -> None:
+        """Stops waiting, and tells the helper to end its calls."""
+        self._running.cancel()
+        content = msgspec.msgpack.encode(EndRequest(self.request.delegation_id))
+        # Without an answer, the calls end by their own time limit.
+        with contextlib.suppress(NoUsableReplyError):
+            await client.request(
+                "POST", END_PATH, END_TIMEOUT_S, content, CONTENT_TYPE
+            )
+
+    async def _run(self, client: HttpClient) -> None:
         began = trio.current_time()
         request = self.request
         wait_s = request.first_response_ms / MS_PER_S + RESPONSE_GRACE_S
--- a/libs/gateway/src/sapphire_gateway/telemetry.py
+++ b/libs/gateway/src/sapphire_gateway/telemetry.py
@@ -111,6 +111,11 @@
     ["kind"],
     registry=REGISTRY,
 )
+ENDED_DELEGATIONS = Counter(
+    "sapphirecross_delegations_ended_total",
+    "Delegated calls that this VM ended early, as the caller had left.",
+    registry=REGISTRY,
+)
 PARTS_MISSING = Counter(
     "sapphirecross_parts_missing_total",
     "Parts left out of merged answers.",
--- a/libs/gateway/tests/test_delegated_calls.py
+++ b/libs/gateway/tests/test_delegated_calls.py
@@ -4,13 +4,19 @@
 
 import pytest
 import trio
-from gateway_harness import HEADER_NAMES, reply, search_route
+from gateway_harness import (
+    HEADER_NAMES,
+    reply,
+    request_bytes,
+    search_route,
+)
 from sapphire_core.members import Member
 from sapphire_core.retrybudget import RetryBudgetPolicy
 from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.callers import CallerServer
 from sapphire_gateway.delegated_calls import MAX_DATA_AGE_S, HelperServer
 from sapphire_gateway.delegated_parts import MAX_HEDGE_DEFERRAL_SHARE
+from sapphire_gateway.delegation_messages import CALLS_PATH
 from sapphire_gateway.fleet import Fleet
 from sapphire_gateway.fleet_view import FleetView
 from sapphire_gateway.helperpool import RESPONSE_GRACE_S, HelperPool
@@ -53,6 +59,8 @@
         self.helper_view = FleetView("vm2")
         self.request_count = 0
         self.is_silent = False
+        # Time that requests for calls take to reach the helper.
+        self.delay_s = 0.0
         self.leaves = {}
 
     async def start(self, target_s=1.2, helper_data_age_s=0.1, own_age_s=0.1):
@@ -93,6 +101,8 @@
             self.request_count += 1
             if self.is_silent:
                 await trio.sleep_forever()
+            if request.target == CALLS_PATH.encode():
+                await trio.sleep(self.delay_s)
             return await helper.handle(request)
 
         server = CallerServer(
@@ -381,3 +391,48 @@
         assert other.requests
 
     run_with_harness(test)
+
+
+def test_calls_of_a_helper_end_when_the_caller_has_left(run_with_harness):
+    """Guards against leaves that work for a caller who is gone (review/10)."""
+
+    async def test(harness):
+        delegation = DelegationHarness(harness)
+        await delegation.start(target_s=2.0)
+        for leaf in delegation.leaves.values():
+            leaf.make_reply = lambda request: None
+        stream = await harness.connect()
+        await stream.send_all(request_bytes())
+        await trio.sleep(0.1)
+        assert delegation.leaf_request_counts() == [1] * 4
+        assert delegation.request_count == 1
+        await stream.aclose()
+        await trio.sleep(0.45)
+        assert [leaf.closed for leaf in delegation.leaves.values()] == [1] * 4
+        # The helper was not given up.
+        for shard, leaf in delegation.leaves.items():
+            leaf.make_reply = shard_reply(shard)
+        before = delegation.request_count
+        check_complete(await harness.request(request_id="r2"))
+        assert delegation.request_count == before + 1
+
+    run_with_harness(test)
+
+
+def test_calls_are_not_made_if_the_caller_leaves_before_they_arrive(
+    run_with_harness,
+):
+    """Guards against a request for calls that is overtaken by its end."""
+
+    async def test(harness):
+        delegation = DelegationHarness(harness)
+        await delegation.start(target_s=2.0)
+        delegation.delay_s = 0.3
+        stream = await harness.connect()
+        await stream.send_all(request_bytes())
+        await trio.sleep(0.1)
+        await stream.aclose()
+        await trio.sleep(0.6)
+        assert delegation.leaf_request_counts() == [0] * 4
+
+    run_with_harness(test)
