--- a/libs/gateway/src/sapphire_gateway/calls.py
+++ b/libs/gateway/src/sapphire_gateway/calls.py
@@ -58,7 +58,7 @@
     """One request to one leaf, or of an HttpClient to its server.
 
     Attributes:
-        payload: Bytes of the request.
+        payload: Bytes of the request; empty once the call is over.
         request_id: Identifier that a reply must repeat if it has one.
         is_to_head: Whether the method is HEAD, so that the reply has no body.
         needs_fresh: Whether the request must not be repeated, so that it is
@@ -96,9 +96,15 @@
 
     def complete(self, result: CallResult) -> None:
         """Reports the result; ignored if one was reported before."""
-        if not self.is_over:
-            self.is_over = True
+        if self.is_over:
+            return
+        self.is_over = True
+        try:
             self.on_end(result)
+        finally:
+            # A search keeps its calls until the last of them has ended, and
+            # each has a copy of the caller's body.
+            self.payload = b""
 
 
 def end_waiting(calls: Iterable[Call]) -> None:
--- a/libs/gateway/src/sapphire_gateway/connection.py
+++ b/libs/gateway/src/sapphire_gateway/connection.py
@@ -256,8 +256,8 @@
                 f"sending failed: {error.strerror}", is_closed_by_server=True
             )
             return True
-        self._unsent = memoryview(call.payload)[sent:]
-        if self._unsent:
+        if sent < len(call.payload):
+            self._unsent = memoryview(call.payload)[sent:]
             # The task that reads may already wait on a kept connection.
             self._waiting.cancel()
         return True
--- a/libs/gateway/tests/test_message_memory.py
+++ b/libs/gateway/tests/test_message_memory.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import gc
 import socket
 import tracemalloc
@@ -23,6 +24,7 @@
     search_route,
     single_leaf_route,
 )
+from sapphire_gateway.calls import Call
 from sapphire_gateway.messagememory import PATIENCE_S, MessageMemory
 from sapphire_gateway.messages import MessageError
 from sapphire_gateway.replyreader import ReplyReader
@@ -38,6 +40,8 @@
 # grows ahead of the content.
 MAX_FACTOR = 1.5
 CALLERS = 40
+# Short enough for the leaves of the harness, which read it in one piece.
+SEARCH_BODY_BYTES = 20_000
 
 
 def allocated_by(function):
@@ -570,3 +574,34 @@
             await stream.aclose()
 
     run_with_harness(test)
+
+
+def test_search_does_not_keep_the_body_of_calls_that_have_ended(
+    run_with_harness,
+):
+    """Guards against a body for each part while one leaf is dark (review/7)."""
+
+    async def test(harness):
+        shards = [f"s{number}" for number in range(10)]
+        for shard in shards[1:]:
+            await harness.leaf(
+                shard, functools.partial(reply, body=b"a" * 16, signature=shard)
+            )
+        dark = await harness.leaf(shards[0], lambda request: None)
+        harness.configure(search_route(*shards, target_s=1.0, min_share=1.0))
+        body = b"x" * SEARCH_BODY_BYTES
+        stream = await harness.connect()
+        await stream.send_all(request_bytes(method="POST", body=body))
+        with trio.fail_after(5):
+            while not dark.requests or _payload_bytes() > 2 * len(body):
+                await trio.sleep(0.02)
+        assert _payload_bytes() >= len(body)
+        await stream.aclose()
+
+    run_with_harness(test)
+
+
+def _payload_bytes():
+    """Returns the bytes of the requests that are kept for calls."""
+    calls = [o for o in gc.get_objects() if isinstance(o, Call)]
+    return sum(len(call.payload) for call in calls)
