--- a/libs/gateway/tests/test_store_return.py
+++ b/libs/gateway/tests/test_store_return.py
@@ -217,6 +217,16 @@
     store.write(f"op/evacuate/{domain}", EvacuationUpdate(domain, is_out))
 
 
+async def lose_version_and_evacuation(store):
+    """Makes the store come back without version 2 and the evacuation of z2."""
+    write_version(store, 1)
+    state = store.copy()
+    write_version(store, 2)
+    evacuate(store, "z2")
+    await trio.sleep(1)
+    store.come_back(state)
+
+
 @pytest.mark.parametrize("written_again_after_s", [0.0, 0.5, 20.0])
 def test_evacuation_lost_with_the_copy_stays_in_force(written_again_after_s):
     """Guards against requests to a domain whose evacuation is written late."""
@@ -276,12 +286,7 @@
     """Guards against a new VM that knows only what the copy has."""
 
     async def test(store, view, sync):
-        write_version(store, 1)
-        state = store.copy()
-        write_version(store, 2)
-        evacuate(store, "z2")
-        await trio.sleep(1)
-        store.come_back(state)
+        await lose_version_and_evacuation(store)
         await trio.sleep(1)
         server = FeedServer(sync.mirror, lambda: 0.0, lambda revision: None)
         batch = await DirectFeed(server, store.decode).changes(None)
@@ -557,12 +562,7 @@
     async def test(store, view, sync):
         peer = Member("vm5", "10.0.0.5:80", "z1", peer_address="vm5")
         store.write("members/vm5", MemberUpdate(peer))
-        write_version(store, 1)
-        state = store.copy()
-        write_version(store, 2)
-        evacuate(store, "z2")
-        await trio.sleep(1)
-        store.come_back(state)
+        await lose_version_and_evacuation(store)
         await trio.sleep(0.5)
         server = FeedServer(sync.mirror, lambda: 0.0, lambda revision: None)
         late_view = FleetView("vm6")
