Test of the exchange of revisions waits for the answer, not for 0.3 s

Traced: with a peer that answers after 0.35 s both cases fail in the same way. That is a bound on the machine's speed. The test now waits for the answer until shortly before the next question; what has to be learned, and by one exchange, is unchanged.

--- a/libs/gateway/tests/test_revisionexchange.py
+++ b/libs/gateway/tests/test_revisionexchange.py
@@ -49,6 +49,10 @@
     trio.run(main)
 
 
+# Time for one answer on a busy machine, before the next question.
+ANSWER_LIMIT_S = 0.9 * EXCHANGE_INTERVAL_S
+
+
 def at(number, era=1):
     """Returns a revision of the store."""
     return StoreRevision(era, number)
@@ -72,9 +76,13 @@
         now = trio.current_time()
         view.freshness.record_current(at(own), now)
         peer_view.freshness.record_current(at(others), now)
-        await trio.sleep(EXCHANGE_INTERVAL_S + 0.3)
-        assert view.freshness.newest_revision == at(9)
-        assert peer_view.freshness.newest_revision == at(9)
+        await trio.sleep(EXCHANGE_INTERVAL_S)
+        with trio.fail_after(ANSWER_LIMIT_S):
+            while {
+                view.freshness.newest_revision,
+                peer_view.freshness.newest_revision,
+            } != {at(9)}:
+                await trio.sleep(0.02)
 
     run_exchange(test, server_handler)
 
