A VM of an earlier version waits for changes at a feed again

What would be seen: during a rolling upgrade, VMs of the version before ask feeds without an era. It counted as era 0, older than any, so that each question was answered at once with the full state, and asked again at once.

A question without an era now has that of the VM that is asked.

Evidence: test_vm_of_an_earlier_version_waits_for_changes fails before (answered after 0.0 s) and passes now (0.8 s).

--- a/libs/gateway/src/sapphire_gateway/feed.py
+++ b/libs/gateway/src/sapphire_gateway/feed.py
@@ -17,7 +17,7 @@
 import msgspec
 import trio
 from prometheus_client import Counter
-from sapphire_core.storerevision import StoreRevision
+from sapphire_core.storerevision import NO_REVISION, StoreRevision
 
 from sapphire_gateway.decoding import DECODING_ERRORS, parse_revision
 from sapphire_gateway.httpclient import HttpClient
@@ -263,7 +263,10 @@
         url = urllib.parse.urlsplit(request.target.decode("latin-1"))
         query = urllib.parse.parse_qs(url.query)
         after_text = query.get("after", [""])[0]
-        after = parse_revision(after_text, query.get("era", ["0"])[0])
+        known = self._mirror.revision or NO_REVISION
+        # A VM of an earlier version states no era.
+        era_text = query.get("era", [str(known.era)])[0]
+        after = parse_revision(after_text, era_text)
         if url.path != PATH or (after is None and after_text):
             return Response(404, [])
         if after is not None:
--- a/libs/gateway/tests/test_feed.py
+++ b/libs/gateway/tests/test_feed.py
@@ -7,10 +7,12 @@
 import msgspec
 import pytest
 import trio
+import trio.testing
 from gateway_harness import serve_peer
 from sapphire_core.members import Member
 from sapphire_core.storerevision import StoreRevision
 from sapphire_gateway.feed import (
+    LONG_POLL_S,
     MAX_DATA_AGE_S,
     MAX_RETAINED_BYTES,
     MAX_RETAINED_CHANGES,
@@ -217,6 +219,25 @@
     assert learned == [at(11)]
 
 
+def test_vm_of_an_earlier_version_waits_for_changes():
+    """Guards against full states without a pause during a rolling upgrade."""
+    mirror = Mirror()
+    mirror.apply(Batch((change("a", 3),), at(10, era=3), is_full_state=True))
+
+    async def main():
+        server = FeedServer(mirror, lambda: 0.0, lambda revision: None)
+        request = Request(b"GET", b"/changes?after=10", [], b"", True)
+        began = trio.current_time()
+        response = await server.handle(request)
+        return trio.current_time() - began, response
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    waited_s, response = trio.run(main, clock=clock)
+    assert waited_s == pytest.approx(LONG_POLL_S)
+    decoded = msgspec.msgpack.decode(response.body, type=FeedResponse)
+    assert not decoded.is_full_state
+
+
 def test_client_refuses_older_data():
     """Guards against a feed that goes back, whatever it says of its age."""
     answer = FeedResponse(9, 0.0, True, False, msgspec.msgpack.encode([]))
