--- a/libs/gateway/tests/test_store_return.py
+++ b/libs/gateway/tests/test_store_return.py
@@ -10,6 +10,7 @@
 
 import pytest
 import trio
+from sapphire_core.crashsuspects import CrashRecord, CrashVerdict
 from sapphire_core.leafset import LAST_RESORT_S, LeafState
 from sapphire_core.members import Member
 from sapphire_core.routing import ClientLimits, Configuration
@@ -631,3 +632,44 @@
         assert all(usable(view) for view in views)
 
     run_fleet(test)
+
+
+def test_quarantine_that_the_copy_lacks_is_kept():
+    """Guards against a request that crashes leaves once more per return."""
+    record = CrashRecord("a", (), True, 60.0)
+
+    async def test(store, views):
+        entry = Member("vm9", "10.0.0.9:80", "z1")
+        store.write("members/vm9", MemberUpdate(entry))
+        state = store.copy()
+        suspecting = dataclasses.replace(entry, suspects=(record,))
+        store.write("members/vm9", MemberUpdate(suspecting))
+        await trio.sleep(2)
+        store.come_back(state)
+        await trio.sleep(10)
+        for view in views:
+            verdict = view.crashes.verdict("a", trio.current_time())
+            assert verdict is CrashVerdict.QUARANTINED
+
+    run_fleet(test)
+
+
+def test_leaf_that_has_said_it_leaves_stays_unused_over_the_return():
+    """Guards against requests to it when its entry is written again."""
+
+    async def test(store, views):
+        state = store.copy()
+        write_leaf(store, 1)
+        write_leaf(store, 2)
+        await trio.sleep(2)
+        for view in views:
+            entry = view.registry.get("i-1").entry
+            view.registry.record_leaving(entry.incarnation, trio.current_time())
+        store.come_back(state)
+        await trio.sleep(LEAF_HOLD_S + LAST_RESORT_S + 1)
+        write_leaf(store, 1, sequence=2)
+        write_leaf(store, 2, sequence=2)
+        await trio.sleep(2)
+        assert [usable(view) for view in views] == [{"i-2"}] * 3
+
+    run_fleet(test)
